Ask discovery at once when starting; take the lighter early refusal out again

The first call is made at once again; a call that fails gives time, and from then on the waits are spread.

--- a/src/bin/heronstage/discovery.rs
+++ b/src/bin/heronstage/discovery.rs
@@ -32,8 +32,7 @@
 ) {
     let seldom = Seldom::default();
     let mut whole = false;
-    // Gateways that start together must not call together: until then the list from the configuration holds.
-    sleep(backoff.next()).await;
+    // The first call is made at once: what discovery has to tell counts as told to a gateway that has not asked.
     loop {
         let at = *addr.borrow_and_update();
         let kept = async {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,7 +55,7 @@
 /// For so long after the last total the others are taken to go on as before while calls are few, in ms.
 const PROJECT_MS: f64 = 10_000.0;
 /// Times by which that share is raised as an expected time: it is known only once the answer is there.
-const LATE_TIMES: f64 = 0.8;
+const LATE_TIMES: f64 = 1.5;
 /// A backend that went is forgotten after so long, in ms.
 const IDLE_MS: f64 = 60_000.0;
 /// A customer idle for so many times the fading of its use is forgotten, once its stores must be full: many
