Prefer backends with an open connection, by the price of a handshake

Checked: the share of an open connection does not come from closing too early (0 closed as idle).

At fault: pick() in src/choice.rs, which ranked all backends alike. The module now keeps count of the connections it believes open to each, and a backend without a free one ranks behind by the handshake's price as that share of the aim, times 3. The settings' price, idle time and requests per connection now reach the module.

--- a/src/bin/cherrytally-benchlink/setup.rs
+++ b/src/bin/cherrytally-benchlink/setup.rs
@@ -76,11 +76,14 @@
             peers: text.truth("limits.peers")?,
             retry_after: text.truth("limits.retry-after")?,
             max_retry_after_ms: text.number("limits.max-retry-after-ms")?,
+            idle_close_ms: text.number("limits.idle-close-ms")?,
+            per_connection: text.whole("limits.streams-per-conn")?,
         },
         prices: Prices {
             cross_zone: text.number("penalties.cross-zone")?,
             waste: text.number("penalties.waste")?,
             probe: text.number("penalties.probe")?,
+            handshake: text.number("penalties.handshake")?,
             late_fail: text.number("penalties.late-fail")?,
         },
         rules: Rules {
--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -183,6 +183,8 @@
     max_retry_after_ms: f64,
     connect_timeout_ms: f64,
     idle_close_ms: f64,
+    #[serde(default)]
+    streams_per_conn: u32,
 }
 
 #[derive(Deserialize)]
@@ -192,6 +194,8 @@
     waste: f64,
     probe: f64,
     late_fail: f64,
+    #[serde(default)]
+    handshake: f64,
 }
 
 #[derive(Deserialize)]
@@ -275,11 +279,14 @@
             peers: w.limits.peers,
             retry_after: w.limits.retry_after,
             max_retry_after_ms: w.limits.max_retry_after_ms,
+            idle_close_ms: w.limits.idle_close_ms,
+            per_connection: w.limits.streams_per_conn,
         },
         prices: Prices {
             cross_zone: w.penalties.cross_zone,
             waste: w.penalties.waste,
             probe: w.penalties.probe,
+            handshake: w.penalties.handshake,
             late_fail: w.penalties.late_fail,
         },
         rules: Rules {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -75,6 +75,11 @@
 const SILENT_TIMES: f64 = 3.0;
 /// Chance added to a backend's cost, in usual times: gateways that know equally little choose differently.
 const JITTER: f64 = 0.05;
+/// A new connection weighs as much as so many times its price, taken as that share of the aim, in waiting.
+/// Beyond its price it costs the backend work, and of a backend heard often a gateway learns in time.
+const HANDSHAKE_TIMES: f64 = 3.0;
+/// A connection unused for this share of the time after which it is closed counts as closed.
+const LINE_IDLE: f64 = 0.5;
 /// Failures in a row after which a backend is left out.
 const EJECT_AFTER: u32 = 2;
 /// Weight of one outcome in the share of spoilt and broken answers, of a backend and of the fleet, and how
@@ -632,6 +637,13 @@
         })
     }
 
+    /// Whether one of this gateway's connections to the backend is likely to be open and free.
+    fn has_line(&self, now: Millis, backend: &Backend) -> bool {
+        let limits = &self.settings.limits;
+        let open = now - backend.line_used < limits.idle_close_ms * LINE_IDLE;
+        open && backend.out < backend.lines * limits.per_connection.max(1)
+    }
+
     /// The best backend for the request's next attempt.
     fn pick(&mut self, now: Millis, id: RequestId) -> Option<BackendId> {
         let mut rng = self.rng.fork();
@@ -655,6 +667,8 @@
         let bad = self.ready().filter(|b| b.failures >= EJECT_AFTER).count();
         // If most look bad the ejection is distrusted, not the fleet: a lost path or list looks the same.
         let distrust = bad * 2 > self.ready().count();
+        let aim = self.settings.classes[open.request.class as usize].aim_ms;
+        let handshake = HANDSHAKE_TIMES * self.settings.prices.handshake * aim;
         let mut best: Option<(bool, f64, BackendId)> = None;
         for b in self.backends.values().filter(|b| allowed(b)) {
             let trial = b.failures < EJECT_AFTER || distrust || (now >= b.out_until && b.out == 0);
@@ -664,6 +678,7 @@
             // What a cold backend may be sent is for it: left to chance among many, it would stay cold.
             let cold = self.cold_share(now, b).is_some();
             let rank = if cold { 0.0 } else { self.cost(now, b, usual) + usual * JITTER * rng.f64() };
+            let rank = rank + if self.has_line(now, b) { 0.0 } else { handshake };
             if best.is_none_or(|(t, r, ..)| (tried, rank) < (t, r)) {
                 best = Some((tried, rank, b.listed.id));
             }
@@ -759,6 +774,10 @@
             b.heard = now;
         }
         b.out += 1;
+        let carried = b.out.div_ceil(self.settings.limits.per_connection.max(1));
+        // All may have closed meanwhile.
+        let kept = now - b.line_used < self.settings.limits.idle_close_ms * LINE_IDLE;
+        b.lines = if kept { b.lines.max(carried) } else { carried };
         b.cold.0 -= 1.0;
         if let Some(c) = self.customers.get_mut(&request.customer) {
             c.out += 1;
@@ -839,6 +858,12 @@
     fn learn(&mut self, now: Millis, backend: BackendId, class: usize, plan: usize, o: &Outcome, depth: f64) {
         let Some(b) = self.backends.get_mut(&backend) else { return };
         b.out = b.out.saturating_sub(1);
+        if matches!(o.result, Result::Ok | Result::Error | Result::Full) {
+            b.line_used = now;
+        } else if self.settings.limits.per_connection <= 1 || o.result == Result::ConnectFailed {
+            // The attempt has taken its connection with it.
+            b.lines = b.lines.saturating_sub(1);
+        }
         if matches!(o.result, Result::Full | Result::ConnectFailed) {
             let held = now + FULL.0.max(FULL.1 * 1000.0 / self.rate.max(1.0));
             b.full_until.resize(self.settings.plans.len(), now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -138,6 +138,10 @@
     pub retry_after: bool,
     /// The longest such wait that is heeded, in ms.
     pub max_retry_after_ms: f64,
+    /// A connection without work is closed after this, in ms.
+    pub idle_close_ms: f64,
+    /// Attempts that one connection carries at once.
+    pub per_connection: u32,
 }
 
 /// What the site charges, as shares of the result.
@@ -149,6 +153,8 @@
     pub waste: f64,
     /// For probes, per first try.
     pub probe: f64,
+    /// For new connections to backends, per first try.
+    pub handshake: f64,
     /// For worth that ended unserved after its aim.
     pub late_fail: f64,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,9 @@
     /// Its time for a request beside the fleet's, and when last learned.
     pub(crate) pace: f64,
     pub(crate) learned: Millis,
+    /// Connections believed open to it, and when the last answer came on one.
+    pub(crate) lines: u32,
+    pub(crate) line_used: Millis,
     /// Last sign of life with work out.
     pub(crate) heard: Millis,
     pub(crate) failures: u32,
@@ -93,6 +96,21 @@
     pub(crate) fn new(listed: Listed, born: Option<Millis>, now: Millis) -> Self {
         let (learned, heard, out_until, full_until) = (now, now, now, Vec::new());
         let (cold, out, pace, failures, spoilt) = ((0.0, now), 0, 1.0, 0, 0.0);
-        Backend { listed, born, cold, out, pace, learned, heard, failures, spoilt, out_until, full_until }
+        let (lines, line_used) = (0, now);
+        Backend {
+            listed,
+            born,
+            cold,
+            out,
+            pace,
+            learned,
+            lines,
+            line_used,
+            heard,
+            failures,
+            spoilt,
+            out_until,
+            full_until,
+        }
     }
 }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -57,7 +57,8 @@
     tiers-of-service.0.extra-worth=0\ntiers-of-service.0.excess-cost=1\ntiers-of-service.0.cap-rate=0\n\
     tiers-of-service.0.cap-depth=0\ntiers-of-service.0.ceiling-slack=0\ndomain.may-count=false\ndomain.units-top=4\n\
     domain.trued-up=false\nlimits.try-limit=3\nlimits.may-duplicate=false\nlimits.cancel=true\nlimits.probing=false\n\
-    limits.peers=false\nlimits.retry-after=true\nlimits.max-retry-after-ms=2000\npenalties.cross-zone=0\n\
+    limits.peers=false\nlimits.retry-after=true\nlimits.max-retry-after-ms=2000\nlimits.idle-close-ms=30000\n\
+    limits.streams-per-conn=1\npenalties.cross-zone=0\npenalties.handshake=0\n\
     penalties.waste=0\npenalties.probe=0\npenalties.late-fail=0\nrules.answer-slack-ms=8\nrules.cold-from=0.2\n\
     rules.warm-up-ms=9000\nrules.drain-grace-ms=1000\nrules.fall-multiple=3\nrules.fall-ms=1000\n\
     rules.ask-within-ms=10000\nreport.how=off\nmembership-mode=push\nsome.unknown-key=whatever\n";
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -283,6 +283,37 @@
     assert!(to[1..=24].iter().all(|n| *n <= 100), "and none is pushed over: {to:?}");
 }
 
+#[test]
+fn a_hundred_gateways_keep_to_the_connections_they_have() {
+    // Found at size: each request went to any of 60 backends, so one in three opened a connection, and each
+    // backend was heard of once in ten seconds.
+    let mut to = vec![0; 41];
+    let mut opened = 0;
+    for position in 0..100u32 {
+        let mut settings = Settings { gateways: 100, position, ..open_settings() };
+        settings.prices.handshake = 0.08;
+        (settings.limits.idle_close_ms, settings.limits.per_connection) = (30_000.0, 1);
+        let mut rig = Rig { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
+        let entries: Vec<_> = (1..=40).map(|id| listed(id, id % 2, State::Ready)).collect();
+        rig.event(Event::List { full: true, entries });
+        let mut known = std::collections::BTreeSet::new();
+        // Two requests at a time, four a second.
+        for id in (0..100).step_by(2) {
+            rig.now += 500.0;
+            let pair =
+                [id, id + 1].map(|id| (id, sent(&rig.event(Event::Request(request(id, id)))).unwrap()));
+            assert_ne!(pair[0].1, pair[1].1, "a connection carries one request");
+            for (id, backend) in pair {
+                to[backend as usize] += 1;
+                opened += usize::from(known.insert(backend));
+                rig.outcome(id, 0, backend, Result::Ok, None);
+            }
+        }
+    }
+    assert!(opened <= 1000, "{opened} connections for 10000 requests");
+    assert!(to[1..].iter().all(|n| (50..=600).contains(n)), "250 each on average: {to:?}");
+}
+
 #[test]
 fn attempts_out_are_capped() {
     let mut s = open_settings();
