Ask the agent anew well within the times at which a drain counts as told

At fault, in discovery.rs and backoff.rs: a watch was held to be alive for 5 s (SILENT), a call was waited for 6 s (ANSWER), and the wait after a failure is drawn from up to 20 s where there are 300 gateways. A call that was written while the agent was down stays silent for good, and all of it together is up to 31 s where 6 s from the silence, or 2 s from the return, are allowed. The suspicion of the issue is confirmed by the tests: the inherited code opens a silent watch anew after 5.1 s and calls a silent agent three times in 18 s.

Mend: where lists are pushed the address is an agent at no cost, so a call is given up after a fifth of the grace for drains and made again 50 ms later; a watch without a byte for 2.4 s (an empty line is due every 2 s) is broken, and so is one whose object stays unfinished so long. Where discovery is asked, backoff stays for calls that fail; a watch that had been open is opened again within 2 s, spread. Lists over several lines are now read as a stream of objects, each byte looked at once, bounded in size.

Tests: three over loopback sockets and four in the module; with the mend taken out the three over sockets fail (5.1 s; 18 s; the indented list is never taken). Tests that waited for a log line without an end now end after 20 s.

--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -12,8 +12,8 @@
 mod server;
 
 use backends::Backends;
-use backoff::Backoff;
 use config::Config;
+use discovery::Manner;
 use driver::{Driver, Names};
 use server::Server;
 use std::process::ExitCode;
@@ -78,12 +78,12 @@
     if let Some((timeout_ms, (_, addr))) = &counter {
         counter::spawn(ends, addr, *timeout_ms, &driver);
     }
-    let backoff = Backoff::new(settings.gateways, config.seed);
+    let manner = Manner::new(&settings, config.seed);
     let version = config.known.as_ref().map_or(0, |known| known.version);
     if let Some(known) = config.known {
         driver.list(known);
     }
-    tokio::task::spawn_local(discovery::run(discovery, version, backoff, driver.clone()));
+    tokio::task::spawn_local(discovery::run(discovery, version, manner, driver.clone()));
     if let Some(peers) = peers {
         tokio::task::spawn_local(peers::run(peers, config.peer_intake, driver.clone()));
     }
--- a/tests/gateway/backends.rs
+++ b/tests/gateway/backends.rs
@@ -147,7 +147,7 @@
     let moved = serde_json::json!({"version": 8, "full": false, "servers": [bad, entry(0, new, "Ready")]});
     tell(&mut watch, &moved.to_string());
     // The line is in once the warning of its other entry is.
-    gateway.log.iter().find(|l| l.contains("an entry of the list")).expect("a warning");
+    gateway.logged("an entry of the list");
     go_on.send(()).unwrap();
     assert_eq!(read(&mut open).unwrap().body, b"old");
     for customer in 2..6 {
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -1,8 +1,10 @@
 //! The list of backends.
 
 use crate::play::*;
+use std::io::Write;
+use std::sync::mpsc::channel;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 #[test]
 fn a_drain_is_kept_and_broken_lists_change_nothing() {
@@ -48,7 +50,7 @@
         serde_json::json!({"version": 8, "full": false, "servers": [bad, entry(0, one, "Terminating")]});
     tell(&mut watch, &change.to_string());
     // The line is in once its warning is.
-    gateway.log.iter().find(|l| l.contains("an entry of the list")).expect("a warning");
+    gateway.logged("an entry of the list");
     let start = Instant::now();
     let mut before = usize::MAX;
     while got_one.lock().unwrap().len() != before {
@@ -57,3 +59,59 @@
         (0..10).for_each(|customer| assert_eq!(gateway.get(customer, 1).status(), 200));
     }
 }
+
+/// A list may stand on several lines, and come byte by byte with empty lines between.
+#[test]
+fn a_list_over_several_lines_is_kept() {
+    let ((one, got_one), (two, _)) = (good(), good());
+    let discovery = Discovery::new();
+    let gateway = Gateway::new(&config(&[one, two], counter(Arc::default()), discovery.addr));
+    let (_, mut watch) = discovery.watch();
+    let bad = serde_json::json!({"id": 7});
+    let change =
+        serde_json::json!({"version": 8, "full": false, "servers": [bad, entry(0, one, "Terminating")]});
+    let text = format!("\n{}\n\n", serde_json::to_string_pretty(&change).unwrap());
+    for byte in text.bytes() {
+        watch.write_all(&[b'1', b'\r', b'\n', byte, b'\r', b'\n']).unwrap();
+    }
+    // The list is in once the warning of its other entry is; with no other watch between.
+    gateway.logged("an entry of the list");
+    assert!(discovery.watches.try_recv().is_err(), "the first watch holds");
+    (0..10).for_each(|customer| assert_eq!(gateway.get(customer, 1).status(), 200));
+    assert_eq!(got_one.lock().unwrap().len(), 0);
+}
+
+/// What a silent watch misses counts as told 6 s later, and an unfinished object is no sign of life.
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_in_time() {
+    let (one, _) = good();
+    for last in ["", "{\"version\": 8, \"full\": false, "] {
+        let discovery = Discovery::new();
+        let _gateway = Gateway::new(&config(&[one], counter(Arc::default()), discovery.addr));
+        let (_, mut watch) = discovery.watch();
+        let start = Instant::now();
+        tell(&mut watch, last);
+        let (line, _) = discovery.watch();
+        assert!(line.contains("index=7"), "{line}");
+        assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
+    }
+}
+
+/// An agent never answers a call that it got while discovery was down. What it gets at the return counts at
+/// once, and sends may go on for a second here: by then another call has to be answered.
+#[test]
+fn an_agent_that_stays_silent_is_called_again_in_time() {
+    let (one, _) = good();
+    let (asked, calls) = channel();
+    let agent = serve(move |m| {
+        let _ = asked.send(m.line.clone());
+        Play::Hush(channel().0)
+    });
+    let _gateway = Gateway::new(&config(&[one], counter(Arc::default()), agent));
+    calls.recv_timeout(LONG).expect("a call");
+    let start = Instant::now();
+    for _ in 0..3 {
+        calls.recv_timeout(LONG).expect("another call");
+    }
+    assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+}
--- a/tests/gateway/play.rs
+++ b/tests/gateway/play.rs
@@ -248,6 +248,17 @@
             .expect("a line")
     }
 
+    /// Waits until the program has logged a line with these words.
+    pub fn logged(&self, words: &str) {
+        let start = Instant::now();
+        while let Ok(line) = self.log.recv_timeout(LONG.saturating_sub(start.elapsed())) {
+            if line.contains(words) {
+                return;
+            }
+        }
+        panic!("never logged: {words}");
+    }
+
     pub fn signal(&self, name: &str) {
         assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
     }
