Ask for leave right before a request's first byte, and drop what is not written

Seen by reading, confirmed by tests: driver.send looked at the list when an attempt's task starts, and backends.attempt may then connect for the settings' connect time, or go on to another idle connection, and write a request to a backend that has meanwhile been told to drain, or whose client has left. A withdrawal came from the module alone, and only where the site permits to cancel.

Mend: an attempt asks for leave with nothing between that and its first byte (again after each stall of it): the request must still want an answer, and the backend take new work at the address it had. Refused leave keeps the fresh connection. An answer given, or a client gone, drops every attempt that is not whole at its backend yet, whatever limits.cancel says. A backend that drains meanwhile counts as having turned the request away, so that another one is tried.

Tests: a played backend whose connections do not come up until the test lets them.

--- a/src/bin/heronstage/backends.rs
+++ b/src/bin/heronstage/backends.rs
@@ -11,7 +11,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
@@ -43,6 +42,33 @@
     }
 }
 
+/// Leave to send a request, asked for right before its first byte.
+pub trait Leave {
+    /// Why it must not be sent after all.
+    fn refused(&self) -> Option<Ended>;
+    /// Its last byte is written.
+    fn written(&self) {}
+}
+
+/// Writes a message whole, unless leave to begin it is refused. Asked again before each try to write the first
+/// byte: a write that stalls is not begun.
+async fn write(io: &TcpStream, message: &[u8], leave: &dyn Leave) -> std::io::Result<Option<Ended>> {
+    let mut done = 0;
+    while done < message.len() {
+        io.writable().await?;
+        if let Some(why) = leave.refused().filter(|_| done == 0) {
+            return Ok(Some(why));
+        }
+        match io.try_write(&message[done..]) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(bytes) => done += bytes,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(None)
+}
+
 /// How a try for a connection ended without one.
 enum Failed {
     /// The backend is down, unreachable or full.
@@ -100,12 +126,14 @@
     }
 
     /// Sends one request and waits for its answer. Its connection is closed before this returns, unless the
-    /// answer came whole; dropping the future closes it too.
+    /// answer came whole; dropping the future closes it too. Whether it may be sent is asked with nothing
+    /// between that and its first byte: finding a connection takes time, in which the client may leave and the
+    /// backend be told to drain.
     pub async fn attempt(
-        &self, backend: BackendId, addr: SocketAddr, message: &[u8], until: Instant,
+        &self, backend: BackendId, addr: SocketAddr, message: &[u8], until: Instant, leave: &dyn Leave,
     ) -> (Ended, Option<(Head, Bytes)>) {
         let mut line = loop {
-            let (mut line, used) = match self.reuse(backend) {
+            let (line, used) = match self.reuse(backend) {
                 Some(line) => (line, true),
                 None => match self.connect(addr, until).await {
                     Ok(line) => (line, false),
@@ -114,27 +142,28 @@
                 },
             };
             // A request whose last byte was not written can't have begun; after that it may have.
-            match timeout_at(until, line.reader.io.write_all(message)).await {
-                Ok(Ok(())) => break line,
+            match timeout_at(until, write(&line.reader.io, message, leave)).await {
+                Ok(Ok(None)) => break line,
+                Ok(Ok(Some(why))) => {
+                    // Nothing was written: the connection is as good as before.
+                    self.keep(backend, addr, line);
+                    return (why, None);
+                }
                 // A connection that broke while it stood idle tells nothing of its backend.
                 Ok(Err(_)) if used => {}
                 Ok(Err(_)) => return (Ended::ConnectFailed, None),
                 Err(_) => return (Ended::Moot, None),
             }
         };
+        leave.written();
         let (head, body) = match timeout_at(until, line.reader.answer(BODY_MOST)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => return (Ended::Reset, None),
             Err(_) => return (Ended::Timeout, None),
         };
-        // Bytes behind the answer belong to no request. A backend that has gone or moved meanwhile may have
-        // left its address to another one.
+        // Bytes behind the answer belong to no request.
         if head.keep && !line.reader.has_more() {
-            line.used = Instant::now();
-            let mut lines = self.lines.borrow_mut();
-            if let Some(lines) = lines.get_mut(&backend).filter(|lines| lines.addr == addr) {
-                lines.idle.push(line);
-            }
+            self.keep(backend, addr, line);
         }
         let ended = match head.status {
             200 => Ended::Ok,
@@ -145,6 +174,15 @@
         (ended, Some((head, body)))
     }
 
+    /// Keeps a connection for another request. A backend that has gone or moved meanwhile may have left its
+    /// address to another one.
+    fn keep(&self, backend: BackendId, addr: SocketAddr, mut line: Line) {
+        line.used = Instant::now();
+        if let Some(lines) = self.lines.borrow_mut().get_mut(&backend).filter(|lines| lines.addr == addr) {
+            lines.idle.push(line);
+        }
+    }
+
     /// The connection used last, as it is the warmest, if one is sound. One whose answer has just come rests
     /// first: what its backend sent behind that may not have arrived yet.
     fn reuse(&self, backend: BackendId) -> Option<Line> {
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -1,7 +1,7 @@
 //! Drives the decision module: turns what happens into its events and carries out its actions. It alone
 //! answers a request, and answers it once.
 
-use crate::backends::Backends;
+use crate::backends::{Backends, Leave};
 use crate::config::{Entry, Registry, ServerState};
 use crate::counter::{Call, Lanes};
 use crate::http::Head;
@@ -15,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io::Write;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
@@ -87,8 +88,60 @@
     answer: Option<oneshot::Sender<Answer>>,
     work: Rc<Work>,
     ends: Instant,
-    /// Withdraws the attempt of this number; none where it has ended.
-    attempts: Vec<Option<oneshot::Sender<()>>>,
+    /// The attempt of this number; none where it has ended.
+    attempts: Vec<Option<Attempt>>,
+}
+
+/// An attempt that is out.
+struct Attempt {
+    /// Withdraws it; taken once it was.
+    cancel: Option<oneshot::Sender<()>>,
+    /// Its last byte is written: the backend may have begun on it.
+    written: Rc<Cell<bool>>,
+}
+
+impl Attempt {
+    fn withdraw(&mut self) {
+        if let Some(cancel) = self.cancel.take() {
+            let _ = cancel.send(());
+        }
+    }
+}
+
+/// An attempt's leave to be sent: its request still wants an answer, and its backend still takes new work at the
+/// address that it had.
+struct Pass {
+    driver: Rc<Driver>,
+    id: RequestId,
+    backend: BackendId,
+    addr: SocketAddr,
+    written: Rc<Cell<bool>>,
+}
+
+impl Leave for Pass {
+    fn refused(&self) -> Option<Ended> {
+        let inner = self.driver.inner.borrow();
+        if inner.open.get(&self.id).is_none_or(|open| open.answer.is_none()) {
+            return Some(Ended::Moot);
+        }
+        // As good as turned away by it: another one may be tried.
+        let ready = inner.fleet.get(&self.backend) == Some(&State::Ready);
+        let there = self.driver.backends.addr(self.backend) == Some(self.addr);
+        (!ready || !there).then_some(Ended::Full)
+    }
+
+    fn written(&self) {
+        self.written.set(true);
+    }
+}
+
+/// A probe belongs to no request.
+struct Free;
+
+impl Leave for Free {
+    fn refused(&self) -> Option<Ended> {
+        None
+    }
 }
 
 impl Open {
@@ -101,6 +154,8 @@
             // A client that has just gone needs no answer.
             let _ = to.send(answer);
         }
+        // What is not written yet is not sent any more, whether or not the site permits to withdraw what is.
+        self.attempts.iter_mut().flatten().filter(|a| !a.written.get()).for_each(Attempt::withdraw);
     }
 }
 
@@ -384,12 +439,9 @@
             }
             Action::Cancel { id, attempt } => {
                 let attempt = inner.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt as usize));
-                if let Some(cancel) = attempt {
-                    // The attempt's task closes the connection, then tells the outcome. The place stays
-                    // taken until then by a sender whose other end is gone.
-                    if let Some(cancel) = cancel.replace(oneshot::channel().0) {
-                        let _ = cancel.send(());
-                    }
+                // The attempt's task closes the connection, then tells the outcome. It counts as out until then.
+                if let Some(attempt) = attempt.and_then(Option::as_mut) {
+                    attempt.withdraw();
                 }
             }
             Action::Refuse { id, retry_after_ms } => give(inner, id, Answer::Refused { retry_after_ms }),
@@ -440,15 +492,19 @@
             return Some(number as u8);
         };
         let (cancel, mut cancelled) = oneshot::channel();
-        open.attempts.push(Some(cancel));
+        let written = Rc::new(Cell::new(false));
+        open.attempts.push(Some(Attempt { cancel: Some(cancel), written: written.clone() }));
         let (driver, work) = (self.clone(), open.work.clone());
         tokio::task::spawn_local(async move {
             let message = work.message(until - now);
+            let pass = Pass { driver: driver.clone(), id, backend, addr, written: written.clone() };
             let (result, answer) = tokio::select! {
                 biased;
-                ended = driver.backends.attempt(backend, addr, &message, until) => ended,
+                ended = driver.backends.attempt(backend, addr, &message, until, &pass) => ended,
                 // Dropping the attempt closes its connection.
-                _ = &mut cancelled => (Ended::Cancelled, None),
+                Ok(()) = &mut cancelled => {
+                    (if written.get() { Ended::Cancelled } else { Ended::Moot }, None)
+                }
             };
             let took_ms = now.elapsed().as_secs_f64() * 1000.0;
             driver.attempt_ended(id, number, backend, took_ms, result, answer);
@@ -463,7 +519,7 @@
             let now = Instant::now();
             let message = format!("GET /health/live HTTP/1.1\r\nHost: {addr}\r\n\r\n");
             let until = now + driver.backends.connect_time();
-            let (result, _) = driver.backends.attempt(backend, addr, message.as_bytes(), until).await;
+            let (result, _) = driver.backends.attempt(backend, addr, message.as_bytes(), until, &Free).await;
             let took_ms = now.elapsed().as_secs_f64() * 1000.0;
             let event = Event::Probed { backend, result, took_ms, load: Load::default() };
             driver.handle(&mut driver.inner.borrow_mut(), event);
--- /dev/null
+++ b/tests/gateway/crossings.rs
@@ -0,0 +1,95 @@
+//! What happens between two steps: the played peer stops exactly there.
+
+use crate::play::*;
+use socket2::{Domain, Socket, Type};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A backend to which no connection comes up until `let_in`: its queue is full.
+struct Stalled {
+    socket: Socket,
+    addr: SocketAddr,
+    _filler: TcpStream,
+}
+
+impl Stalled {
+    fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let addr = socket.local_addr().unwrap().as_socket().unwrap();
+        Stalled { socket, addr, _filler: TcpStream::connect(addr).unwrap() }
+    }
+
+    /// Connections that wait to come up, as the system has it.
+    fn waiting(&self) -> usize {
+        let port = format!(":{:04X}", self.addr.port());
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let rows = table.lines().map(|row| row.split_whitespace().collect::<Vec<_>>());
+        rows.filter(|row| row[2].ends_with(&port) && row[3] == "02").count()
+    }
+
+    fn wait_for(&self, number: usize) {
+        let start = Instant::now();
+        while self.waiting() != number {
+            assert!(start.elapsed() < LONG, "{} connections wait", self.waiting());
+            std::thread::yield_now();
+        }
+    }
+
+    /// Lets the next connection come up.
+    fn let_in(&self) -> TcpStream {
+        drop(self.socket.accept().unwrap());
+        self.socket.set_read_timeout(Some(LONG)).unwrap();
+        self.socket.accept().unwrap().0.into()
+    }
+}
+
+/// Connections come up whenever they like, here.
+fn patient(backends: &[SocketAddr], discovery: SocketAddr) -> serde_json::Value {
+    let mut config = config(backends, counter(Arc::default()), discovery);
+    config["settings"]["limits"]["connect-timeout-ms"] = 20_000.into();
+    config["settings"]["categories"][2]["aim-ms"] = 4000.into();
+    config
+}
+
+/// Told to drain while the connection comes up, a backend gets nothing on it; another one does.
+#[test]
+fn a_drain_told_while_connecting_is_kept() {
+    let stalled = Stalled::new();
+    let (two, _) = good();
+    let discovery = Discovery::new();
+    let gateway = Gateway::new(&patient(&[stalled.addr], discovery.addr));
+    let (_, mut watch) = discovery.watch();
+    let mut open = gateway.open();
+    open.get_mut().write_all(post("once", "", "x").as_bytes()).unwrap();
+    stalled.wait_for(1);
+    let bad = serde_json::json!({"id": 7});
+    let servers = serde_json::json!([bad, entry(0, stalled.addr, "Terminating"), entry(1, two, "Ready")]);
+    tell(&mut watch, &serde_json::json!({"version": 8, "full": false, "servers": servers}).to_string());
+    gateway.logged("an entry of the list");
+    let mut late = stalled.let_in();
+    assert_eq!(read(&mut open).unwrap().body, b"stock: 12");
+    late.set_nonblocking(true).unwrap();
+    assert!(late.read(&mut [0]).map_or(true, |bytes| bytes == 0), "sent to a draining backend");
+}
+
+/// A client that leaves while a connection comes up takes its request along, though what is sent may not be
+/// withdrawn here.
+#[test]
+fn a_client_that_leaves_while_connecting_ends_its_attempt() {
+    let stalled = Stalled::new();
+    let discovery = Discovery::new();
+    let mut config = patient(&[stalled.addr], discovery.addr);
+    config["settings"]["limits"]["cancel"] = false.into();
+    let gateway = Gateway::new(&config);
+    let mut open = gateway.open();
+    open.get_mut().write_all(post("once", "", "x").as_bytes()).unwrap();
+    stalled.wait_for(1);
+    let start = Instant::now();
+    drop(open);
+    stalled.wait_for(0);
+    assert!(start.elapsed() < Duration::from_millis(1500), "only at its time-out: {:?}", start.elapsed());
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod backends;
 mod clients;
 mod counter;
+mod crossings;
 mod discovery;
 mod peers;
 mod play;
