End after SIGTERM by the settings' deadlines, and serve whoever has connected

Seen by reading, confirmed by tests: what was open was failed 2.4 s after SIGTERM whatever the deadlines (ANSWERED), though SIGKILL comes no sooner than the longest one, or 3 s, and 0.7 s more; accepting was aborted, so connections in the backlog were reset unseen; and a new connection, told to end before its first request was read, was closed without an answer (hyper's graceful shutdown closes one with nothing read yet).

Mend: requests stay open until 0.3 s before SIGKILL by the settings, and are failed then; accepting ends by taking in all who have connected, also after a pause of the whole program (the runtime reads what has come before connections count as idle); a new connection ends with its first answer. From 1 s on nobody is waited for who has no request open, and the program ends as soon as nobody is.

Tests: a backend that takes 2.7 s or hangs under deadlines of 7.5 s; twenty clients that connect while the program is stopped over the end of accepting. Without the mend both fail (502 for the served one; all twenty are closed without an answer). sigterm_answers_what_was_taken_and_ends_well stands as it was.

--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -13,6 +13,7 @@
 mod server;
 
 use backends::Backends;
+use cherrytally::Settings;
 use config::Config;
 use discovery::Manner;
 use driver::{Driver, Names};
@@ -24,7 +25,8 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Semaphore};
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::task::yield_now;
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 /// Descriptors kept for all but clients and backends: log, signals, counter, discovery, peers, listener.
 const RESERVED: usize = 32;
@@ -32,9 +34,14 @@
 const BACKLOG: u32 = 1024;
 /// After SIGTERM new clients are taken in for so long: the front may not have noticed yet.
 const ACCEPT_ON: Duration = Duration::from_millis(600);
-/// What is open is answered by then after SIGTERM.
-const ANSWERED: Duration = Duration::from_millis(2400);
-/// And the last answers are written by so much later.
+/// From then on nobody is waited for who has no request open: whoever connected in time has long sent it.
+const QUIET: Duration = Duration::from_millis(1000);
+/// SIGKILL comes after SIGTERM no sooner than the longest deadline, counted as the first where it is longer, and
+/// the second.
+const KILLED: (Duration, Duration) = (Duration::from_secs(3), Duration::from_millis(700));
+/// So much before that, what is still open is failed: nothing that was taken stays without an answer.
+const RESERVE: Duration = Duration::from_millis(300);
+/// The last answers are written within this.
 const WRITTEN: Duration = Duration::from_millis(150);
 
 fn main() -> ExitCode {
@@ -122,18 +129,42 @@
     let at = Instant::now();
     server.drain();
     sleep(ACCEPT_ON).await;
-    accept.abort();
-    // Tells the connections to end between requests; those that are answering end after it.
+    // Connections end between requests, those that are answering after it. What has come is taken in first, also
+    // after a pause of the whole program; then nobody listens any more.
+    yield_now().await;
     let _ = close.send(true);
-    while server.busy() && at.elapsed() < ANSWERED {
-        sleep(Duration::from_millis(5)).await;
+    let stop = accept.abort_handle();
+    if timeout(WRITTEN, accept).await.is_err() {
+        stop.abort();
     }
-    driver.leave_all();
     // All places are free once the last connection has ended. One that never sent a request need not.
-    let _ = timeout_at(Instant::now() + WRITTEN, free.acquire_many(places as u32)).await;
+    let ended = free.clone().acquire_many_owned(places as u32);
+    tokio::select! {
+        _ = timeout_at(at + answered_within(&settings), ended) => {}
+        () = quiet(&server, at + QUIET) => {}
+    }
+    if server.busy() {
+        driver.leave_all();
+        let _ = timeout(WRITTEN, free.acquire_many(places as u32)).await;
+    }
     Ok(())
 }
 
+/// Waits until so late, and from then on until no request is open.
+async fn quiet(server: &Server, from: Instant) {
+    sleep_until(from).await;
+    while server.busy() {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// How long after SIGTERM requests may stay open.
+fn answered_within(settings: &Settings) -> Duration {
+    let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+    let longest = Duration::from_secs_f64(longest.clamp(0.0, 86_400_000.0) / 1000.0).min(KILLED.0);
+    (longest + KILLED.1 - RESERVE).max(ACCEPT_ON)
+}
+
 fn listen(config: &Config) -> std::io::Result<TcpListener> {
     let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // A restart finds the address free, though connections of the former process linger.
@@ -141,3 +172,23 @@
     socket.bind(config.listen)?;
     socket.listen(BACKLOG)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use cherrytally::Class;
+
+    #[test]
+    fn all_is_answered_before_sigkill_whatever_the_deadlines() {
+        for (deadlines, killed_ms) in
+            [(vec![400.0], 1100), (vec![2500.0, 900.0], 3200), (vec![7500.0], 3700), (vec![f64::NAN], 700)]
+        {
+            let class = |deadline_ms| Class { deadline_ms, ..Class::default() };
+            let classes = deadlines.into_iter().map(class).collect();
+            let within = answered_within(&Settings { classes, ..Settings::default() });
+            let killed = Duration::from_millis(killed_ms);
+            assert!(within + WRITTEN < killed, "{within:?} of {killed:?}");
+            assert!(within + Duration::from_millis(350) > killed, "it waits as long as it may: {within:?}");
+        }
+    }
+}
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -181,14 +181,22 @@
         self.busy.get() > 0
     }
 
-    /// Accepts clients until dropped, at most as many as there are places: the program never runs out of
+    /// Accepts clients until told to close, at most as many as there are places: the program never runs out of
     /// descriptors. With all taken, the client that has been longest without a request gives up its place:
-    /// silent ones by the hundred must not keep others out.
+    /// silent ones by the hundred must not keep others out. At the end those who have connected by then are
+    /// still taken in: their connections came up, and closed unseen their requests would be lost.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, close: watch::Receiver<bool>) {
         let seldom = Seldom::default();
+        let mut closing = close.clone();
         for number in 0.. {
-            let stream = match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                _ = closing.wait_for(|close| *close) => return,
+            };
+            let stream = match accepted {
                 Ok((stream, _)) => stream,
+                Err(_) if *close.borrow() => return,
                 Err(e) => {
                     seldom.warn("accept", e);
                     sleep(Duration::from_millis(20)).await;
@@ -282,6 +290,8 @@
                 served
             });
             tokio::select! {
+                // What has come is read before the connection counts as idle.
+                biased;
                 served = served => match served {
                     Some(ended) => break ended,
                     // The client has gone: its request ends with the connection.
@@ -289,7 +299,10 @@
                 },
                 _ = close.wait_for(|close| *close), if !closing => {
                     closing = true;
-                    Pin::new(&mut connection).graceful_shutdown();
+                    // A new one waits for its first request, whose answer asks the client to go.
+                    if client.known.get() {
+                        Pin::new(&mut connection).graceful_shutdown();
+                    }
                 }
             }
         };
--- a/tests/gateway/service.rs
+++ b/tests/gateway/service.rs
@@ -93,3 +93,60 @@
         assert_eq!(gateway.get(customer, 1).status(), 200);
     }
 }
+
+/// With deadlines beyond the time that a planned end leaves, a request is served for as long as it may be, and one
+/// that can't be is failed in time, not cut off.
+#[test]
+fn sigterm_waits_as_long_as_the_deadlines_allow() {
+    for hangs in [false, true] {
+        let (begun_to, begun) = channel();
+        let addr = serve(move |_| {
+            let _ = begun_to.send(());
+            if hangs {
+                return Play::Hush(channel().0);
+            }
+            std::thread::sleep(Duration::from_millis(2700));
+            Play::Say(say(200, "", "done"))
+        });
+        let mut config = calm(&[addr]);
+        for class in config["settings"]["categories"].as_array_mut().unwrap() {
+            (class["aim-ms"], class["give-up-ms"]) = (7000.into(), 7500.into());
+        }
+        let mut gateway = Gateway::new(&config);
+        let mut open = gateway.open();
+        open.get_mut().write_all(look(1, 1, 7000).as_bytes()).unwrap();
+        begun.recv_timeout(LONG).unwrap();
+        let start = Instant::now();
+        gateway.signal("-TERM");
+        assert_eq!(read(&mut open).expect("an answer").status(), if hangs { 502 } else { 200 });
+        assert!(gateway.child.wait().unwrap().success());
+        // Killed after 3.7 s.
+        assert!(start.elapsed() < Duration::from_millis(3650), "{:?}", start.elapsed());
+    }
+}
+
+/// Connections that came up before accepting ended are served, though the program had not seen them yet.
+#[test]
+fn sigterm_serves_whoever_has_connected() {
+    let (backend, _) = good();
+    let mut gateway = Gateway::new(&calm(&[backend]));
+    let mut busy = gateway.open();
+    busy.get_mut().write_all(b"GET /look").unwrap();
+    gateway.signal("-TERM");
+    // Stopped over the end of accepting, the program finds both at once: its time is up and clients wait.
+    let mut unready = gateway.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    while unready.status() == 200 {
+        unready = gateway.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    gateway.signal("-STOP");
+    let mut opens: Vec<_> = (0..20).map(|_| gateway.open()).collect();
+    for (customer, open) in opens.iter_mut().enumerate() {
+        open.get_mut().write_all(look(customer as u64, 1, 3000).as_bytes()).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(800));
+    gateway.signal("-CONT");
+    let statuses: Vec<_> = opens.iter_mut().map(|open| read(open).map(|answer| answer.status())).collect();
+    assert_eq!(statuses, [Some(200); 20]);
+    drop(busy);
+    assert!(gateway.child.wait().unwrap().success());
+}
