--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -162,7 +162,7 @@
 fn answered_within(settings: &Settings) -> Duration {
     let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let longest = Duration::from_secs_f64(longest.clamp(0.0, 86_400_000.0) / 1000.0).min(KILLED.0);
-    (longest + KILLED.1 - RESERVE).max(ACCEPT_ON)
+    longest + KILLED.1 - RESERVE
 }
 
 fn listen(config: &Config) -> std::io::Result<TcpListener> {
