Let group and window be absent where a class is not keyed

A keyed class without one is still a fault that names its field. The test fails without the mend (the program does not start).

--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -125,11 +125,12 @@
     value: f64,
     late_worth: f64,
     effect: WireEffect,
-    group: WireGroup,
-    window_ms: f64,
+    /// Both belong to a keyed class alone.
+    group: Option<WireGroup>,
+    window_ms: Option<f64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Copy, Deserialize, PartialEq)]
 #[serde(rename_all = "snake_case")]
 enum WireEffect {
     ReadLike,
@@ -137,7 +138,7 @@
     NonIdempotent,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Copy, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum WireGroup {
     All,
@@ -250,6 +251,13 @@
     if w.categories.is_empty() {
         return fault("settings.categories", "empty");
     }
+    for (number, class) in w.categories.iter().enumerate() {
+        let lacks = [("group", class.group.is_none()), ("window-ms", class.window_ms.is_none())];
+        let lacks = lacks.iter().find(|(_, lacks)| *lacks && class.effect == WireEffect::IdempotencyKey);
+        if let Some((field, _)) = lacks {
+            return fault(&format!("settings.categories[{number}].{field}"), "missing for a keyed class");
+        }
+    }
     if w.domain.may_count && file.counter.is_none() {
         return fault("counter", "missing, though settings.domain.may-count is true");
     }
@@ -325,10 +333,11 @@
 
 fn class(c: &WireClass) -> Class {
     let group = match c.group {
-        WireGroup::All => Group::All,
-        WireGroup::Zone => Group::Zone,
-        WireGroup::Cell => Group::Cell,
+        Some(WireGroup::All) => Group::All,
+        Some(WireGroup::Zone) => Group::Zone,
+        Some(WireGroup::Cell) | None => Group::Cell,
     };
+    let window_ms = c.window_ms.unwrap_or(0.0);
     Class {
         aim_ms: c.aim_ms,
         deadline_ms: c.give_up_ms,
@@ -336,7 +345,7 @@
         late_worth: c.late_worth,
         effect: match c.effect {
             WireEffect::ReadLike => Effect::Safe,
-            WireEffect::IdempotencyKey => Effect::Keyed { group, window_ms: c.window_ms },
+            WireEffect::IdempotencyKey => Effect::Keyed { group, window_ms },
             WireEffect::NonIdempotent => Effect::Unsafe,
         },
         // The protocol between clients and gateways has no streamed answers.
--- a/tests/gateway/service.rs
+++ b/tests/gateway/service.rs
@@ -10,10 +10,31 @@
 fn a_bad_configuration_is_told_in_one_line_that_names_the_field() {
     let mut config = calm(&[nobody()]);
     config["settings"]["rules"]["cold-from"] = "warm".into();
-    let output = start(&config).0.wait_with_output().unwrap();
+    complains(&config, "settings.rules.cold-from");
+    let mut config = calm(&[nobody()]);
+    config["settings"]["categories"][1].as_object_mut().unwrap().remove("window-ms");
+    complains(&config, "settings.categories[1].window-ms");
+}
+
+fn complains(config: &serde_json::Value, field: &str) {
+    let output = start(config).0.wait_with_output().unwrap();
     let told = String::from_utf8(output.stderr).unwrap();
     assert!(!output.status.success());
-    assert!(told.contains("settings.rules.cold-from") && told.trim_end().lines().count() == 1, "{told}");
+    assert!(told.contains(field) && told.trim_end().lines().count() == 1, "{told}");
+}
+
+/// A group and a window belong to keyed classes; the settings of others need not name them.
+#[test]
+fn settings_that_may_be_absent_may_be_absent() {
+    let (backend, _) = good();
+    let mut config = calm(&[backend]);
+    for class in [0, 2] {
+        let class = config["settings"]["categories"][class].as_object_mut().unwrap();
+        ["group", "window-ms", "stream"].map(|field| class.remove(field));
+    }
+    let gateway = Gateway::new(&config);
+    assert_eq!(gateway.get(1, 1).status(), 200);
+    assert_eq!(gateway.ask(&post("once", "", "x")).status(), 200);
 }
 
 #[test]
