Let a connection rest until a late second answer would be there

Where answers come spoilt a second one may follow some milliseconds late. The test runs on the paused clock, and fails with the former value.

--- a/src/bin/heronstage/backends.rs
+++ b/src/bin/heronstage/backends.rs
@@ -23,8 +23,9 @@
     }
 }
 
-/// A connection rests for so long behind an answer.
-const REST: Duration = Duration::from_millis(3);
+/// A connection rests for so long behind an answer: a second one may come some milliseconds late, and would be
+/// taken for the next request's. A gateway of many sees few requests, so that resting costs few connections.
+const REST: Duration = Duration::from_millis(30);
 
 struct Line {
     reader: Reader<TcpStream>,
@@ -248,3 +249,27 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// On the paused clock only what the test advances passes.
+    #[tokio::test(start_paused = true)]
+    async fn a_connection_rests_until_a_late_second_answer_would_be_there() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let backends = Backends::new(8, 250.0, 30_000.0);
+        backends.settle(1, addr);
+        let stream = std::net::TcpStream::connect(addr).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        backends.open.set(1);
+        let reader = Reader::new(TcpStream::from_std(stream).unwrap());
+        backends.keep(1, addr, Line { reader, used: Instant::now(), _held: Held(backends.open.clone()) });
+        // "Some milliseconds", with room.
+        tokio::time::advance(Duration::from_millis(20)).await;
+        assert!(backends.reuse(1).is_none(), "a second answer may still be on its way");
+        tokio::time::advance(Duration::from_millis(20)).await;
+        assert!(backends.reuse(1).is_some());
+    }
+}
