--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -252,12 +252,24 @@
         return fault("settings.categories", "empty");
     }
     for (number, class) in w.categories.iter().enumerate() {
+        for (field, ms) in [("aim-ms", class.aim_ms), ("give-up-ms", class.give_up_ms)] {
+            if !(0.0..=86_400_000.0).contains(&ms) {
+                return fault(&format!("settings.categories[{number}].{field}"), "out of range");
+            }
+        }
         let lacks = [("group", class.group.is_none()), ("window-ms", class.window_ms.is_none())];
         let lacks = lacks.iter().find(|(_, lacks)| *lacks && class.effect == WireEffect::IdempotencyKey);
         if let Some((field, _)) = lacks {
             return fault(&format!("settings.categories[{number}].{field}"), "missing for a keyed class");
         }
     }
+    for (number, plan) in w.tiers_of_service.iter().enumerate() {
+        let fits = plan.refill >= 0.0 && (plan.store_size > 0.0 || plan.refill == 0.0);
+        if !fits {
+            let field = format!("settings.tiers-of-service[{number}].store-size");
+            return fault(&field, "a refill needs a store above 0, and neither is below");
+        }
+    }
     if w.domain.may_count && file.counter.is_none() {
         return fault("counter", "missing, though settings.domain.may-count is true");
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -62,6 +62,9 @@
 /// A customer idle for so many times the fading of its use is forgotten, once its stores must be full: many
 /// come only once, and others tell of theirs.
 const IDLE_FADES: f64 = 3.0;
+/// Customers remembered at most, a few MB: numbers can be made up, and each is one more. Past that the
+/// half that was idle longest is forgotten; the next look at their counts tells again.
+const CUSTOMERS_MOST: usize = 16_384;
 /// Requests of others taken to be at each backend beside this gateway's own.
 const UNSEEN: f64 = 1.0;
 /// Weight of one answer in a backend's pace: about the last ten answers count.
@@ -200,6 +203,11 @@
         }
     }
 
+    /// Customers remembered now.
+    pub fn customers(&self) -> usize {
+        self.customers.len()
+    }
+
     /// Takes in one event and appends what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         if !self.ticking {
@@ -432,8 +440,24 @@
         }
     }
 
+    /// Makes room for one more customer.
+    fn forget_idle(&mut self) {
+        let idle = |c: &Customer| c.calls == 0 && c.out == 0 && c.waiting <= 0.0;
+        let mut lasts: Vec<_> = self.customers.values().filter(|c| idle(c)).map(|c| c.last).collect();
+        if lasts.is_empty() {
+            return;
+        }
+        let half = lasts.len() / 2;
+        let (_, middle, _) = lasts.select_nth_unstable_by(half, f64::total_cmp);
+        let middle = *middle;
+        self.customers.retain(|_, c| !idle(c) || c.last > middle);
+    }
+
     /// Brings the customer's stores up to now.
     fn customer(&mut self, now: Millis, customer: CustomerId, plan: usize, spread: f64) {
+        if self.customers.len() >= CUSTOMERS_MOST && !self.customers.contains_key(&customer) {
+            self.forget_idle();
+        }
         let plan = &self.settings.plans[plan];
         let share = 1.0 / spread.clamp(1.0, f64::from(self.settings.gateways.max(1)));
         let up = (now - self.started).max(0.0) / 1000.0;
--- a/tests/gateway/service.rs
+++ b/tests/gateway/service.rs
@@ -14,6 +14,15 @@
     let mut config = calm(&[nobody()]);
     config["settings"]["categories"][1].as_object_mut().unwrap().remove("window-ms");
     complains(&config, "settings.categories[1].window-ms");
+    for (list, number, field, value) in [
+        ("categories", 0, "give-up-ms", -1.0),
+        ("categories", 2, "aim-ms", 1e300),
+        ("tiers-of-service", 0, "store-size", 0.0),
+    ] {
+        let mut config = calm(&[nobody()]);
+        config["settings"][list][number][field] = value.into();
+        complains(&config, &format!("settings.{list}[{number}].{field}"));
+    }
 }
 
 fn complains(config: &serde_json::Value, field: &str) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -395,3 +395,29 @@
         }
     }
 }
+
+/// Numbers of customers can be made up, a new one with each request: they must not fill the memory, and those with
+/// work out are not forgotten.
+#[test]
+fn made_up_customers_do_not_fill_the_memory() {
+    let mut rig = Rig::new(settings());
+    let mut shared = Shared::default();
+    let (name, amount) = count(&rig.event(Event::Request(request(1, 1)))).unwrap();
+    let backend = sent(&rig.counted(name, Result::Ok, amount)).unwrap();
+    for id in 2..100_000 {
+        rig.now += 0.1;
+        let actions = rig.event(Event::Request(request(id, id)));
+        let actions = shared.answer(&mut rig, actions);
+        if let Some(backend) = sent(&actions) {
+            rig.outcome(id, 0, backend, Result::Ok, None);
+        }
+        assert!(rig.gateway.customers() <= 16_384);
+    }
+    assert!(rig.gateway.customers() > 1000, "but most are remembered");
+    rig.outcome(1, 0, backend, Result::Ok, Some(4.0));
+    // The three units beyond the guess ride on the customer's next charge.
+    rig.now += 1000.0;
+    let (_, again) = count(&rig.event(Event::Request(request(100_000, 1)))).expect("a charge");
+    // Amounts grow with the window, 5.8 times in these 11 s: forgotten, it would be that alone.
+    assert!(again > 12.0 * amount, "{again} after {amount}");
+}
