--- a/src/bin/heronstage/backends.rs
+++ b/src/bin/heronstage/backends.rs
@@ -24,8 +24,8 @@
 }
 
 /// A connection rests for so long behind an answer: a second one may come some milliseconds late, and would be
-/// taken for the next request's. A gateway of many sees few requests, so that resting costs few connections.
-const REST: Duration = Duration::from_millis(30);
+/// taken for the next request's. Where few gateways bear all requests each longer rest costs more connections.
+const REST: Duration = Duration::from_millis(10);
 
 struct Line {
     reader: Reader<TcpStream>,
@@ -266,10 +266,9 @@
         backends.open.set(1);
         let reader = Reader::new(TcpStream::from_std(stream).unwrap());
         backends.keep(1, addr, Line { reader, used: Instant::now(), _held: Held(backends.open.clone()) });
-        // "Some milliseconds", with room.
-        tokio::time::advance(Duration::from_millis(20)).await;
+        tokio::time::advance(Duration::from_millis(8)).await;
         assert!(backends.reuse(1).is_none(), "a second answer may still be on its way");
-        tokio::time::advance(Duration::from_millis(20)).await;
+        tokio::time::advance(Duration::from_millis(4)).await;
         assert!(backends.reuse(1).is_some());
     }
 }
--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/crossings.rs
@@ -113,3 +113,16 @@
         assert!(start.elapsed() < Duration::from_millis(1500), "{number}: {:?}", start.elapsed());
     }
 }
+
+/// Requests sent at once on one connection are answered one after the other, each with its own answer.
+#[test]
+fn requests_sent_at_once_are_answered_in_turn() {
+    let backend = serve(|m| Play::Say(say(200, "", &m.headers["x-txn"])));
+    let gateway = Gateway::new(&calm(&[backend]));
+    let mut client = gateway.open();
+    let texts: Vec<_> = (1..=50).map(|customer| look(customer, 1, 3000)).collect();
+    client.get_mut().write_all(texts.concat().as_bytes()).unwrap();
+    for customer in 1..=50 {
+        assert_eq!(read(&mut client).expect("an answer").body, format!("0000{customer:012x}").as_bytes());
+    }
+}
