Test clients that leave while the counter is asked, and signals that come together

Suspects of the issue that are refuted: a request held for the counter is not sent once its client has left, on the module's clock and over sockets; SIGTERM and SIGHUP at once, in either order, end the program well.

--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/crossings.rs
@@ -4,6 +4,7 @@
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::mpsc::channel;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -126,3 +127,29 @@
         assert_eq!(read(&mut client).expect("an answer").body, format!("0000{customer:012x}").as_bytes());
     }
 }
+
+/// A client that leaves while the counter is asked takes its request along: the next one, which waits as long from
+/// later on, is all that the backend gets.
+#[test]
+fn a_client_that_leaves_while_the_counter_is_asked_is_not_sent_for() {
+    let (backend, got) = good();
+    let (called, calls) = channel();
+    let silent = serve(move |_| {
+        let _ = called.send(());
+        Play::Hush(channel().0)
+    });
+    let discovery = Discovery::new();
+    let mut config = config(&[backend], silent, discovery.addr);
+    // The longest wait for the counter is a part of the aim.
+    config["settings"]["categories"][2]["aim-ms"] = 4000.into();
+    config["settings"]["domain"]["counter-timeout-ms"] = 20_000.into();
+    let gateway = Gateway::new(&config);
+    let mut client = TcpStream::connect(gateway.addr).unwrap();
+    client.write_all(post("once", "", "left").as_bytes()).unwrap();
+    calls.recv_timeout(LONG).expect("a call to the counter");
+    drop(client);
+    let stays = post("once", "", "stays").replace("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42");
+    assert_eq!(gateway.ask(&stays).status(), 200);
+    let bodies: Vec<_> = got.lock().unwrap().iter().map(|m| m.body.clone()).collect();
+    assert_eq!(bodies, [b"stays"]);
+}
--- a/tests/gateway/service.rs
+++ b/tests/gateway/service.rs
@@ -180,3 +180,17 @@
     drop(busy);
     assert!(gateway.child.wait().unwrap().success());
 }
+
+/// Signals that come together, and a reload that comes while the program ends, neither hold the end up nor spoil it.
+#[test]
+fn sigterm_and_sighup_together_end_well() {
+    for order in [["-HUP", "-TERM"], ["-TERM", "-HUP"]] {
+        let (backend, _) = good();
+        let mut gateway = Gateway::new(&calm(&[backend]));
+        // Stopped, it finds both at once.
+        for name in ["-STOP", order[0], order[1], "-CONT"] {
+            gateway.signal(name);
+        }
+        assert!(gateway.child.wait().unwrap().success());
+    }
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -280,7 +280,7 @@
             // The client leaves while the counter is asked.
             assert!(count(&actions).is_some() && sent(&actions).is_none(), "{id}: {actions:?}");
             rig.event(Event::Gone { id });
-            shared.answer(&mut rig, actions);
+            assert!(sent(&shared.answer(&mut rig, actions)).is_none(), "{id} is sent for nobody");
             continue;
         }
         // The attempt is dropped before its first byte.
