Advise clients without a place only where, and as long as, the settings allow

At fault in server.rs: the answer for want of a place (NO_PLACE) carried Retry-After: 1 whatever the settings say, also where clients are not to be told (limits.retry-after), and beyond what they heed. Found by reading. The test fills all places with requests whose bodies are waited for, and fails with the mend taken out (advice of 1 s where 0.5 s are heeded, and where none is allowed).

--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -51,9 +51,9 @@
 const CUSTOMERS: u64 = 1 << 33;
 /// Longest key of a request.
 const KEY_MOST: usize = 64;
-/// What a client gets for whom there is no place.
-const NO_PLACE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n\
-    Content-Length: 0\r\n\r\n";
+/// A client for whom there is no place is asked to stay away for so long, where clients are told and no longer than
+/// they heed it.
+const NO_PLACE_MS: f64 = 1000.0;
 
 struct Class {
     name: String,
@@ -70,6 +70,8 @@
     plans: Vec<String>,
     most_units: f64,
     gateways: u64,
+    /// What a client gets for whom there is no place.
+    no_place: String,
     draining: Cell<bool>,
     busy: Cell<usize>,
     /// Places for connections that are free.
@@ -163,6 +165,7 @@
             plans,
             most_units: settings.most_units,
             gateways: settings.gateways.into(),
+            no_place: no_place(settings),
             draining: Cell::default(),
             busy: Cell::default(),
             places,
@@ -204,7 +207,7 @@
                 }
             };
             let Some(place) = self.place().await else {
-                let _ = stream.try_write(NO_PLACE);
+                let _ = stream.try_write(self.no_place.as_bytes());
                 continue;
             };
             let (server, close) = (self.clone(), close.clone());
@@ -489,6 +492,17 @@
     }
 }
 
+fn no_place(settings: &Settings) -> String {
+    let limits = &settings.limits;
+    let wait = NO_PLACE_MS.min(limits.max_retry_after_ms);
+    let advice = if limits.retry_after && wait > 0.0 {
+        format!("Retry-After: {:.3}\r\n", wait / 1000.0)
+    } else {
+        String::new()
+    };
+    format!("HTTP/1.1 503 Service Unavailable\r\n{advice}Connection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
 /// 16 hex digits.
 fn hex(text: &str) -> Option<u64> {
     let form = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
--- a/tests/gateway/clients.rs
+++ b/tests/gateway/clients.rs
@@ -211,3 +211,33 @@
     assert_eq!(gateway.get(5, 1).status(), 200, "ended, it is free");
     assert_eq!(begun.try_iter().count(), 1);
 }
+
+/// Clients are told when to come back only where the site has it so, and no later than they heed.
+#[test]
+fn without_a_place_advice_is_given_where_the_site_permits_it() {
+    for (told, longest, advice) in
+        [(true, 2000.0, Some("1.000")), (true, 500.0, Some("0.500")), (false, 0.0, None)]
+    {
+        let mut config = calm(&[nobody()]);
+        config["limits"]["sockets"] = 40.into();
+        config["settings"]["limits"]["retry-after"] = told.into();
+        config["settings"]["limits"]["max-retry-after-ms"] = longest.into();
+        let gateway = Gateway::new(&config);
+        // Asked to go on with its body, a client's request is open, and its place is its own.
+        let head = post("once", "", "x").replace("\r\n\r\nx", "\r\nExpect: 100-continue\r\n\r\n");
+        let mut opens = Vec::new();
+        let refused = loop {
+            let mut open = gateway.open();
+            let number = opens.len();
+            open.get_mut().write_all(head.replace("9b1f03aa", &format!("{number:08x}")).as_bytes()).unwrap();
+            let answer = read(&mut open).expect("an answer");
+            if answer.status() != 100 {
+                break answer;
+            }
+            opens.push(open);
+            assert!(opens.len() < 40, "never full");
+        };
+        assert_eq!(refused.status(), 503);
+        assert_eq!(refused.headers.get("retry-after").map(String::as_str), advice);
+    }
+}
