See clients leave behind whatever they sent ahead

Cause: ahead.rs read at most 64 KiB while a request was served (AHEAD_MOST); behind more the client's end was seen only after the answer, and its attempts went on. A client that left behind 300 KB while the connection to a backend came up kept its request: the test's case 6 waits in vain ('6: 104544 bytes wait', the old bound put back).

Change: one client may hold 1 MiB, all clients together 4 MiB (before, 64 KiB each without a common bound: some 38 MB with 600 places). Behind that nothing is read, and the system is asked every 40 ms whether the client has closed its side. A client whose bytes the system itself has not all taken is seen to go only once they are read.

Seen to fail: with the old bound and no asking case 6, with the new bound and no asking case 8 ('8: 4.46 s', the request's whole time). With both in place all ten cases end within 1.5 s.

--- a/src/bin/heronstage/ahead.rs
+++ b/src/bin/heronstage/ahead.rs
@@ -1,20 +1,38 @@
 //! A client's connection that shows its end while a request is being served, also behind bytes sent ahead.
 
-use crate::http::BODY_MOST;
 use bytes::{Buf, BytesMut};
-use std::cell::RefCell;
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{sleep, Sleep};
 
-/// So much may be sent ahead while a request is served; behind more the end is seen only after its answer. A
-/// client sends one request at a time, so no more than one whole message is ever due.
-const AHEAD_MOST: usize = BODY_MOST;
+/// So much of one client may be held that it sent ahead while a request is served. A client sends one request at a
+/// time, so more than one whole message is never due.
+const AHEAD_MOST: usize = 1 << 20;
+/// And so much of all clients together.
+const AHEAD_ALL: usize = 4 << 20;
+/// Behind more than that nothing is read: the system is asked so often whether the client has gone. An attempt that
+/// begins 0.1 s after that is one too many.
+const LOOK: Duration = Duration::from_millis(40);
 /// Room for one read.
 const READ: usize = 2048;
+/// What clients have sent ahead, in bytes, over all connections.
+#[derive(Clone, Default)]
+pub struct Ahead(Rc<Cell<usize>>);
+
+impl Ahead {
+    fn change(&self, change: impl Fn(usize) -> usize) {
+        self.0.set(change(self.0.get()));
+    }
+}
 
 /// The connection; its clones are the same one.
 #[derive(Clone)]
@@ -24,36 +42,57 @@
     stream: TcpStream,
     /// Read while a request was served, and not yet taken.
     ahead: BytesMut,
+    all: Ahead,
+    look: Pin<Box<Sleep>>,
     ended: bool,
 }
 
+impl Drop for Inner {
+    fn drop(&mut self) {
+        self.all.change(|all| all - self.ahead.len());
+    }
+}
+
 impl Connection {
-    pub fn new(stream: TcpStream) -> Self {
-        Connection(Rc::new(RefCell::new(Inner { stream, ahead: BytesMut::new(), ended: false })))
+    pub fn new(stream: TcpStream, all: Ahead) -> Self {
+        let (ahead, look) = (BytesMut::new(), Box::pin(sleep(LOOK)));
+        Connection(Rc::new(RefCell::new(Inner { stream, ahead, all, look, ended: false })))
     }
 
     /// Ready once the client has closed its side or the connection broke. What it sent before is kept.
     pub fn poll_ended(&self, cx: &mut Context<'_>) -> Poll<()> {
-        let Inner { stream, ahead, ended } = &mut *self.0.borrow_mut();
-        while !*ended && ahead.len() < AHEAD_MOST {
+        let Inner { stream, ahead, all, look, ended } = &mut *self.0.borrow_mut();
+        while !*ended {
+            if ahead.len() >= AHEAD_MOST || all.0.get() >= AHEAD_ALL {
+                ready!(look.as_mut().poll(cx));
+                look.set(sleep(LOOK));
+                *ended = ended_unread(stream);
+                continue;
+            }
             let mut room = [0; READ];
             let mut buf = ReadBuf::new(&mut room);
-            match Pin::new(&mut *stream).poll_read(cx, &mut buf) {
-                Poll::Pending => return Poll::Pending,
-                Poll::Ready(Ok(())) if !buf.filled().is_empty() => ahead.extend_from_slice(buf.filled()),
-                Poll::Ready(_) => *ended = true,
+            match ready!(Pin::new(&mut *stream).poll_read(cx, &mut buf)) {
+                Ok(()) if !buf.filled().is_empty() => {
+                    ahead.extend_from_slice(buf.filled());
+                    all.change(|all| all + buf.filled().len());
+                }
+                _ => *ended = true,
             }
         }
-        if *ended {
-            return Poll::Ready(());
-        }
-        Poll::Pending
+        Poll::Ready(())
     }
 }
 
+/// Whether the system knows that the client has closed its side or that the connection broke, though bytes lie
+/// before that. Asked for nothing else, it tells of both alone.
+fn ended_unread(stream: &TcpStream) -> bool {
+    let half_closed = PollFlags::from_bits_retain(nix::libc::POLLRDHUP);
+    poll(&mut [PollFd::new(stream.as_fd(), half_closed)], PollTimeout::ZERO).is_ok_and(|found| found > 0)
+}
+
 impl AsyncRead for Connection {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let Inner { stream, ahead, ended } = &mut *self.0.borrow_mut();
+        let Inner { stream, ahead, all, ended, .. } = &mut *self.0.borrow_mut();
         if ahead.is_empty() && !*ended {
             let before = buf.filled().len();
             ready!(Pin::new(stream).poll_read(cx, buf))?;
@@ -63,6 +102,7 @@
         let bytes = ahead.len().min(buf.remaining());
         buf.put_slice(&ahead[..bytes]);
         ahead.advance(bytes);
+        all.change(|all| all - bytes);
         Poll::Ready(Ok(()))
     }
 }
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/heronstage/server.rs
@@ -77,6 +77,7 @@
     /// Places for connections that are free.
     places: Arc<Semaphore>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
+    ahead: ahead::Ahead,
     /// Ids of requests that have no answer yet.
     open: RefCell<HashSet<u64>>,
 }
@@ -170,6 +171,7 @@
             busy: Cell::default(),
             places,
             clients: RefCell::default(),
+            ahead: ahead::Ahead::default(),
             open: RefCell::default(),
         })
     }
@@ -272,7 +274,7 @@
 
     async fn connection(&self, stream: TcpStream, client: &Client, mut close: watch::Receiver<bool>) {
         let _ = stream.set_nodelay(true);
-        let stream = ahead::Connection::new(stream);
+        let stream = ahead::Connection::new(stream, self.ahead.clone());
         // Boxed, as the connection is taken apart at its end.
         let service = service_fn(|request| {
             Box::pin(async move { Ok::<_, Infallible>(self.reply(request, client).await) })
--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/crossings.rs
@@ -77,6 +77,15 @@
     assert!(late.read(&mut [0]).map_or(true, |bytes| bytes == 0), "sent to a draining backend");
 }
 
+/// Bytes that the system has not handed over yet.
+fn queued(client: &TcpStream) -> usize {
+    let port = format!(":{:04X}", client.local_addr().unwrap().port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let mut rows = table.lines().map(|row| row.split_whitespace().collect::<Vec<_>>());
+    let row = rows.find(|row| row[1].ends_with(&port)).expect("the client's connection");
+    usize::from_str_radix(row[4].split(':').next().unwrap(), 16).unwrap()
+}
+
 /// A client that leaves while a connection comes up takes its request along, however it leaves, and though what is
 /// sent may not be withdrawn here.
 #[test]
@@ -95,19 +104,32 @@
         client.shutdown(Shutdown::Write).unwrap();
         kept.push(client);
     };
-    let ahead = [look(1, 1, 3000), look(1, 1, 3000).repeat(200), "noise".to_owned()];
-    let leave: [(&str, &mut dyn FnMut(TcpStream)); 6] = [
+    // The last is more than a gateway holds of one client; the system tells of the end behind it.
+    let many = |bytes: usize| look(1, 1, 3000).repeat(bytes / look(1, 1, 3000).len());
+    let ahead =
+        [look(1, 1, 3000), look(1, 1, 3000).repeat(200), "noise".to_owned(), many(300_000), many(1_100_000)];
+    let leave: [(&str, &mut dyn FnMut(TcpStream)); 10] = [
         ("", &mut { close }),
         ("", &mut { reset }),
         ("", &mut half_close),
         (&ahead[0], &mut { close }),
         (&ahead[1], &mut { reset }),
         (&ahead[2], &mut { close }),
+        (&ahead[3], &mut { close }),
+        (&ahead[3], &mut { reset }),
+        (&ahead[4], &mut { close }),
+        (&ahead[4], &mut { reset }),
     ];
     for (number, (ahead, leave)) in leave.into_iter().enumerate() {
         let mut client = TcpStream::connect(gateway.addr).unwrap();
         client.write_all((post("once", "", "x") + ahead).as_bytes()).unwrap();
         stalled.wait_for(1);
+        // What was sent ahead has arrived: a client that goes before it has all been sent is not seen to go.
+        let start = Instant::now();
+        while queued(&client) > 0 {
+            assert!(start.elapsed() < LONG, "{number}: {} bytes wait", queued(&client));
+            std::thread::yield_now();
+        }
         let start = Instant::now();
         leave(client);
         stalled.wait_for(0);
