--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -1,7 +1,9 @@
 //! The configuration that RELAY_CONFIG names: one JSON file, checked here once.
 
 use cherrytally::{Class, Counter, Effect, Group, Limits, Plan, Prices, Reports, Rules, Settings};
-use serde::Deserialize;
+use serde::de::{Error, IgnoredAny, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer};
+use std::fmt::Formatter;
 use std::net::SocketAddr;
 
 /// All that a gateway is told when it starts.
@@ -25,20 +27,57 @@
     pub peer_intake: f64,
 }
 
+/// Most entries of a list: twice and a half the fleet of 8,200 that the operators name as the next size. What a
+/// list takes up is bounded by this alone, some 12 MB in the whole program, whatever a peer claims to send.
+pub const ENTRIES_MOST: usize = 20_480;
+
 /// The list of backends, or the entries that changed.
 #[derive(Debug, Deserialize)]
 pub struct Registry {
     pub version: u64,
     pub full: bool,
-    pub servers: Vec<Entry>,
+    pub servers: Entries,
 }
 
-/// One entry can't be read alone: the others of its line hold all the same.
-#[derive(Debug, Deserialize)]
-#[serde(untagged)]
-pub enum Entry {
-    Good(Server),
-    Bad(serde::de::IgnoredAny),
+/// The entries of a list. One that can't be read is counted and passed over: the others hold all the same.
+#[derive(Debug, Default)]
+pub struct Entries {
+    pub good: Vec<Server>,
+    pub bad: usize,
+}
+
+impl<'de> Deserialize<'de> for Entries {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        #[derive(Deserialize)]
+        #[serde(untagged)]
+        enum Entry {
+            Good(Server),
+            Bad(IgnoredAny),
+        }
+        struct Visit;
+        impl<'de> Visitor<'de> for Visit {
+            type Value = Entries;
+
+            fn expecting(&self, f: &mut Formatter) -> std::fmt::Result {
+                write!(f, "a list of servers")
+            }
+
+            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Entries, A::Error> {
+                let mut entries = Entries::default();
+                while let Some(entry) = seq.next_element()? {
+                    match entry {
+                        Entry::Good(server) => entries.good.push(server),
+                        Entry::Bad(IgnoredAny) => entries.bad += 1,
+                    }
+                    if entries.good.len() + entries.bad > ENTRIES_MOST {
+                        return Err(A::Error::custom(format!("over {ENTRIES_MOST} entries")));
+                    }
+                }
+                Ok(entries)
+            }
+        }
+        deserializer.deserialize_seq(Visit)
+    }
 }
 
 /// One entry of the list.
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -2,7 +2,7 @@
 //! answers a request, and answers it once.
 
 use crate::backends::{Backends, Leave};
-use crate::config::{Entry, Registry, ServerState};
+use crate::config::{Registry, ServerState};
 use crate::counter::{Call, Lanes};
 use crate::http::Head;
 use crate::peers::Peers;
@@ -13,7 +13,7 @@
     State,
 };
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -188,9 +188,9 @@
     }
 
     /// All that the list does not name are gone.
-    fn mark(&mut self, listed: &[Listed]) {
+    fn mark(&mut self, listed: &HashSet<BackendId>) {
         for (id, gone) in self.given.values_mut() {
-            if gone.is_none() && !listed.iter().any(|e| e.id == *id) {
+            if gone.is_none() && !listed.contains(id) {
                 *gone = Some(Instant::now());
             }
         }
@@ -347,12 +347,11 @@
     /// Discovery told the list, or what changed in it.
     pub fn list(self: &Rc<Self>, registry: Registry) {
         let inner = &mut *self.inner.borrow_mut();
-        let mut entries = Vec::with_capacity(registry.servers.len());
-        for entry in registry.servers {
-            let Entry::Good(server) = entry else {
-                self.seldom.warn("discovery", "an entry of the list can't be read and is passed over");
-                continue;
-            };
+        let mut entries = Vec::with_capacity(registry.servers.good.len());
+        if registry.servers.bad > 0 {
+            self.seldom.warn("discovery", "an entry of the list can't be read and is passed over");
+        }
+        for server in registry.servers.good {
             let state = match server.state {
                 ServerState::Ready => State::Ready,
                 ServerState::Terminating => State::Draining,
@@ -383,9 +382,10 @@
             }
         }
         if registry.full {
-            inner.numbers.mark(&entries);
+            let listed: HashSet<_> = entries.iter().map(|e| e.id).collect();
+            inner.numbers.mark(&listed);
             inner.fleet.retain(|id, _| {
-                let stays = entries.iter().any(|e| e.id == *id);
+                let stays = listed.contains(id);
                 if !stays {
                     self.backends.forget(*id);
                 }
--- a/src/bin/heronstage/http.rs
+++ b/src/bin/heronstage/http.rs
@@ -30,7 +30,10 @@
 /// What is left of the body that is being read.
 enum Left {
     Length(usize),
+    /// The line with a chunk's length.
     Chunk,
+    /// So much of a chunk, and the line end behind it.
+    ChunkData(u64),
     Trailers,
     Close,
     Done,
@@ -110,23 +113,31 @@
                         self.left = Left::Trailers;
                         continue;
                     }
-                    httparse::Status::Complete((_, size)) if size > 16 * BODY_MOST as u64 => {
-                        return Err(bad("chunk too long"));
-                    }
-                    httparse::Status::Complete((used, size))
-                        if self.buf.len() >= used + size as usize + 2 =>
-                    {
+                    // Handed on in pieces as it comes: a claimed length is never waited for or stored.
+                    httparse::Status::Complete((used, size)) => {
                         self.buf.advance(used);
-                        let piece = self.buf.split_to(size as usize).freeze();
-                        // Guards against a chunk whose length doesn't fit: what follows would be misread.
-                        if !self.buf.starts_with(b"\r\n") {
-                            return Err(bad("a chunk does not end where it should"));
-                        }
-                        self.buf.advance(2);
-                        return Ok(Some(piece));
+                        self.left = Left::ChunkData(size);
+                        continue;
                     }
-                    _ => {}
+                    httparse::Status::Partial if self.buf.len() > HEAD_MOST => {
+                        return Err(bad("chunk line too long"));
+                    }
+                    httparse::Status::Partial => {}
                 },
+                // Guards against a chunk whose length doesn't fit: what follows would be misread.
+                Left::ChunkData(0) if self.buf.len() >= 2 => {
+                    if !self.buf.starts_with(b"\r\n") {
+                        return Err(bad("a chunk does not end where it should"));
+                    }
+                    self.buf.advance(2);
+                    self.left = Left::Chunk;
+                    continue;
+                }
+                Left::ChunkData(left) if left > 0 && !self.buf.is_empty() => {
+                    let length = usize::try_from(left).unwrap_or(usize::MAX).min(self.buf.len());
+                    self.left = Left::ChunkData(left - length as u64);
+                    return Ok(Some(self.buf.split_to(length).freeze()));
+                }
                 Left::Trailers => {
                     if let Some(end) = self.buf.windows(2).position(|w| w == b"\r\n") {
                         self.buf.advance(end + 2);
@@ -140,7 +151,7 @@
                     }
                 }
                 Left::Close if !self.buf.is_empty() => return Ok(Some(self.buf.split().freeze())),
-                Left::Length(_) | Left::Close => {}
+                Left::Length(_) | Left::ChunkData(_) | Left::Close => {}
             }
             match self.fill().await {
                 Err(e) if e.kind() == ErrorKind::UnexpectedEof && matches!(self.left, Left::Close) => {
@@ -254,6 +265,11 @@
             ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine", true, false),
             ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfineHTTP/1.1 200 OK\r\n", true, true),
             ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n", true, false),
+            (
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nf\r\n3;x=y\r\nine\r\n0\r\n\r\n",
+                true,
+                false,
+            ),
             (
                 "HTTP/1.1 200 OK\r\nConnection: close, keep-alive\r\nContent-Length: 4\r\n\r\nfine",
                 false,
@@ -276,6 +292,8 @@
             "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nfine",
             "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfine\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfine\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nfine",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nfine",
             "HTTP/1.1 200 OK\r\n\r\nfine",
             "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine",
@@ -283,6 +301,10 @@
         ] {
             assert!(read(text).is_err(), "{text}");
         }
+        // Neither a line without end nor what a chunk claims to hold is stored.
+        let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        assert!(read(&format!("{chunked}4;{}", "x".repeat(HEAD_MOST * 2))).is_err());
+        assert!(read(&format!("{chunked}ffffffff\r\n{}", "x".repeat(BODY_MOST + 1))).is_err());
         assert!(read(&"HTTP/1.1 102 Wait\r\n\r\n".repeat(1000)).is_err());
         assert!(read(&format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(HEAD_MOST * 2))).is_err());
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 use crate::interface::*;
 use crate::message::{Message, Use, USES_MOST};
 use crate::state::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // ---- Tuned values -----------------------------------------------------------------------------------------
 
@@ -991,8 +991,9 @@
 
     fn list(&mut self, now: Millis, full: bool, entries: Vec<Listed>) {
         if full {
+            let named: BTreeSet<_> = entries.iter().map(|e| e.id).collect();
             for b in self.backends.values_mut() {
-                if !entries.iter().any(|e| e.id == b.listed.id) {
+                if !named.contains(&b.listed.id) {
                     b.listed.state = State::Gone;
                 }
             }
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -115,3 +115,56 @@
     }
     assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
 }
+
+/// A list of so many entries, one of which is there.
+fn long_list(entries: usize, there: std::net::SocketAddr) -> serde_json::Value {
+    let elsewhere = |number| entry(number, nobody_at(number), "Terminating");
+    let servers = (1..entries).map(elsewhere).chain([entry(0, there, "Ready")]);
+    serde_json::json!({"version": 9, "full": true, "servers": servers.collect::<Vec<_>>()})
+}
+
+fn nobody_at(number: usize) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([127, 1, (number >> 8) as u8, number as u8], 9))
+}
+
+/// The program was told of nothing when it started: all it knows is the list that is pushed, in one chunk.
+#[test]
+fn a_long_list_is_taken_at_the_first_call_however_it_is_laid_out() {
+    let (one, _) = good();
+    for pretty in [false, true] {
+        let discovery = Discovery::new();
+        let gateway = Gateway::starting(&config(&[], counter(Arc::default()), discovery.addr));
+        let (line, mut watch) = discovery.watch();
+        assert!(line.contains("index=7"), "{line}");
+        let list = long_list(20_000, one);
+        let text = if pretty { serde_json::to_string_pretty(&list) } else { serde_json::to_string(&list) };
+        tell(&mut watch, &text.unwrap());
+        gateway.until_ready();
+        assert_eq!(gateway.get(1, 1).status(), 200);
+        assert!(discovery.watches.try_recv().is_err(), "one call");
+    }
+}
+
+/// A list past the bound is told in the log, the old one stands, and the agent is not called in a loop.
+#[test]
+fn a_list_past_the_bound_leaves_the_gateway_serving() {
+    let (one, _) = good();
+    let discovery = Discovery::new();
+    let gateway = Gateway::new(&config(&[one], counter(Arc::default()), discovery.addr));
+    let (_, mut watch) = discovery.watch();
+    let text = long_list(20_481, one).to_string();
+    tell(&mut watch, &text);
+    gateway.logged("over 20480 entries");
+    let start = Instant::now();
+    let answer = say(200, "", &text);
+    let mut calls = 0;
+    while start.elapsed() < Duration::from_secs(4) {
+        if let Ok((line, mut list)) = discovery.watches.recv_timeout(Duration::from_millis(100)) {
+            assert!(!line.contains("stream"), "the whole list is asked for: {line}");
+            let _ = list.write_all(answer.as_bytes());
+            calls += 1;
+        }
+        assert_eq!(gateway.get(1_000 + start.elapsed().as_millis() as u64, 1).status(), 200);
+    }
+    assert!((1..=9).contains(&calls), "{calls} calls");
+}
--- a/tests/gateway/play.rs
+++ b/tests/gateway/play.rs
@@ -204,6 +204,13 @@
 impl Gateway {
     /// Starts the program and waits until it is ready.
     pub fn new(config: &serde_json::Value) -> Self {
+        let gateway = Gateway::starting(config);
+        gateway.until_ready();
+        gateway
+    }
+
+    /// Starts the program and waits until it listens.
+    pub fn starting(config: &serde_json::Value) -> Self {
         let (mut child, path) = start(config);
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (to, log) = channel();
@@ -214,13 +221,15 @@
                 break addr.parse().unwrap();
             }
         };
-        let gateway = Gateway { child, addr, log, path };
+        Gateway { child, addr, log, path }
+    }
+
+    pub fn until_ready(&self) {
         let start = Instant::now();
-        while gateway.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
+        while self.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
             assert!(start.elapsed() < LONG, "never ready");
             std::thread::sleep(Duration::from_millis(20));
         }
-        gateway
     }
 
     pub fn open(&self) -> BufReader<TcpStream> {
