Tell each attempt's backend the time that is left when it is sent

Cause: driver.rs wrote X-Remaining-Ms when the attempt began, before its connection came up; backends.rs sent these bytes up to 1.5 s later. Ruled out: the calls of discovery, which touch no attempt.

Change: the message is made with the leave to send it, right before its first byte.

--- a/src/bin/heronstage/backends.rs
+++ b/src/bin/heronstage/backends.rs
@@ -43,22 +43,27 @@
     }
 }
 
-/// Leave to send a request, asked for right before its first byte.
+/// A request to be sent: leave for it, and its bytes, both asked for right before the first byte.
 pub trait Leave {
     /// Why it must not be sent after all.
     fn refused(&self) -> Option<Ended>;
+    /// What is written. It tells the time that is left, which passes while a connection comes up.
+    fn message(&self) -> Vec<u8>;
     /// Its last byte is written.
     fn written(&self) {}
 }
 
 /// Writes a message whole, unless leave to begin it is refused. Asked again before each try to write the first
 /// byte: a write that stalls is not begun.
-async fn write(io: &TcpStream, message: &[u8], leave: &dyn Leave) -> std::io::Result<Option<Ended>> {
-    let mut done = 0;
-    while done < message.len() {
+async fn write(io: &TcpStream, leave: &dyn Leave) -> std::io::Result<Option<Ended>> {
+    let (mut message, mut done) = (Vec::new(), 0);
+    while done == 0 || done < message.len() {
         io.writable().await?;
-        if let Some(why) = leave.refused().filter(|_| done == 0) {
-            return Ok(Some(why));
+        if done == 0 {
+            if let Some(why) = leave.refused() {
+                return Ok(Some(why));
+            }
+            message = leave.message();
         }
         match io.try_write(&message[done..]) {
             Ok(0) => return Err(ErrorKind::WriteZero.into()),
@@ -131,7 +136,7 @@
     /// between that and its first byte: finding a connection takes time, in which the client may leave and the
     /// backend be told to drain.
     pub async fn attempt(
-        &self, backend: BackendId, addr: SocketAddr, message: &[u8], until: Instant, leave: &dyn Leave,
+        &self, backend: BackendId, addr: SocketAddr, until: Instant, leave: &dyn Leave,
     ) -> (Ended, Option<(Head, Bytes)>) {
         let mut line = loop {
             let (line, used) = match self.reuse(backend) {
@@ -143,7 +148,7 @@
                 },
             };
             // A request whose last byte was not written can't have begun; after that it may have.
-            match timeout_at(until, write(&line.reader.io, message, leave)).await {
+            match timeout_at(until, write(&line.reader.io, leave)).await {
                 Ok(Ok(None)) => break line,
                 Ok(Ok(Some(why))) => {
                     // Nothing was written: the connection is as good as before.
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -115,6 +115,8 @@
     id: RequestId,
     backend: BackendId,
     addr: SocketAddr,
+    work: Rc<Work>,
+    until: Instant,
     written: Rc<Cell<bool>>,
 }
 
@@ -130,18 +132,26 @@
         (!ready || !there).then_some(Ended::Full)
     }
 
+    fn message(&self) -> Vec<u8> {
+        self.work.message(self.until.saturating_duration_since(Instant::now()))
+    }
+
     fn written(&self) {
         self.written.set(true);
     }
 }
 
 /// A probe belongs to no request.
-struct Free;
+struct Probe(SocketAddr);
 
-impl Leave for Free {
+impl Leave for Probe {
     fn refused(&self) -> Option<Ended> {
         None
     }
+
+    fn message(&self) -> Vec<u8> {
+        format!("GET /health/live HTTP/1.1\r\nHost: {}\r\n\r\n", self.0).into_bytes()
+    }
 }
 
 impl Open {
@@ -496,11 +506,11 @@
         open.attempts.push(Some(Attempt { cancel: Some(cancel), written: written.clone() }));
         let (driver, work) = (self.clone(), open.work.clone());
         tokio::task::spawn_local(async move {
-            let message = work.message(until - now);
-            let pass = Pass { driver: driver.clone(), id, backend, addr, written: written.clone() };
+            let pass =
+                Pass { driver: driver.clone(), id, backend, addr, work, until, written: written.clone() };
             let (result, answer) = tokio::select! {
                 biased;
-                ended = driver.backends.attempt(backend, addr, &message, until, &pass) => ended,
+                ended = driver.backends.attempt(backend, addr, until, &pass) => ended,
                 // Dropping the attempt closes its connection.
                 Ok(()) = &mut cancelled => {
                     (if written.get() { Ended::Cancelled } else { Ended::Moot }, None)
@@ -517,9 +527,8 @@
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let now = Instant::now();
-            let message = format!("GET /health/live HTTP/1.1\r\nHost: {addr}\r\n\r\n");
             let until = now + driver.backends.connect_time();
-            let (result, _) = driver.backends.attempt(backend, addr, message.as_bytes(), until, &Free).await;
+            let (result, _) = driver.backends.attempt(backend, addr, until, &Probe(addr)).await;
             let took_ms = now.elapsed().as_secs_f64() * 1000.0;
             let event = Event::Probed { backend, result, took_ms, load: Load::default() };
             driver.handle(&mut driver.inner.borrow_mut(), event);
--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/crossings.rs
@@ -2,7 +2,7 @@
 
 use crate::play::*;
 use socket2::{Domain, SockRef, Socket, Type};
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
 use std::sync::Arc;
@@ -175,3 +175,18 @@
     let bodies: Vec<_> = got.lock().unwrap().iter().map(|m| m.body.clone()).collect();
     assert_eq!(bodies, [b"stays"]);
 }
+
+/// The time that an attempt tells its backend is what is left when it is sent, however late its connection comes up.
+#[test]
+fn an_attempt_tells_the_time_that_is_left_when_it_is_sent() {
+    let stalled = Stalled::new();
+    let gateway = Gateway::new(&patient(&[stalled.addr], Discovery::new().addr));
+    let mut open = gateway.open();
+    open.get_mut().write_all(post("once", "", "x").as_bytes()).unwrap();
+    stalled.wait_for(1);
+    std::thread::sleep(Duration::from_millis(800));
+    let late = stalled.let_in();
+    let message = read(&mut BufReader::new(late)).expect("a request");
+    let left: u64 = message.headers["x-remaining-ms"].parse().unwrap();
+    assert!(left <= 2200, "{left} ms of 3000 are left after 800");
+}
