Add the fleet emulator: hollow and real gateways, experiments, slopes

A workspace member of its own, built neither by the deploy file's build nor into the gateway. Rules are counted over the fleet; troubles: a zone lost, a region cut, discovery or counter down, releases of gateways and quote servers. - slopes: each quantity at 50, 200, 1,000 and 8,200 backends, with slope, intercept and what the fit misses. - real: stand-ins on loopback for the real program; processor time, memory, descriptors and bytes by /proc.

Tests: rules hold through each trouble on the small fleet; cold quote servers that bear too little fall and a gateway that ends with open requests loses them, so the checks see what they are for; faulty experiments end with one line that names the field and exit code 2.

--- /dev/null
+++ b/emulator/src/discovery.rs
@@ -0,0 +1,75 @@
+//! Discovery: the list, its changes in order, and when each gateway's agent has them.
+
+use crate::experiment::Discovery as Model;
+use crate::{micros, Micros};
+use cherrytally::{Listed, State};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+
+pub(crate) struct Discovery {
+    /// The whole list now, by number, as discovery knows it.
+    list: Vec<Listed>,
+    /// All changes, oldest first; a gateway's version is how many it has.
+    changes: Vec<u32>,
+    states: Vec<Listed>,
+    notice: [Micros; 2],
+    vanished: [Micros; 2],
+    rng: ChaCha8Rng,
+    pub(crate) down: bool,
+}
+
+impl Discovery {
+    pub(crate) fn new(model: &Model, list: Vec<Listed>, rng: ChaCha8Rng) -> Self {
+        Discovery {
+            list,
+            changes: Vec::new(),
+            states: Vec::new(),
+            notice: model.notice_ms.map(micros),
+            vanished: model.vanished_ms.map(micros),
+            rng,
+            down: false,
+        }
+    }
+
+    /// Time until one agent has a change.
+    pub(crate) fn notice(&mut self) -> Micros {
+        self.rng.random_range(self.notice[0]..=self.notice[1])
+    }
+
+    /// Time until discovery knows of one that vanished.
+    pub(crate) fn vanished(&mut self) -> Micros {
+        self.rng.random_range(self.vanished[0]..=self.vanished[1])
+    }
+
+    pub(crate) fn change(&mut self, entry: Listed) {
+        let id = entry.id;
+        self.states.push(entry.clone());
+        self.changes.push(id);
+        match self.list.iter_mut().rev().find(|e| e.id == id) {
+            Some(old) => *old = entry,
+            None => self.list.push(entry),
+        }
+    }
+
+    pub(crate) fn version(&self) -> usize {
+        self.changes.len()
+    }
+
+    /// The entries that changed after this version, each as it is now.
+    pub(crate) fn since(&self, version: usize) -> Vec<Listed> {
+        let mut last: FxHashMap<u32, usize> = FxHashMap::default();
+        for place in version..self.changes.len() {
+            last.insert(self.changes[place], place);
+        }
+        (version..self.changes.len())
+            .filter(|place| last[&self.changes[*place]] == *place)
+            .map(|place| self.states[place].clone())
+            .collect()
+    }
+
+    /// The whole list, without what is gone.
+    pub(crate) fn whole(&self) -> Vec<Listed> {
+        self.list.iter().filter(|entry| entry.state != State::Gone).cloned().collect()
+    }
+}
--- /dev/null
+++ b/emulator/tests/command.rs
@@ -0,0 +1,73 @@
+//! The command line: faults are one line that names the field, with exit code 2.
+#![allow(missing_docs)]
+
+use std::process::{Command, Output};
+
+const SMALL: &str = include_str!("../experiments/small.toml");
+
+fn emulator(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_fleet-emulator")).args(arguments).output().unwrap()
+}
+
+fn file(name: &str, text: &str) -> String {
+    let path = std::env::temp_dir().join(format!("fleet-emulator-test-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path.to_str().unwrap().to_owned()
+}
+
+fn complains(output: Output, field: &str) {
+    let told = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{told}");
+    assert!(told.contains(field) && told.trim_end().lines().count() == 1, "{field}: {told}");
+}
+
+#[test]
+fn a_faulty_experiment_is_told_in_one_line_that_names_the_field() {
+    for (number, (old, new, field)) in [
+        ("slots = 1", "slots = 1\nslotz = 2", "slotz"),
+        ("work_ms = 40", "work_ms = -40", "backends.work_ms"),
+        ("work_ms = 40", "work_ms = nan", "backends.work_ms"),
+        ("work_ms = 40", "work_ms = \"long\"", "backends.work_ms"),
+        ("count = 136", "count = 4000000000", "backends.count"),
+        ("zipf = 0.6\n", "", "load"),
+        ("share = 0.7\neffect = \"safe\"", "share = 0.7\neffect = \"odd\"", "classes[0].effect"),
+        ("deadline_ms = 2500", "deadline_ms = 1e300", "classes[0].deadline_ms"),
+        ("name = \"small\"", "name = ", "TOML"),
+        ("[rules]", "[[troubles]]\nwhat = \"flood\"\n[rules]", "troubles[0]"),
+        (
+            "[rules]",
+            "[[troubles]]\nwhat = \"zone-loss\"\nat_s = 1\nfor_s = 1\nzone = 9\n[rules]",
+            "troubles[0].zone",
+        ),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        assert!(SMALL.contains(old));
+        let path = file(&format!("faulty-{number}.toml"), &SMALL.replacen(old, new, 1));
+        let field = if field == "TOML" { path.as_str() } else { field };
+        complains(emulator(&["run", &path]), field);
+        std::fs::remove_file(&path).unwrap();
+    }
+    complains(emulator(&["run", "not-there.toml"]), "not-there.toml");
+    complains(emulator(&["real", "--program", "not-there"]), "--program");
+    complains(emulator(&["real", "--gateways", "0"]), "--gateways");
+}
+
+#[test]
+fn a_run_prints_its_summary_and_writes_its_report() {
+    let short = SMALL.replace("seconds = 20", "seconds = 1").replace("count_from_s = 5", "count_from_s = 0");
+    let (path, report) = (file("short.toml", &short), file("report.json", ""));
+    let output = emulator(&["--log-format", "json", "run", &path, "--seed", "9", "--report", &report]);
+    let printed = String::from_utf8(output.stdout).unwrap();
+    assert!(
+        output.status.success() && printed.contains("small seed 9") && printed.contains("MB at most"),
+        "{printed}"
+    );
+    let written: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(&report).unwrap()).unwrap();
+    assert!(written["requests"]["tries"].as_u64().unwrap() > 1000, "{written}");
+    assert_eq!(written["seed"], 9);
+    std::fs::remove_file(&path).unwrap();
+    std::fs::remove_file(&report).unwrap();
+}
