--- a/emulator/src/slopes.rs
+++ b/emulator/src/slopes.rs
@@ -130,7 +130,16 @@
 }
 
 fn listed(id: u32) -> Listed {
-    Listed { id, zone: id % 8, kind: 0, cell: id % 64, state: State::Ready, size: 1.0, started: 0.0 }
+    Listed {
+        id,
+        key: id.into(),
+        zone: id % 8,
+        kind: 0,
+        cell: id % 64,
+        state: State::Ready,
+        size: 1.0,
+        started: 0.0,
+    }
 }
 
 fn list(backends: u32) -> Vec<Listed> {
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -975,5 +975,5 @@
 }
 
 fn listed(number: u32, zone: u32, state: State, started: f64) -> Listed {
-    Listed { id: number, zone, kind: 0, cell: 0, state, size: 1.0, started }
+    Listed { id: number, key: number.into(), zone, kind: 0, cell: 0, state, size: 1.0, started }
 }
--- /dev/null
+++ b/src/backends.rs
@@ -0,0 +1,364 @@
+//! The choice of backend: what is known of each, and which one a request's next attempt goes to. Its small interface
+//! to the request's way: `list`, `pick`, `sent`, `learn` and `tick`.
+
+use crate::interface::*;
+use crate::state::{Backend, Open};
+use crate::subset::Subset;
+use fastrand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A backend that went is forgotten after so long, in ms.
+const IDLE_MS: f64 = 60_000.0;
+/// Requests of others taken to be at each backend beside this gateway's own.
+const UNSEEN: f64 = 1.0;
+/// Weight of one answer in a backend's pace: about the last ten answers count.
+const PACE_GAIN: f64 = 0.1;
+/// Weight of one answer in a class's usual time: about the last hundred.
+pub(crate) const USUAL_GAIN: f64 = 0.01;
+/// A pace not renewed returns to the fleet's in this time, in ms.
+const PACE_MEMORY_MS: f64 = 10_000.0;
+/// A class's usual time before any answer, as a share of its aim.
+pub(crate) const USUAL_OF_AIM: f64 = 0.2;
+/// A backend silent for so many usual times, with work out, counts as slower in proportion.
+const SILENT_TIMES: f64 = 3.0;
+/// Chance added to a backend's cost, in usual times: gateways that know equally little choose differently.
+const JITTER: f64 = 0.05;
+/// A new connection weighs as much as so many times its price, taken as that share of the aim, in waiting.
+/// Beyond its price it costs the backend work, and of a backend heard often a gateway learns in time.
+const HANDSHAKE_TIMES: f64 = 3.0;
+/// A connection unused for this share of the time after which it is closed counts as closed.
+const LINE_IDLE: f64 = 0.5;
+/// Failures in a row after which a backend is left out.
+const EJECT_AFTER: u32 = 2;
+/// Weight of one outcome in the share of spoilt and broken answers, of a backend and of the fleet, and how
+/// far the one passes the other before they count as failures: they may come from any backend alike.
+const SPOILT: (f64, f64, f64) = (0.2, 0.02, 0.3);
+/// First time out of use, in ms; doubles with each failed trial up to 32 times.
+pub(crate) const EJECT_MS: f64 = 500.0;
+/// A backend that turned a plan's request away is passed over for that plan for so long, in ms, and until so
+/// many requests of this gateway have come: it must not be asked each time it comes up.
+const FULL: (f64, f64) = (200.0, 20.0);
+/// Where a gateway doesn't look at all backends it looks at so many, drawn by chance, for each choice; and draws so
+/// often at most until it has them: the better of two leaves none idle and crowds none.
+const CHOICES: (usize, usize) = (2, 16);
+/// Times that a connection is used, on average, while it may stand idle, below which a new one has to be worth its price.
+const LINE_USES: f64 = 4.0;
+/// Time over which first attempts a second are averaged, in ms.
+const RATE_MS: f64 = 5000.0;
+
+/// All backends as this gateway sees them.
+#[derive(Default)]
+pub(crate) struct Backends {
+    all: BTreeMap<BackendId, Backend>,
+    subset: Subset,
+    /// Those that may be cold, and how many lists were taken in.
+    cold: BTreeSet<BackendId>,
+    lists: u64,
+    /// Usual time of each class on an idle backend of usual pace, and answers seen.
+    usual: Vec<(f64, f64)>,
+    /// Share of answers that come spoilt or break off, over all backends.
+    spoilt: f64,
+    /// First attempts a second, averaged.
+    rate: f64,
+    rate_at: Millis,
+    /// Attempts out on average, members that are of no use, and those with a connection, as of the last tick.
+    out: f64,
+    lost: usize,
+    lined: Vec<BackendId>,
+}
+
+impl Backends {
+    pub(crate) fn new(settings: &Settings, now: Millis) -> Self {
+        let usual = settings.classes.iter().map(|c| (c.aim_ms * USUAL_OF_AIM, 0.0)).collect();
+        Backends { subset: Subset::new(settings), usual, rate_at: now, ..Backends::default() }
+    }
+
+    /// Usual time of a class on an idle backend of usual pace, in ms.
+    pub(crate) fn usual(&self, class: usize) -> Millis {
+        self.usual[class].0
+    }
+
+    /// Those it keeps to; all that take work where there are few.
+    pub(crate) fn members(&mut self) -> &[BackendId] {
+        self.subset.update();
+        self.subset.members()
+    }
+
+    /// Backends that take work.
+    pub(crate) fn ready(&self) -> usize {
+        self.subset.ready()
+    }
+
+    /// Forgets those long gone, and looks at the members: attempts out are so many on average.
+    pub(crate) fn tick(&mut self, now: Millis, settings: &Settings, out: f64) {
+        self.all.retain(|_, b| b.listed.state != State::Gone || b.out > 0 || now - b.learned < IDLE_MS);
+        self.out = out;
+        if self.subset.cut() {
+            self.subset.update();
+            let members = || self.subset.members().iter().filter_map(|id| self.all.get(id));
+            let lost = members().filter(|b| !of_use(now, b, false)).count();
+            let lined = members().filter(|b| has_line(now, settings, b)).map(|b| b.listed.id).collect();
+            (self.lost, self.lined) = (lost, lined);
+            self.subset.resize(settings, out, self.lost);
+        }
+    }
+
+    /// Expected time of an attempt at this backend, in ms.
+    fn cost(&self, now: Millis, backend: &Backend, usual: f64) -> f64 {
+        let keep = (-(now - backend.learned).max(0.0) / PACE_MEMORY_MS).exp();
+        let mut pace = 1.0 + (backend.pace - 1.0) * keep;
+        if backend.out > 0 {
+            pace = pace.max((now - backend.heard) / (usual * SILENT_TIMES));
+        }
+        pace * usual * (f64::from(backend.out) + 1.0 + UNSEEN) / (1.0 + UNSEEN)
+    }
+
+    /// The best backend for the request's next attempt. Where there are too many to look at all: what a cold member
+    /// may be sent, else the better of a few members, else the best of all members, else the best of all.
+    pub(crate) fn pick(
+        &mut self, now: Millis, settings: &Settings, open: &Open, rng: &mut Rng,
+    ) -> Option<BackendId> {
+        let mut rng = rng.fork();
+        self.subset.update();
+        self.reckon_cold(now, settings);
+        let home = match (open.ran, settings.classes[open.request.class as usize].effect) {
+            (Some((_, backend)), Effect::Keyed { group, .. }) => {
+                self.all.get(&backend).map(|b| (group, b.listed.zone, b.listed.cell))
+            }
+            _ => None,
+        };
+        if !self.subset.cut() {
+            return self.best(now, settings, open, home, self.all.values(), &mut rng).map(|(.., id)| id);
+        }
+        let few = self.rate * settings.limits.idle_close_ms * LINE_IDLE / 1000.0
+            < self.lined.len() as f64 * LINE_USES;
+        let members = if few { &self.lined } else { self.subset.members() };
+        let cold = self.cold.iter().filter(|id| self.subset.holds(**id)).filter_map(|id| self.all.get(id));
+        let cold = cold.filter(|b| b.cold.0 >= 1.0);
+        let drawn = std::iter::repeat_with(|| members.get(rng.usize(..members.len().max(1))));
+        let drawn = drawn.take(CHOICES.1).filter_map(|id| self.all.get(id?));
+        let mut drawn: Vec<_> = drawn
+            .filter(|b| b.listed.state == State::Ready && of_use(now, b, true))
+            .take(CHOICES.0)
+            .collect();
+        drawn.splice(0..0, cold);
+        let found = self.best(now, settings, open, home, drawn.into_iter(), &mut rng);
+        let found = found.filter(|(tried, ..)| !tried).or_else(|| {
+            let members = self.subset.members().iter().filter_map(|id| self.all.get(id));
+            self.best(now, settings, open, home, members, &mut rng).filter(|(tried, ..)| !tried)
+        });
+        found.or_else(|| self.best(now, settings, open, home, self.all.values(), &mut rng)).map(|(.., id)| id)
+    }
+
+    /// The best of these, and whether it was tried or is to be passed over.
+    fn best<'a>(
+        &'a self, now: Millis, settings: &Settings, open: &Open, home: Option<(Group, u32, u32)>,
+        among: impl Iterator<Item = &'a Backend> + Clone, rng: &mut Rng,
+    ) -> Option<(bool, f64, BackendId)> {
+        let class = &settings.classes[open.request.class as usize];
+        let usual = self.usual[open.request.class as usize].0;
+        let allowed = |b: &Backend| {
+            b.listed.state == State::Ready
+                && home.is_none_or(|(group, zone, cell)| match group {
+                    Group::All => true,
+                    Group::Zone => b.listed.zone == zone,
+                    Group::Cell => b.listed.cell == cell && b.listed.zone == zone,
+                })
+                && (cold_share(now, settings, b).is_none() || b.cold.0 >= 1.0)
+        };
+        let ready = among.clone().filter(|b| b.listed.state == State::Ready);
+        let (bad, ready) =
+            ready.fold((0, 0), |(bad, n), b| (bad + u32::from(b.failures >= EJECT_AFTER), n + 1));
+        // If most look bad the ejection is distrusted, not the fleet: a lost path or list looks the same.
+        let distrust = bad * 2 > ready;
+        let handshake = HANDSHAKE_TIMES * settings.prices.handshake * class.aim_ms;
+        let mut best: Option<(bool, f64, BackendId)> = None;
+        for b in among.filter(|b| allowed(b)) {
+            let trial = b.failures < EJECT_AFTER || distrust || (now >= b.out_until && b.out == 0);
+            let tried = open.attempts.iter().any(|a| a.backend == b.listed.id)
+                || b.full_until.get(open.request.plan as usize).is_some_and(|at| now < *at)
+                || !trial;
+            // What a cold backend may be sent is for it: left to chance among many, it would stay cold.
+            let cold = cold_share(now, settings, b).is_some();
+            let rank = if cold { 0.0 } else { self.cost(now, b, usual) + usual * JITTER * rng.f64() };
+            let rank = rank + if has_line(now, settings, b) { 0.0 } else { handshake };
+            if best.is_none_or(|(t, r, ..)| (tried, rank) < (t, r)) {
+                best = Some((tried, rank, b.listed.id));
+            }
+        }
+        best
+    }
+
+    /// Cold backends: each gateway sends at most what it sends a warm one, times what surely is warm, times
+    /// half the multiple at which it falls over: together they stay at half of what it bears.
+    fn reckon_cold(&mut self, now: Millis, settings: &Settings) {
+        let cut = self.subset.cut();
+        let among = if cut { self.subset.members().len() } else { self.subset.ready() } as f64;
+        let (all, subset) = (&mut self.all, &self.subset);
+        // Warm meanwhile, or forgotten.
+        self.cold.retain(|id| all.get(id).is_some_and(|b| cold_share(now, settings, b).is_some()));
+        let cold = || self.cold.iter().copied().filter(|id| !cut || subset.holds(*id));
+        // The capacity of those it may send to, in warm backends: a cold one counts by what surely is warm of it.
+        let lacks = |b: &Backend| match b.listed.state {
+            State::Ready => 1.0 - cold_share(now, settings, b).unwrap_or(1.0),
+            _ => 0.0,
+        };
+        let warm = among - cold().map(|id| lacks(&all[&id])).sum::<f64>();
+        let part = (settings.rules.fall_multiple / 2.0).min(1.0);
+        let usual = self.rate / warm.max(1.0) * part;
+        for id in cold() {
+            let Some(b) = all.get_mut(&id) else { continue };
+            let share = cold_share(now, settings, b).unwrap_or(1.0);
+            let more = (now - b.cold.1).max(0.0) / 1000.0 * usual * share;
+            b.cold = ((b.cold.0 + more).min(1.0), now);
+        }
+    }
+
+    /// An attempt is sent, a request's first or a further one; how many of this gateway are at the backend then.
+    pub(crate) fn sent(&mut self, now: Millis, settings: &Settings, backend: BackendId, first: bool) -> f64 {
+        if first {
+            let keep = (-(now - self.rate_at).max(0.0) / RATE_MS).exp();
+            self.rate = self.rate * keep + 1000.0 / RATE_MS;
+            self.rate_at = now;
+        }
+        let Some(b) = self.all.get_mut(&backend) else { return 1.0 };
+        if b.out == 0 {
+            b.heard = now;
+        }
+        b.out += 1;
+        let carried = b.out.div_ceil(settings.limits.per_connection.max(1));
+        // All may have closed meanwhile.
+        let kept = now - b.line_used < settings.limits.idle_close_ms * LINE_IDLE;
+        b.lines = if kept { b.lines.max(carried) } else { carried };
+        b.cold.0 -= 1.0;
+        f64::from(b.out)
+    }
+
+    /// What an outcome tells of the backend's pace and health.
+    pub(crate) fn learn(
+        &mut self, now: Millis, settings: &Settings, request: &Request, o: &Outcome, depth: f64,
+        rng: &mut Rng,
+    ) {
+        let (class, plan) = (request.class as usize, request.plan as usize);
+        let Some(b) = self.all.get_mut(&o.backend) else { return };
+        b.out = b.out.saturating_sub(1);
+        if matches!(o.result, Result::Ok | Result::Error | Result::Full) {
+            b.line_used = now;
+        } else if settings.limits.per_connection <= 1 || o.result == Result::ConnectFailed {
+            // The attempt has taken its connection with it.
+            b.lines = b.lines.saturating_sub(1);
+        }
+        if matches!(o.result, Result::Full | Result::ConnectFailed) {
+            let held = now + FULL.0.max(FULL.1 * 1000.0 / self.rate.max(1.0));
+            b.full_until.resize(settings.plans.len(), now);
+            match o.result {
+                Result::Full => b.full_until[plan] = held,
+                _ => b.full_until.fill(held),
+            }
+        }
+        let spoilt = f64::from(u8::from(matches!(o.result, Result::Error | Result::Reset)));
+        if spoilt > 0.0 || o.result == Result::Ok {
+            b.spoilt += (spoilt - b.spoilt) * SPOILT.0;
+            self.spoilt += (spoilt - self.spoilt) * SPOILT.1;
+        }
+        match o.result {
+            Result::Ok => {
+                (b.failures, b.heard) = (0, now);
+                let took = if o.took_ms.is_finite() { o.took_ms.max(0.1) } else { return };
+                let (usual, seen) = &mut self.usual[class];
+                let alone = took / ((depth + UNSEEN) / (1.0 + UNSEEN));
+                let keep = (-(now - b.learned).max(0.0) / PACE_MEMORY_MS).exp();
+                let pace = 1.0 + (b.pace - 1.0) * keep;
+                b.pace = pace + PACE_GAIN * ((alone / usual.max(0.1)).min(10.0) - pace);
+                b.learned = now;
+                *seen += 1.0;
+                *usual += (alone / pace.max(0.1) - *usual) * USUAL_GAIN.max(1.0 / *seen);
+            }
+            Result::Full => b.heard = now,
+            // Cut at its aim though the backend answered others meanwhile: the request was costly.
+            Result::Timeout if b.heard > now - o.took_ms => {}
+            // Answers that come spoilt or break off from all backends alike tell nothing of this one.
+            Result::Error | Result::Reset if b.spoilt < self.spoilt + SPOILT.2 => {}
+            Result::Error | Result::Timeout | Result::ConnectFailed | Result::Reset => {
+                b.failures = b.failures.saturating_add(1);
+                if b.failures >= EJECT_AFTER {
+                    let times = f64::from(1u32 << (b.failures - EJECT_AFTER).min(5));
+                    b.out_until = now + EJECT_MS * times * (1.0 + 0.2 * rng.f64());
+                }
+            }
+            Result::Cancelled | Result::Moot => {}
+        }
+    }
+
+    /// Takes in the list, or what changed in it.
+    pub(crate) fn list(
+        &mut self, now: Millis, settings: &Settings, full: bool, entries: Vec<Listed>, rng: &mut Rng,
+    ) {
+        let known = !self.all.is_empty();
+        self.lists += 1;
+        for entry in entries {
+            let fresh = entry.started > 0.0 && now - entry.started < settings.rules.warm_up_ms;
+            let start = fresh.then_some(entry.started);
+            let (id, zone, key, ready) = (entry.id, entry.zone, entry.key, entry.state == State::Ready);
+            let maybe_cold = match self.all.get_mut(&id) {
+                Some(b) => {
+                    // Gone and back, or a new start: it may be cold, whatever the list says of its age.
+                    let back = b.listed.state == State::Gone && ready;
+                    if back || entry.started > b.listed.started {
+                        let born = start.or(back.then_some(now));
+                        (b.born, b.cold) = (born, (rng.f64(), now));
+                        (b.failures, b.spoilt, b.pace, b.full_until) = (0, 0.0, 1.0, Vec::new());
+                    }
+                    let old = std::mem::replace(&mut b.listed, entry);
+                    b.list = self.lists;
+                    if (old.zone, old.key, old.state == State::Ready) != (zone, key, ready) {
+                        self.subset.set(old.zone, old.key, id, false);
+                        self.subset.set(zone, key, id, ready);
+                    }
+                    b.born.is_some()
+                }
+                None if entry.state != State::Gone || known => {
+                    let mut b = Backend::new(entry, start, now);
+                    (b.cold.0, b.list) = (rng.f64(), self.lists);
+                    self.all.insert(id, b);
+                    self.subset.set(zone, key, id, ready);
+                    start.is_some()
+                }
+                None => continue,
+            };
+            if maybe_cold {
+                self.cold.insert(id);
+            }
+        }
+        if full {
+            for b in self.all.values_mut().filter(|b| b.list != self.lists && b.listed.state != State::Gone) {
+                b.listed.state = State::Gone;
+                self.subset.set(b.listed.zone, b.listed.key, b.listed.id, false);
+            }
+        }
+        self.subset.resize(settings, self.out, self.lost);
+    }
+}
+
+/// Turns no plan away and is not left out, or due for a `trial` where that will do.
+fn of_use(now: Millis, backend: &Backend, trial: bool) -> bool {
+    let due = trial && now >= backend.out_until && backend.out == 0;
+    (backend.failures < EJECT_AFTER || due) && backend.full_until.iter().all(|at| *at <= now)
+}
+
+/// Share of its capacity that a backend surely has while it may be cold.
+fn cold_share(now: Millis, settings: &Settings, backend: &Backend) -> Option<f64> {
+    let rules = &settings.rules;
+    let age = now - backend.born?;
+    (age < rules.warm_up_ms).then(|| {
+        let from = rules.cold_from.clamp(0.05, 1.0);
+        from + (1.0 - from) * (age / rules.warm_up_ms).clamp(0.0, 1.0)
+    })
+}
+
+/// Whether one of this gateway's connections to the backend is likely to be open and free.
+fn has_line(now: Millis, settings: &Settings, backend: &Backend) -> bool {
+    let limits = &settings.limits;
+    let open = now - backend.line_used < limits.idle_close_ms * LINE_IDLE;
+    open && backend.out < backend.lines * limits.per_connection.max(1)
+}
--- a/src/bin/cherrytally-benchlink/main.rs
+++ b/src/bin/cherrytally-benchlink/main.rs
@@ -144,6 +144,7 @@
     };
     Ok(Listed {
         id: e.u32(0)?,
+        key: e.u32(0)?.into(),
         zone: u32::from(e.u8(4)?),
         kind: u32::from(e.u8(5)?),
         cell: u32::from(e.u16(6)?),
--- a/src/bin/cherrytally-benchlink/setup.rs
+++ b/src/bin/cherrytally-benchlink/setup.rs
@@ -78,6 +78,7 @@
             max_retry_after_ms: text.number("limits.max-retry-after-ms")?,
             idle_close_ms: text.number("limits.idle-close-ms")?,
             per_connection: text.whole("limits.streams-per-conn")?,
+            connections: 0,
         },
         prices: Prices {
             cross_zone: text.number("penalties.cross-zone")?,
--- a/src/bin/heronstage/config.rs
+++ b/src/bin/heronstage/config.rs
@@ -340,6 +340,7 @@
             max_retry_after_ms: w.limits.max_retry_after_ms,
             idle_close_ms: w.limits.idle_close_ms,
             per_connection: w.limits.streams_per_conn,
+            connections: 0,
         },
         prices: Prices {
             cross_zone: w.penalties.cross_zone,
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/heronstage/driver.rs
@@ -20,6 +20,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A final answer leaves so long before the client's time is up: it has a way to go, and the request had one.
 const MARGIN_MS: f64 = 10.0;
@@ -367,12 +368,14 @@
                 ServerState::Terminating => State::Draining,
                 ServerState::Gone => State::Gone,
             };
+            let key = xxh3_64(server.id.as_bytes());
             let id = inner.numbers.get(server.id, state == State::Gone);
             let place = |names: &[String], name: &str| {
                 names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
             };
             entries.push(Listed {
                 id,
+                key,
                 zone: place(&self.names.zones, &server.zone),
                 kind: place(&self.names.kinds, &server.kind),
                 cell: server.cell,
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/heronstage/main.rs
@@ -80,7 +80,8 @@
     let counter = config.settings.counter.and_then(|c| Some((c.timeout_ms, watch::channel(config.counter?))));
     let (lanes, ends) = counter::Lanes::new();
     let names = Names { zones: config.zones, kinds: config.kinds };
-    let settings = config.settings;
+    let mut settings = config.settings;
+    settings.limits.connections = onward.try_into().unwrap_or(u32::MAX);
     let lanes = counter.as_ref().map(|_| lanes);
     let driver = Driver::new(settings.clone(), config.seed, names, backends, lanes, peers.clone());
     if let Some((timeout_ms, (_, addr))) = &counter {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,10 +4,11 @@
 //! past the limit it is refused at once; its true units settle the difference on the customer's next charge;
 //! a counter that fails lets requests through. Use fades from the count. The sections follow a request's way.
 
+use crate::backends::{Backends, EJECT_MS, USUAL_GAIN, USUAL_OF_AIM};
 use crate::interface::*;
 use crate::message::{Message, Use, USES_MOST};
 use crate::state::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 // ---- Tuned values -----------------------------------------------------------------------------------------
 
@@ -57,45 +58,14 @@
 const PROJECT_MS: f64 = 10_000.0;
 /// Times by which that share is raised as an expected time: it is known only once the answer is there.
 const LATE_TIMES: f64 = 1.5;
-/// A backend that went is forgotten after so long, in ms.
-const IDLE_MS: f64 = 60_000.0;
 /// A customer idle for so many times the fading of its use is forgotten, once its stores must be full: many
 /// come only once, and others tell of theirs.
 const IDLE_FADES: f64 = 3.0;
 /// Customers remembered at most, a few MB: numbers can be made up, and each is one more. Past that the
 /// half that was idle longest is forgotten; the next look at their counts tells again.
 const CUSTOMERS_MOST: usize = 16_384;
-/// Requests of others taken to be at each backend beside this gateway's own.
-const UNSEEN: f64 = 1.0;
-/// Weight of one answer in a backend's pace: about the last ten answers count.
-const PACE_GAIN: f64 = 0.1;
-/// Weight of one answer in a class's usual time: about the last hundred.
-const USUAL_GAIN: f64 = 0.01;
-/// A pace not renewed returns to the fleet's in this time, in ms.
-const PACE_MEMORY_MS: f64 = 10_000.0;
-/// A class's usual time before any answer, as a share of its aim.
-const USUAL_OF_AIM: f64 = 0.2;
-/// A backend silent for so many usual times, with work out, counts as slower in proportion.
-const SILENT_TIMES: f64 = 3.0;
-/// Chance added to a backend's cost, in usual times: gateways that know equally little choose differently.
-const JITTER: f64 = 0.05;
-/// A new connection weighs as much as so many times its price, taken as that share of the aim, in waiting.
-/// Beyond its price it costs the backend work, and of a backend heard often a gateway learns in time.
-const HANDSHAKE_TIMES: f64 = 3.0;
-/// A connection unused for this share of the time after which it is closed counts as closed.
-const LINE_IDLE: f64 = 0.5;
-/// Failures in a row after which a backend is left out.
-const EJECT_AFTER: u32 = 2;
-/// Weight of one outcome in the share of spoilt and broken answers, of a backend and of the fleet, and how
-/// far the one passes the other before they count as failures: they may come from any backend alike.
-const SPOILT: (f64, f64, f64) = (0.2, 0.02, 0.3);
-/// First time out of use, in ms; doubles with each failed trial up to 32 times.
-const EJECT_MS: f64 = 500.0;
 /// An attempt that can earn nothing past its aim ends so long before it, in ms, and two ticks.
 const CUT_MS: f64 = 4.0;
-/// A backend that turned a plan's request away is passed over for that plan for so long, in ms, and until so
-/// many requests of this gateway have come: it must not be asked each time it comes up.
-const FULL: (f64, f64) = (200.0, 20.0);
 /// Further attempts allowed for each first one.
 const RETRY_SHARE: f64 = 0.1;
 /// Most further attempts saved up.
@@ -124,7 +94,7 @@
     rng: fastrand::Rng,
     started: Millis,
     ticking: bool,
-    backends: BTreeMap<BackendId, Backend>,
+    backends: Backends,
     customers: BTreeMap<CustomerId, Customer>,
     requests: BTreeMap<RequestId, Open>,
     calls: BTreeMap<u64, VecDeque<Call>>,
@@ -154,27 +124,20 @@
     flow_at: Millis,
     /// Mean units of a request.
     units: f64,
-    /// Usual time of each class on an idle backend of usual pace, and answers seen.
-    usual: Vec<(f64, f64)>,
     retries: f64,
-    /// First attempts a second, averaged.
-    rate: f64,
-    rate_at: Millis,
     list_retry: Option<Millis>,
-    /// Share of answers that come spoilt or break off, over all backends.
-    spoilt: f64,
 }
 
 impl Gateway {
     /// A gateway that starts now, knowing its settings alone.
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Self {
-        let usual: Vec<_> = settings.classes.iter().map(|c| (c.aim_ms * USUAL_OF_AIM, 0.0)).collect();
+        let backends = Backends::new(&settings, now);
         Gateway {
             settings,
             rng: fastrand::Rng::with_seed(seed),
             started: now,
             ticking: false,
-            backends: BTreeMap::new(),
+            backends,
             customers: BTreeMap::new(),
             requests: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -194,12 +157,8 @@
             late: USUAL_OF_AIM,
             flow_at: now,
             units: 1.0,
-            usual,
             retries: RETRY_MOST,
-            rate: 0.0,
-            rate_at: now,
             list_retry: None,
-            spoilt: 0.0,
         }
     }
 
@@ -208,6 +167,11 @@
         self.customers.len()
     }
 
+    /// Backends that it keeps to now.
+    pub fn members(&mut self) -> &[BackendId] {
+        self.backends.members()
+    }
+
     /// Takes in one event and appends what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         if !self.ticking {
@@ -218,7 +182,9 @@
             }
         }
         match event {
-            Event::List { full, entries } => self.list(now, full, entries),
+            Event::List { full, entries } => {
+                self.backends.list(now, &self.settings, full, entries, &mut self.rng);
+            }
             Event::ListFailed => self.list_retry = Some(now + EJECT_MS * (1.0 + self.rng.f64())),
             Event::Request(request) => self.request(now, request, actions),
             Event::Started { id, .. } => {
@@ -260,7 +226,8 @@
         let fades = self.settings.plans.iter().filter(|p| p.rate > 0.0);
         let fades = fades.map(|p| p.burst / p.rate * FADE * IDLE_FADES * 1000.0);
         let longest = longest.chain(fades).fold(TICK_MS, f64::max);
-        self.backends.retain(|_, b| b.listed.state != State::Gone || b.out > 0 || now - b.learned < IDLE_MS);
+        self.flow(now, 0.0, 0.0);
+        self.backends.tick(now, &self.settings, self.out_mean);
         self.customers.retain(|_, c| c.calls > 0 || c.out > 0 || c.waiting > 0.0 || now - c.last < longest);
     }
 
@@ -274,10 +241,8 @@
         let sane = |x: f64| if x.is_finite() { x.max(0.0) } else { 0.0 };
         (request.units, request.budget_ms) = (sane(request.units), sane(request.budget_ms));
         let (class, plan_no) = (request.class as usize, request.plan as usize);
-        if self.settings.classes.len() <= class
-            || self.settings.plans.len() <= plan_no
-            || request.budget_ms <= 0.0
-        {
+        let (classes, plans) = (self.settings.classes.len(), self.settings.plans.len());
+        if classes <= class || plans <= plan_no || request.budget_ms <= 0.0 {
             actions.push(Action::Refuse { id, retry_after_ms: 0.0 });
             return;
         }
@@ -293,7 +258,7 @@
         let c = &self.customers[&customer];
         let plan = &self.settings.plans[plan_no].clone();
         // Attempts-out caps: own attempts are counted, the others' reckoned from their use and time in hand.
-        let theirs = c.others / self.units.max(0.1) * self.usual[class].0 / 1000.0;
+        let theirs = c.others / self.units.max(0.1) * self.backends.usual(class) / 1000.0;
         let out = f64::from(c.out + c.calls) + theirs.round();
         let capped = plan.max_out > 0 && out >= f64::from(plan.max_out);
         let store = if self.shared(now) { c.shared } else { c.store.min(plan.burst) };
@@ -306,7 +271,7 @@
             return self.beyond(now, id, actions);
         }
         if self.expected(now, id) > EARLY_OF_AIM * aim.max(0.0) {
-            return self.finish(id, self.usual[class].0, actions);
+            return self.finish(id, self.backends.usual(class), actions);
         }
         if self.settings.counter.is_none() || plan.rate <= 0.0 {
             return self.grant(now, id, actions);
@@ -372,13 +337,8 @@
         c.called = now;
         let lifetime_ms = (left + NAME_LIFE_MS - WINDOW_MOST_MS).min(NAME_LIFE_MS);
         actions.push(Action::Count { name, amount, lifetime_ms });
-        self.calls.entry(name).or_default().push_back(Call {
-            customer,
-            request,
-            plan: plan_no,
-            amount,
-            units,
-        });
+        let call = Call { customer, request, plan: plan_no, amount, units };
+        self.calls.entry(name).or_default().push_back(call);
     }
 
     /// Whether gateways tell each other what customers take.
@@ -645,93 +605,18 @@
         self.finish(id, wait, actions);
     }
 
-    // ---- Choice of backend --------------------------------------------------------------------------------
-
-    /// Expected time of an attempt at this backend, in ms.
-    fn cost(&self, now: Millis, backend: &Backend, usual: f64) -> f64 {
-        let keep = (-(now - backend.learned).max(0.0) / PACE_MEMORY_MS).exp();
-        let mut pace = 1.0 + (backend.pace - 1.0) * keep;
-        if backend.out > 0 {
-            pace = pace.max((now - backend.heard) / (usual * SILENT_TIMES));
-        }
-        pace * usual * (f64::from(backend.out) + 1.0 + UNSEEN) / (1.0 + UNSEEN)
-    }
-
-    fn ready(&self) -> impl Iterator<Item = &Backend> {
-        self.backends.values().filter(|b| b.listed.state == State::Ready)
-    }
-
-    /// Share of its capacity that a backend surely has while it may be cold.
-    fn cold_share(&self, now: Millis, backend: &Backend) -> Option<f64> {
-        let rules = &self.settings.rules;
-        let age = now - backend.born?;
-        (age < rules.warm_up_ms).then(|| {
-            let from = rules.cold_from.clamp(0.05, 1.0);
-            from + (1.0 - from) * (age / rules.warm_up_ms).clamp(0.0, 1.0)
-        })
-    }
-
-    /// Whether one of this gateway's connections to the backend is likely to be open and free.
-    fn has_line(&self, now: Millis, backend: &Backend) -> bool {
-        let limits = &self.settings.limits;
-        let open = now - backend.line_used < limits.idle_close_ms * LINE_IDLE;
-        open && backend.out < backend.lines * limits.per_connection.max(1)
-    }
-
-    /// The best backend for the request's next attempt.
-    fn pick(&mut self, now: Millis, id: RequestId) -> Option<BackendId> {
-        let mut rng = self.rng.fork();
-        let open = self.requests.get(&id)?;
-        let usual = self.usual[open.request.class as usize].0;
-        let home = match (open.ran, self.settings.classes[open.request.class as usize].effect) {
-            (Some((_, backend)), Effect::Keyed { group, .. }) => {
-                self.backends.get(&backend).map(|b| (group, b.listed.zone, b.listed.cell))
-            }
-            _ => None,
-        };
-        let allowed = |b: &Backend| {
-            b.listed.state == State::Ready
-                && home.is_none_or(|(group, zone, cell)| match group {
-                    Group::All => true,
-                    Group::Zone => b.listed.zone == zone,
-                    Group::Cell => b.listed.cell == cell && b.listed.zone == zone,
-                })
-                && (self.cold_share(now, b).is_none() || b.cold.0 >= 1.0)
-        };
-        let bad = self.ready().filter(|b| b.failures >= EJECT_AFTER).count();
-        // If most look bad the ejection is distrusted, not the fleet: a lost path or list looks the same.
-        let distrust = bad * 2 > self.ready().count();
-        let aim = self.settings.classes[open.request.class as usize].aim_ms;
-        let handshake = HANDSHAKE_TIMES * self.settings.prices.handshake * aim;
-        let mut best: Option<(bool, f64, BackendId)> = None;
-        for b in self.backends.values().filter(|b| allowed(b)) {
-            let trial = b.failures < EJECT_AFTER || distrust || (now >= b.out_until && b.out == 0);
-            let tried = open.attempts.iter().any(|a| a.backend == b.listed.id)
-                || b.full_until.get(open.request.plan as usize).is_some_and(|at| now < *at)
-                || !trial;
-            // What a cold backend may be sent is for it: left to chance among many, it would stay cold.
-            let cold = self.cold_share(now, b).is_some();
-            let rank = if cold { 0.0 } else { self.cost(now, b, usual) + usual * JITTER * rng.f64() };
-            let rank = rank + if self.has_line(now, b) { 0.0 } else { handshake };
-            if best.is_none_or(|(t, r, ..)| (tried, rank) < (t, r)) {
-                best = Some((tried, rank, b.listed.id));
-            }
-        }
-        best.map(|(.., backend)| backend)
-    }
-
     /// Expected time of a request admitted now: work in hand over the rate of answers. It rises at once with
     /// what is let in, whatever slows the fleet: other gateways, neighbours, costly requests.
     fn expected(&mut self, now: Millis, id: RequestId) -> f64 {
         self.flow(now, 0.0, 0.0);
         let Some(open) = self.requests.get(&id) else { return f64::INFINITY };
-        let usual = self.usual[open.request.class as usize].0;
+        let usual = self.backends.usual(open.request.class as usize);
         let aim = self.settings.classes[open.request.class as usize].aim_ms;
-        if self.ready().next().is_none() {
+        if self.backends.ready() == 0 {
             return f64::INFINITY;
         }
         // A few hung attempts must not lock the gateway: its part of the least work is always let in.
-        let ready = self.ready().count() as f64;
+        let ready = self.backends.ready() as f64;
         if self.out < (ready * ALWAYS / f64::from(self.settings.gateways.max(1))).max(1.0) {
             return 0.0;
         }
@@ -754,27 +639,11 @@
         self.out += out;
     }
 
-    /// Cold backends: each gateway sends at most what it sends a warm one, times what surely is warm, times
-    /// half the multiple at which it falls over: together they stay at half of what it bears.
-    fn reckon_cold(&mut self, now: Millis) {
-        // The fleet's capacity in warm backends: a cold one counts by what surely is warm of it.
-        let warm: f64 = self.ready().map(|b| self.cold_share(now, b).unwrap_or(1.0)).sum();
-        let part = (self.settings.rules.fall_multiple / 2.0).min(1.0);
-        let usual = self.rate / warm.max(1.0) * part;
-        for id in self.backends.keys().copied().collect::<Vec<_>>() {
-            let Some(share) = self.cold_share(now, &self.backends[&id]) else { continue };
-            let b = self.backends.get_mut(&id).expect("listed");
-            let more = (now - b.cold.1).max(0.0) / 1000.0 * usual * share;
-            b.cold = ((b.cold.0 + more).min(1.0), now);
-        }
-    }
-
     // ---- Attempts -----------------------------------------------------------------------------------------
 
     fn send(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
-        self.reckon_cold(now);
-        let picked = self.pick(now, id);
         let Some(open) = self.requests.get_mut(&id) else { return };
+        let picked = self.backends.pick(now, &self.settings, open, &mut self.rng);
         let request = &open.request;
         let first = open.attempts.is_empty();
         let class = &self.settings.classes[request.class as usize];
@@ -798,23 +667,13 @@
             }
             return;
         };
-        let b = self.backends.get_mut(&backend).expect("picked from the list");
-        if b.out == 0 {
-            b.heard = now;
-        }
-        b.out += 1;
-        let carried = b.out.div_ceil(self.settings.limits.per_connection.max(1));
-        // All may have closed meanwhile.
-        let kept = now - b.line_used < self.settings.limits.idle_close_ms * LINE_IDLE;
-        b.lines = if kept { b.lines.max(carried) } else { carried };
-        b.cold.0 -= 1.0;
+        let depth = self.backends.sent(now, &self.settings, backend, first);
         if let Some(c) = self.customers.get_mut(&request.customer) {
             c.out += 1;
             if first {
                 c.ceiling -= request.units;
             }
         }
-        let depth = f64::from(b.out);
         open.attempts.push(Attempt { backend, sent: now, depth, live: true });
         // Past its aim an answer may earn nothing: the attempt ends before. It frees a place but wastes
         // work that backends finish all the same: only where waste is priced below late failure.
@@ -825,9 +684,6 @@
         self.flow(now, 1.0, 0.0);
         if first {
             self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
-            let keep = (-(now - self.rate_at).max(0.0) / 5000.0).exp();
-            self.rate = self.rate * keep + 1.0 / 5.0;
-            self.rate_at = now;
         }
     }
 
@@ -880,8 +736,8 @@
             let share = (now - sent) / self.settings.classes[class].aim_ms.max(1.0);
             self.late += (share.min(1.0) - self.late) * LATE_GAIN;
         }
-        self.learn(now, backend, class, plan, &o, depth);
-        let open = self.requests.get_mut(&o.id).expect("seen above");
+        let open = &self.requests[&o.id];
+        self.backends.learn(now, &self.settings, &open.request, &o, depth, &mut self.rng);
         if o.ended || open.closed {
             return self.close(o.id, actions);
         }
@@ -890,7 +746,7 @@
         }
         let effect = self.settings.classes[class].effect;
         let worth =
-            self.settings.classes[class].late_worth > 0.0 || now + self.usual[class].0 < open.aim_ends;
+            self.settings.classes[class].late_worth > 0.0 || now + self.backends.usual(class) < open.aim_ends;
         let again = worth && (o.result.never_ran() || (effect != Effect::Unsafe && self.retries >= 1.0));
         if again && o.result != Result::Moot && open.ends > now && !open.streaming {
             if !o.result.never_ran() && o.result != Result::Cancelled {
@@ -901,58 +757,6 @@
         self.finish(o.id, self.settings.classes[class].aim_ms / 2.0, actions);
     }
 
-    /// What an outcome tells of the backend's pace and health.
-    fn learn(&mut self, now: Millis, backend: BackendId, class: usize, plan: usize, o: &Outcome, depth: f64) {
-        let Some(b) = self.backends.get_mut(&backend) else { return };
-        b.out = b.out.saturating_sub(1);
-        if matches!(o.result, Result::Ok | Result::Error | Result::Full) {
-            b.line_used = now;
-        } else if self.settings.limits.per_connection <= 1 || o.result == Result::ConnectFailed {
-            // The attempt has taken its connection with it.
-            b.lines = b.lines.saturating_sub(1);
-        }
-        if matches!(o.result, Result::Full | Result::ConnectFailed) {
-            let held = now + FULL.0.max(FULL.1 * 1000.0 / self.rate.max(1.0));
-            b.full_until.resize(self.settings.plans.len(), now);
-            match o.result {
-                Result::Full => b.full_until[plan] = held,
-                _ => b.full_until.fill(held),
-            }
-        }
-        let spoilt = f64::from(u8::from(matches!(o.result, Result::Error | Result::Reset)));
-        if spoilt > 0.0 || o.result == Result::Ok {
-            b.spoilt += (spoilt - b.spoilt) * SPOILT.0;
-            self.spoilt += (spoilt - self.spoilt) * SPOILT.1;
-        }
-        match o.result {
-            Result::Ok => {
-                (b.failures, b.heard) = (0, now);
-                let took = if o.took_ms.is_finite() { o.took_ms.max(0.1) } else { return };
-                let (usual, seen) = &mut self.usual[class];
-                let alone = took / ((depth + UNSEEN) / (1.0 + UNSEEN));
-                let keep = (-(now - b.learned).max(0.0) / PACE_MEMORY_MS).exp();
-                let pace = 1.0 + (b.pace - 1.0) * keep;
-                b.pace = pace + PACE_GAIN * ((alone / usual.max(0.1)).min(10.0) - pace);
-                b.learned = now;
-                *seen += 1.0;
-                *usual += (alone / pace.max(0.1) - *usual) * USUAL_GAIN.max(1.0 / *seen);
-            }
-            Result::Full => b.heard = now,
-            // Cut at its aim though the backend answered others meanwhile: the request was costly.
-            Result::Timeout if b.heard > now - o.took_ms => {}
-            // Answers that come spoilt or break off from all backends alike tell nothing of this one.
-            Result::Error | Result::Reset if b.spoilt < self.spoilt + SPOILT.2 => {}
-            Result::Error | Result::Timeout | Result::ConnectFailed | Result::Reset => {
-                b.failures = b.failures.saturating_add(1);
-                if b.failures >= EJECT_AFTER {
-                    let times = f64::from(1u32 << (b.failures - EJECT_AFTER).min(5));
-                    b.out_until = now + EJECT_MS * times * (1.0 + 0.2 * self.rng.f64());
-                }
-            }
-            Result::Cancelled | Result::Moot => {}
-        }
-    }
-
     // ---- Final answers ------------------------------------------------------------------------------------
 
     /// Ends the request: refused where trying again is harmless, failed where an attempt may have run.
@@ -986,42 +790,6 @@
             self.requests.remove(&id);
         }
     }
-
-    // ---- The list of backends -----------------------------------------------------------------------------
-
-    fn list(&mut self, now: Millis, full: bool, entries: Vec<Listed>) {
-        if full {
-            let named: BTreeSet<_> = entries.iter().map(|e| e.id).collect();
-            for b in self.backends.values_mut() {
-                if !named.contains(&b.listed.id) {
-                    b.listed.state = State::Gone;
-                }
-            }
-        }
-        let known = !self.backends.is_empty();
-        for entry in entries {
-            let fresh = entry.started > 0.0 && now - entry.started < self.settings.rules.warm_up_ms;
-            let start = fresh.then_some(entry.started);
-            match self.backends.get_mut(&entry.id) {
-                Some(b) => {
-                    // Gone and back, or a new start: it may be cold, whatever the list says of its age.
-                    let back = b.listed.state == State::Gone && entry.state == State::Ready;
-                    if back || entry.started > b.listed.started {
-                        let born = start.or(back.then_some(now));
-                        (b.born, b.cold) = (born, (self.rng.f64(), now));
-                        (b.failures, b.spoilt, b.pace, b.full_until) = (0, 0.0, 1.0, Vec::new());
-                    }
-                    b.listed = entry;
-                }
-                None if entry.state != State::Gone || known => {
-                    let mut b = Backend::new(entry, start, now);
-                    b.cold.0 = self.rng.f64();
-                    self.backends.insert(b.listed.id, b);
-                }
-                None => {}
-            }
-        }
-    }
 }
 
 impl Customer {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -142,6 +142,8 @@
     pub idle_close_ms: f64,
     /// Attempts that one connection carries at once.
     pub per_connection: u32,
+    /// Connections to backends that the gateway may hold; 0 if that is not told.
+    pub connections: u32,
 }
 
 /// What the site charges, as shares of the result.
@@ -212,6 +214,8 @@
 pub struct Listed {
     /// Its number.
     pub id: BackendId,
+    /// A key of its own that is the same at all gateways.
+    pub key: u64,
     /// Its zone.
     pub zone: u32,
     /// Its kind.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 //! };
 //! let mut gateway = Gateway::new(settings, 7, 0.0);
 //! let mut actions = Vec::new();
-//! let entries = vec![Listed { id: 11, zone: 0, kind: 0, cell: 0, state: State::Ready, size: 1.0, started: 0.0 }];
+//! let entries = vec![Listed { id: 11, key: 11, zone: 0, kind: 0, cell: 0, state: State::Ready, size: 1.0, started: 0.0 }];
 //! gateway.handle(0.0, Event::List { full: true, entries }, &mut actions);
 //! let request = |id| Event::Request(Request { id, customer: 5, plan: 0, class: 0, units: 3.0,
 //!     budget_ms: 2000.0, spread: 1.0, repeat: false });
@@ -27,10 +27,13 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Refuse { id: 2, .. })));
 //! ```
 
+mod backends;
 mod choice;
 pub mod interface;
 mod message;
+mod ring;
 mod state;
+mod subset;
 
 pub use choice::Gateway;
 pub use interface::*;
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,8 @@
 /// One backend as this gateway sees it.
 pub(crate) struct Backend {
     pub(crate) listed: Listed,
+    /// The last list that named it.
+    pub(crate) list: u64,
     /// When it started or came back, if it may be cold.
     pub(crate) born: Option<Millis>,
     /// Work it may be sent while cold, in requests, and when that was reckoned.
@@ -101,6 +103,7 @@
         let (lines, line_used) = (0, now);
         Backend {
             listed,
+            list: 0,
             born,
             cold,
             out,
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -40,7 +40,7 @@
 }
 
 pub fn listed(id: u32, zone: u32, state: State) -> Listed {
-    Listed { id, zone, kind: 0, cell: 0, state, size: 1.0, started: 0.0 }
+    Listed { id, key: id.into(), zone, kind: 0, cell: 0, state, size: 1.0, started: 0.0 }
 }
 
 impl Rig {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -135,8 +135,16 @@
         counts: Vec::new(),
         timers: Vec::new(),
     };
-    let entry =
-        |id: u32, state, started| Listed { id, zone: id % 2, kind: 0, cell: id, state, size: 1.0, started };
+    let entry = |id: u32, state, started| Listed {
+        id,
+        key: id.into(),
+        zone: id % 2,
+        kind: 0,
+        cell: id,
+        state,
+        size: 1.0,
+        started,
+    };
     w.event(Event::List { full: true, entries: (1..=6).map(|id| entry(id, State::Ready, 0.0)).collect() });
     for id in 1..4000 {
         w.pass(rng.f64() * 8.0);
