--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -30,9 +30,6 @@
 /// Each backend bears so many a second when warm, and has a line of so many ms before it turns away.
 const BEARS: f64 = 20.0;
 const LINE_MS: f64 = 800.0;
-/// Backends that stay, that go, and that come cold in their place.
-const STAY: u32 = 30;
-const COLD: u32 = 30;
 const COLD_FROM: f64 = 0.16;
 const WARM_UP_MS: f64 = 15_000.0;
 
@@ -44,6 +41,8 @@
     rate: f64,
     fall_multiple: f64,
     fall_ms: f64,
+    /// Backends that stay; as many go, and as many come cold in their place.
+    stay: u32,
 }
 
 impl Release {
@@ -57,19 +56,19 @@
         (s.rules.cold_from, s.rules.warm_up_ms) = (COLD_FROM, WARM_UP_MS);
         let (start, born) = (1000.0, 9000.0);
         let share = |at: f64| COLD_FROM + (1.0 - COLD_FROM) * ((at - born) / WARM_UP_MS).clamp(0.0, 1.0);
-        let warm: Vec<_> = (1..=2 * STAY).map(|id| listed(id, 0, State::Ready)).collect();
-        let gone = (STAY + 1..=2 * STAY).map(|id| listed(id, 0, State::Gone));
-        let cold = (2 * STAY + 1..=2 * STAY + COLD)
+        let warm: Vec<_> = (1..=2 * self.stay).map(|id| listed(id, 0, State::Ready)).collect();
+        let gone = (self.stay + 1..=2 * self.stay).map(|id| listed(id, 0, State::Gone));
+        let cold = (2 * self.stay + 1..=3 * self.stay)
             .map(|id| Listed { started: born, ..listed(id, 0, State::Ready) });
         let change: Vec<_> = gone.chain(cold.clone()).collect();
-        let after: Vec<_> = warm[..STAY as usize].iter().cloned().chain(cold).collect();
+        let after: Vec<_> = warm[..self.stay as usize].iter().cloned().chain(cold).collect();
         let mut rigs: Vec<_> = (0..self.gateways).map(|number| instance(&s, number, start)).collect();
         for rig in &mut rigs {
             rig.event(Event::List { full: true, entries: warm.clone() });
         }
         let mut rng = fastrand::Rng::with_seed(self.seed);
-        let mut free_at = vec![start; (2 * STAY + COLD + 1) as usize];
-        let mut sends = vec![Vec::new(); COLD as usize + 1];
+        let mut free_at = vec![start; (3 * self.stay + 1) as usize];
+        let mut sends = vec![Vec::new(); self.stay as usize + 1];
         let mut events = BTreeMap::from([((0, 0), Step::Arrival)]);
         let (mut next, mut asked, mut told, mut restarted) = (0, 0, false, false);
         let mut attempts = BTreeMap::new();
@@ -121,9 +120,9 @@
             for action in actions {
                 match action {
                     Action::Send { id, backend, .. } => {
-                        let cold = backend > 2 * STAY;
+                        let cold = backend > 2 * self.stay;
                         if cold {
-                            sends[(backend - 2 * STAY) as usize].push(now);
+                            sends[(backend - 2 * self.stay) as usize].push(now);
                         }
                         let bears = BEARS * if cold { share(now) } else { 1.0 };
                         let free = &mut free_at[backend as usize];
@@ -178,10 +177,11 @@
 }
 
 /// Quiet and crowded: half of what the warm backends bear before the release, and nearly all of it.
-fn no_cold_backend_is_pushed_over_by(gateways: u32) {
-    for rate in [600.0, 1100.0] {
+fn no_cold_backend_is_pushed_over_by(gateways: u32, stay: u32) {
+    for busy in [0.5, 0.92] {
         for (seed, (fall_multiple, fall_ms)) in [(4.0, 1500.0), (2.0, 2000.0)].into_iter().enumerate() {
-            let release = Release { gateways, seed: seed as u64 + 5, rate, fall_multiple, fall_ms };
+            let rate = busy * BEARS * f64::from(2 * stay);
+            let release = Release { gateways, seed: seed as u64 + 5, rate, fall_multiple, fall_ms, stay };
             let (sent, allowed, all) = release.play();
             assert!(sent as f64 <= allowed, "{rate} a second: {sent} sent where {allowed} are allowed");
             assert!(all > 500, "cold backends are used: {all}");
@@ -189,29 +189,47 @@
     }
 }
 
+/// With more backends than a gateway looks at: each has some gateways that may send to it. Shorter by one multiple
+/// than the others, as it takes its time.
+#[test]
+fn gateways_that_keep_to_a_subset_push_no_cold_backend_over() {
+    let play = |busy: f64, gateways| {
+        let rate = busy * BEARS * 260.0;
+        let release = Release { gateways, seed: 9, rate, fall_multiple: 2.0, fall_ms: 2000.0, stay: 130 };
+        let (sent, allowed, all) = release.play();
+        assert!(sent as f64 <= allowed, "{rate} a second: {sent} sent where {allowed} are allowed");
+        assert!(all > 500, "cold backends are used: {all}");
+    };
+    std::thread::scope(|scope| {
+        scope.spawn(|| play(0.5, 40));
+        scope.spawn(|| play(0.92, 40));
+        scope.spawn(|| play(0.92, 120));
+    });
+}
+
 #[test]
 fn three_gateways_push_no_cold_backend_over() {
-    no_cold_backend_is_pushed_over_by(3);
+    no_cold_backend_is_pushed_over_by(3, 30);
 }
 
 #[test]
 fn twenty_gateways_push_no_cold_backend_over() {
-    no_cold_backend_is_pushed_over_by(20);
+    no_cold_backend_is_pushed_over_by(20, 30);
 }
 
 #[test]
 fn thirty_gateways_push_no_cold_backend_over() {
-    no_cold_backend_is_pushed_over_by(30);
+    no_cold_backend_is_pushed_over_by(30, 30);
 }
 
 #[test]
 fn three_hundred_gateways_push_no_cold_backend_over() {
-    no_cold_backend_is_pushed_over_by(300);
+    no_cold_backend_is_pushed_over_by(300, 30);
 }
 
 #[test]
 fn seven_hundred_gateways_push_no_cold_backend_over() {
-    no_cold_backend_is_pushed_over_by(720);
+    no_cold_backend_is_pushed_over_by(720, 30);
 }
 
 /// A quiet day: most customers ask well below their rate, one in ten for three times as much. The counter is well.
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -183,3 +183,26 @@
         }
     }
 }
+
+/// What drains or has gone gets nothing more, in the subset or out of it, and the others are used.
+#[test]
+fn nothing_goes_to_what_drains() {
+    let mut rig = fleet(BACKENDS).remove(2);
+    let drains = |id: &u32| id % 3 != 0;
+    let entries = (1..=BACKENDS).filter(drains).map(|id| entry(id, State::Draining)).collect();
+    rig.event(Event::List { full: false, entries });
+    let mut used = BTreeSet::new();
+    for id in 1..=3000 {
+        rig.now += 8.0;
+        let backend = sent(&rig.event(Event::Request(request(id, id)))).expect("it is sent");
+        assert!(!drains(&backend), "{backend} drains");
+        used.insert(backend);
+        // One in ten turns the request away, and it goes to another one.
+        let result = if id % 10 == 0 { Result::Full } else { Result::Ok };
+        if let Some(backend) = sent(&rig.outcome(id, 0, backend, result, None)) {
+            assert!(!drains(&backend), "{backend} drains");
+            rig.outcome(id, 1, backend, Result::Ok, None);
+        }
+    }
+    assert!(used.len() > 150, "{}", used.len());
+}
