Look for cold members once for each change of the list, not for each request

Now the cold members are found again where the list or the subset has changed.

The emulator's front picks another gateway of the set, then any, where one takes nothing: it had let one gateway take all requests of the eighty before it that restarted (27,399 tries where others had 4,764). Gateways there are told of their 396 connections.

--- a/emulator/src/clients.rs
+++ b/emulator/src/clients.rs
@@ -105,12 +105,16 @@
         }
     }
 
-    /// The gateway that the front picks of the customer's set; another one where that takes nothing.
+    /// The gateway that the front picks of the customer's set; where that takes nothing another one of the set, then
+    /// any.
     pub(crate) fn gateway(&mut self, customer: u64, accepts: impl Fn(usize) -> bool) -> Option<usize> {
         let count = self.gateways.len();
         let first = place(&self.gateways, lot(customer, 2));
-        let picked = first + self.rng.random_range(0..self.spread) as usize;
-        (0..count).map(|step| (picked + step) % count).find(|number| accepts(*number))
+        let picked = self.rng.random_range(0..self.spread) as usize;
+        let set =
+            (0..self.spread as usize).map(|step| (first + (picked + step) % self.spread as usize) % count);
+        let any = self.rng.random_range(0..count);
+        set.chain((0..count).map(|step| (any + step) % count)).find(|number| accepts(*number))
     }
 
     /// Whether and when a client comes again after a try that was not served; told to wait so many ms.
--- a/emulator/src/experiment.rs
+++ b/emulator/src/experiment.rs
@@ -73,6 +73,9 @@
     /// Times as many requests as the others that these see.
     #[serde(default = "one")]
     pub hot_times: f64,
+    /// Connections to quote servers that each may hold.
+    #[serde(default = "onward")]
+    pub connections: u32,
 }
 
 /// The quote servers.
@@ -286,6 +289,11 @@
     1.0
 }
 
+/// Two in five of 1,024 descriptors less those kept back, as the program has it.
+fn onward() -> u32 {
+    396
+}
+
 fn half_second() -> f64 {
     500.0
 }
@@ -337,6 +345,7 @@
     within("gateways.count", e.gateways.count.into(), 1.0, GATEWAYS_MOST.into())?;
     within("gateways.hot_share", e.gateways.hot_share, 0.0, 1.0)?;
     within("gateways.hot_times", e.gateways.hot_times, 1.0, 100.0)?;
+    within("gateways.connections", e.gateways.connections.into(), 1.0, 1e6)?;
     within("backends.count", e.backends.count.into(), 1.0, BACKENDS_MOST.into())?;
     within("backends.slots", e.backends.slots.into(), 1.0, 10_000.0)?;
     within("backends.work_ms", e.backends.work_ms, 0.001, DAY_MS)?;
@@ -461,6 +470,7 @@
                 max_retry_after_ms: 2000.0,
                 idle_close_ms: r.idle_close_ms,
                 per_connection: 1,
+                connections: self.gateways.connections,
                 ..Limits::default()
             },
             prices: Prices { handshake: r.handshake_price, ..Prices::default() },
--- a/src/backends.rs
+++ b/src/backends.rs
@@ -5,7 +5,7 @@
 use crate::state::{Backend, Open};
 use crate::subset::Subset;
 use fastrand::Rng;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// A backend that went is forgotten after so long, in ms.
 const IDLE_MS: f64 = 60_000.0;
@@ -51,9 +51,11 @@
 pub(crate) struct Backends {
     all: BTreeMap<BackendId, Backend>,
     subset: Subset,
-    /// Those that may be cold, and how many lists were taken in.
-    cold: BTreeSet<BackendId>,
+    /// Members that may be cold, in the order of their numbers; how many lists were taken in, and whether one was
+    /// since these were looked for.
+    cold: Vec<BackendId>,
     lists: u64,
+    listed: bool,
     /// Usual time of each class on an idle backend of usual pace, and answers seen.
     usual: Vec<(f64, f64)>,
     /// Share of answers that come spoilt or break off, over all backends.
@@ -80,7 +82,7 @@
 
     /// Those it keeps to; all that take work where there are few.
     pub(crate) fn members(&mut self) -> &[BackendId] {
-        self.subset.update();
+        self.listed |= self.subset.update();
         self.subset.members()
     }
 
@@ -94,7 +96,7 @@
         self.all.retain(|_, b| b.listed.state != State::Gone || b.out > 0 || now - b.learned < IDLE_MS);
         self.out = out;
         if self.subset.cut() {
-            self.subset.update();
+            self.listed |= self.subset.update();
             let members = || self.subset.members().iter().filter_map(|id| self.all.get(id));
             let lost = members().filter(|b| !of_use(now, b, false)).count();
             let lined = members().filter(|b| has_line(now, settings, b)).map(|b| b.listed.id).collect();
@@ -119,7 +121,10 @@
         &mut self, now: Millis, settings: &Settings, open: &Open, rng: &mut Rng,
     ) -> Option<BackendId> {
         let mut rng = rng.fork();
-        self.subset.update();
+        if self.subset.update() | std::mem::take(&mut self.listed) {
+            let born = |id: &&BackendId| self.all.get(*id).is_some_and(|b| b.born.is_some());
+            self.cold = self.subset.members().iter().filter(born).copied().collect();
+        }
         self.reckon_cold(now, settings);
         let home = match (open.ran, settings.classes[open.request.class as usize].effect) {
             (Some((_, backend)), Effect::Keyed { group, .. }) => {
@@ -133,8 +138,7 @@
         let few = self.rate * settings.limits.idle_close_ms * LINE_IDLE / 1000.0
             < self.lined.len() as f64 * LINE_USES;
         let members = if few { &self.lined } else { self.subset.members() };
-        let cold = self.cold.iter().filter(|id| self.subset.holds(**id)).filter_map(|id| self.all.get(id));
-        let cold = cold.filter(|b| b.cold.0 >= 1.0);
+        let cold = self.cold.iter().filter_map(|id| self.all.get(id)).filter(|b| b.cold.0 >= 1.0);
         let drawn = std::iter::repeat_with(|| members.get(rng.usize(..members.len().max(1))));
         let drawn = drawn.take(CHOICES.1).filter_map(|id| self.all.get(id?));
         let mut drawn: Vec<_> = drawn
@@ -192,22 +196,16 @@
     /// Cold backends: each gateway sends at most what it sends a warm one, times what surely is warm, times
     /// half the multiple at which it falls over: together they stay at half of what it bears.
     fn reckon_cold(&mut self, now: Millis, settings: &Settings) {
-        let cut = self.subset.cut();
-        let among = if cut { self.subset.members().len() } else { self.subset.ready() } as f64;
-        let (all, subset) = (&mut self.all, &self.subset);
+        let (all, members) = (&mut self.all, self.subset.members().len() as f64);
         // Warm meanwhile, or forgotten.
         self.cold.retain(|id| all.get(id).is_some_and(|b| cold_share(now, settings, b).is_some()));
-        let cold = || self.cold.iter().copied().filter(|id| !cut || subset.holds(*id));
         // The capacity of those it may send to, in warm backends: a cold one counts by what surely is warm of it.
-        let lacks = |b: &Backend| match b.listed.state {
-            State::Ready => 1.0 - cold_share(now, settings, b).unwrap_or(1.0),
-            _ => 0.0,
-        };
-        let warm = among - cold().map(|id| lacks(&all[&id])).sum::<f64>();
+        let share = |id| all.get(id).and_then(|b| cold_share(now, settings, b)).unwrap_or(1.0);
+        let warm = members - self.cold.iter().map(|id| 1.0 - share(id)).sum::<f64>();
         let part = (settings.rules.fall_multiple / 2.0).min(1.0);
         let usual = self.rate / warm.max(1.0) * part;
-        for id in cold() {
-            let Some(b) = all.get_mut(&id) else { continue };
+        for id in &self.cold {
+            let Some(b) = all.get_mut(id) else { continue };
             let share = cold_share(now, settings, b).unwrap_or(1.0);
             let more = (now - b.cold.1).max(0.0) / 1000.0 * usual * share;
             b.cold = ((b.cold.0 + more).min(1.0), now);
@@ -295,12 +293,12 @@
         &mut self, now: Millis, settings: &Settings, full: bool, entries: Vec<Listed>, rng: &mut Rng,
     ) {
         let known = !self.all.is_empty();
-        self.lists += 1;
+        (self.lists, self.listed) = (self.lists + 1, true);
         for entry in entries {
             let fresh = entry.started > 0.0 && now - entry.started < settings.rules.warm_up_ms;
             let start = fresh.then_some(entry.started);
             let (id, zone, key, ready) = (entry.id, entry.zone, entry.key, entry.state == State::Ready);
-            let maybe_cold = match self.all.get_mut(&id) {
+            match self.all.get_mut(&id) {
                 Some(b) => {
                     // Gone and back, or a new start: it may be cold, whatever the list says of its age.
                     let back = b.listed.state == State::Gone && ready;
@@ -315,19 +313,14 @@
                         self.subset.set(old.zone, old.key, id, false);
                         self.subset.set(zone, key, id, ready);
                     }
-                    b.born.is_some()
                 }
                 None if entry.state != State::Gone || known => {
                     let mut b = Backend::new(entry, start, now);
                     (b.cold.0, b.list) = (rng.f64(), self.lists);
                     self.all.insert(id, b);
                     self.subset.set(zone, key, id, ready);
-                    start.is_some()
                 }
-                None => continue,
-            };
-            if maybe_cold {
-                self.cold.insert(id);
+                None => {}
             }
         }
         if full {
--- a/src/subset.rs
+++ b/src/subset.rs
@@ -67,19 +67,16 @@
         }
     }
 
-    /// Brings the members up to now.
-    pub(crate) fn update(&mut self) {
-        if std::mem::take(&mut self.stale) {
+    /// Brings the members up to now; true if that may have changed them.
+    pub(crate) fn update(&mut self) -> bool {
+        if self.stale {
             self.members = self.ring.arc(self.begin, self.length, ZONE_LEAST);
         }
+        std::mem::take(&mut self.stale)
     }
 
     /// The members, as of the last update.
     pub(crate) fn members(&self) -> &Vec<BackendId> {
         &self.members
     }
-
-    pub(crate) fn holds(&self, id: BackendId) -> bool {
-        self.members.binary_search(&id).is_ok()
-    }
 }
