Say once what stood twice: pace, resting connections, a process's memory, changes of the list

Behaviour is as before. src/backends.rs: the decay of a backend's pace stood in cost and in learn, and the test for connections that are likely to be open in sent and in has_line; each is one function now. Emulator: a process's memory was read from /proc in two places; the numbers of changed entries were kept beside the entries that hold them.

--- a/emulator/src/discovery.rs
+++ b/emulator/src/discovery.rs
@@ -11,8 +11,7 @@
     /// The whole list now, by number, as discovery knows it.
     list: Vec<Listed>,
     /// All changes, oldest first; a gateway's version is how many it has.
-    changes: Vec<u32>,
-    states: Vec<Listed>,
+    changes: Vec<Listed>,
     notice: [Micros; 2],
     vanished: [Micros; 2],
     rng: ChaCha8Rng,
@@ -24,7 +23,6 @@
         Discovery {
             list,
             changes: Vec::new(),
-            states: Vec::new(),
             notice: model.notice_ms.map(micros),
             vanished: model.vanished_ms.map(micros),
             rng,
@@ -44,8 +42,7 @@
 
     pub(crate) fn change(&mut self, entry: Listed) {
         let id = entry.id;
-        self.states.push(entry.clone());
-        self.changes.push(id);
+        self.changes.push(entry.clone());
         match self.list.iter_mut().rev().find(|e| e.id == id) {
             Some(old) => *old = entry,
             None => self.list.push(entry),
@@ -60,11 +57,11 @@
     pub(crate) fn since(&self, version: usize) -> Vec<Listed> {
         let mut last: FxHashMap<u32, usize> = FxHashMap::default();
         for place in version..self.changes.len() {
-            last.insert(self.changes[place], place);
+            last.insert(self.changes[place].id, place);
         }
         (version..self.changes.len())
-            .filter(|place| last[&self.changes[*place]] == *place)
-            .map(|place| self.states[place].clone())
+            .filter(|place| last[&self.changes[*place].id] == *place)
+            .map(|place| self.changes[place].clone())
             .collect()
     }
 
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -84,7 +84,7 @@
     let found = run(&experiment, seed)?;
     let real_s = begun.elapsed().as_secs_f64();
     print!("{}", summary(&found));
-    let memory_mb = slopes::resident_kb("VmHWM") / 1000.0;
+    let memory_mb = slopes::memory_of_kb("self", "VmHWM") / 1000.0;
     println!(
         "{:.3} emulated seconds for each real second, {memory_mb:.0} MB at most",
         found.seconds / real_s
--- a/emulator/src/real.rs
+++ b/emulator/src/real.rs
@@ -1,6 +1,7 @@
 //! Real gateways: stand-ins on loopback for all that they meet, and what the system tells of their processes.
 
 use crate::report::Spread;
+use crate::slopes::memory_of_kb;
 use clap::Args;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -93,13 +94,10 @@
         // The name may hold anything; the figures follow its closing bracket.
         let fields: Vec<_> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
         let ticks = |place: usize| fields.get(place).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-        let resident = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let resident = resident.and_then(|line| line.split_whitespace().next()?.parse().ok());
         let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
         Usage {
             cpu_s: (ticks(11) + ticks(12)) / TICKS,
-            resident_kb: resident.unwrap_or(0.0),
+            resident_kb: memory_of_kb(&pid.to_string(), "VmHWM"),
             descriptors: descriptors as f64,
         }
     }
--- a/emulator/src/slopes.rs
+++ b/emulator/src/slopes.rs
@@ -215,9 +215,9 @@
     }))
 }
 
-/// Resident memory of this process, in KB.
-pub fn resident_kb(field: &str) -> f64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+/// A process's memory, `VmRSS` now or `VmHWM` at most, in KB; 0 where the system tells none.
+pub fn memory_of_kb(process: &str, field: &str) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix(field)?.strip_prefix(':'));
     line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0.0)
 }
@@ -225,9 +225,9 @@
 fn memory_kb(backends: u32, kept: &mut Vec<Gateway>) -> f64 {
     // So many together that pages and the allocator's own needs are small beside them.
     let together = (100_000 / backends).max(20);
-    let before = resident_kb("VmRSS");
+    let before = memory_of_kb("self", "VmRSS");
     kept.extend((0..together).map(|_| gateway(backends)));
-    (resident_kb("VmRSS") - before) / f64::from(together)
+    (memory_of_kb("self", "VmRSS") - before) / f64::from(together)
 }
 
 /// The protocol's form of a list, as its page shows it.
--- a/src/backends.rs
+++ b/src/backends.rs
@@ -96,7 +96,7 @@
         self.all.retain(|_, b| b.listed.state != State::Gone || b.out > 0 || now - b.learned < IDLE_MS);
         self.out = out;
         if self.subset.cut() {
-            self.listed |= self.subset.update();
+            self.members();
             let members = || self.subset.members().iter().filter_map(|id| self.all.get(id));
             let lost = members().filter(|b| !of_use(now, b, false)).count();
             let lined = members().filter(|b| has_line(now, settings, b)).map(|b| b.listed.id).collect();
@@ -107,8 +107,7 @@
 
     /// Expected time of an attempt at this backend, in ms.
     fn cost(&self, now: Millis, backend: &Backend, usual: f64) -> f64 {
-        let keep = (-(now - backend.learned).max(0.0) / PACE_MEMORY_MS).exp();
-        let mut pace = 1.0 + (backend.pace - 1.0) * keep;
+        let mut pace = pace(now, backend);
         if backend.out > 0 {
             pace = pace.max((now - backend.heard) / (usual * SILENT_TIMES));
         }
@@ -226,8 +225,7 @@
         b.out += 1;
         let carried = b.out.div_ceil(settings.limits.per_connection.max(1));
         // All may have closed meanwhile.
-        let kept = now - b.line_used < settings.limits.idle_close_ms * LINE_IDLE;
-        b.lines = if kept { b.lines.max(carried) } else { carried };
+        b.lines = if lines_stay(now, settings, b) { b.lines.max(carried) } else { carried };
         b.cold.0 -= 1.0;
         f64::from(b.out)
     }
@@ -265,8 +263,7 @@
                 let took = if o.took_ms.is_finite() { o.took_ms.max(0.1) } else { return };
                 let (usual, seen) = &mut self.usual[class];
                 let alone = took / ((depth + UNSEEN) / (1.0 + UNSEEN));
-                let keep = (-(now - b.learned).max(0.0) / PACE_MEMORY_MS).exp();
-                let pace = 1.0 + (b.pace - 1.0) * keep;
+                let pace = pace(now, b);
                 b.pace = pace + PACE_GAIN * ((alone / usual.max(0.1)).min(10.0) - pace);
                 b.learned = now;
                 *seen += 1.0;
@@ -351,7 +348,17 @@
 
 /// Whether one of this gateway's connections to the backend is likely to be open and free.
 fn has_line(now: Millis, settings: &Settings, backend: &Backend) -> bool {
-    let limits = &settings.limits;
-    let open = now - backend.line_used < limits.idle_close_ms * LINE_IDLE;
-    open && backend.out < backend.lines * limits.per_connection.max(1)
+    let places = backend.lines * settings.limits.per_connection.max(1);
+    lines_stay(now, settings, backend) && backend.out < places
+}
+
+/// Whether its connections were used so lately that they are likely to be open.
+fn lines_stay(now: Millis, settings: &Settings, backend: &Backend) -> bool {
+    now - backend.line_used < settings.limits.idle_close_ms * LINE_IDLE
+}
+
+/// Its pace, which returns to the fleet's while nothing is learned.
+fn pace(now: Millis, backend: &Backend) -> f64 {
+    let keep = (-(now - backend.learned).max(0.0) / PACE_MEMORY_MS).exp();
+    1.0 + (backend.pace - 1.0) * keep
 }
--- a/src/bin/heronstage/ahead.rs
+++ b/src/bin/heronstage/ahead.rs
@@ -24,6 +24,7 @@
 const LOOK: Duration = Duration::from_millis(40);
 /// Room for one read.
 const READ: usize = 2048;
+
 /// What clients have sent ahead, in bytes, over all connections.
 #[derive(Clone, Default)]
 pub struct Ahead(Rc<Cell<usize>>);
