--- a/benches/choice.rs
+++ b/benches/choice.rs
@@ -2,8 +2,8 @@
 //! Run by `cargo bench`; times are of one machine, the ratios between sizes are what counts.
 #![allow(missing_docs)]
 
-use cherrytally::*;
 use criterion::{black_box, criterion_group, criterion_main, BenchmarkId, Criterion};
+use quota_gateway::*;
 
 fn entry(id: u32) -> Listed {
     Listed {
--- a/emulator/src/discovery.rs
+++ b/emulator/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::experiment::Discovery as Model;
 use crate::{micros, Micros};
-use cherrytally::{Listed, State};
+use quota_gateway::{Listed, State};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
--- a/emulator/src/experiment.rs
+++ b/emulator/src/experiment.rs
@@ -1,6 +1,6 @@
 //! Experiments: TOML files, checked here once. A fault is one line that names the field.
 
-use cherrytally::{Class, Counter, Effect, Group, Limits, Plan, Prices, Rules, Settings};
+use quota_gateway::{Class, Counter, Effect, Group, Limits, Plan, Prices, Rules, Settings};
 use serde::Deserialize;
 use std::path::Path;
 
--- a/emulator/src/real.rs
+++ b/emulator/src/real.rs
@@ -32,7 +32,7 @@
 #[derive(Args, Clone, Debug)]
 pub struct Rig {
     /// The gateway's program.
-    #[arg(long, default_value = "target/release/heronstage")]
+    #[arg(long, default_value = "target/release/quota-gateway")]
     program: PathBuf,
     /// Gateways side by side.
     #[arg(long, default_value_t = 1)]
--- a/emulator/src/slopes.rs
+++ b/emulator/src/slopes.rs
@@ -3,7 +3,7 @@
 //! Times are of the machine that measures: compare them within one run.
 
 use crate::report::Spread;
-use cherrytally::{
+use quota_gateway::{
     Action, Class, Counter, Effect, Event, Gateway, Limits, Listed, Load, Outcome, Plan, Prices, Request,
     Result as Ended, Rules, Settings, State,
 };
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -8,10 +8,10 @@
 use crate::links::Links;
 use crate::report::{Report, Spread, Window};
 use crate::{micros, stream, Micros};
-use cherrytally::{
+use hdrhistogram::Histogram;
+use quota_gateway::{
     Action, Event as Heard, Gateway, Listed, Load, Outcome, Request, Result as Ended, Settings, State,
 };
-use hdrhistogram::Histogram;
 use rand::Rng;
 use rustc_hash::FxHashMap;
 use std::cmp::Reverse;
--- a/src/bin/heronstage/backends.rs
+++ b/src/bin/quota-gateway/backends.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{Head, Reader, BODY_MOST};
 use bytes::Bytes;
-use cherrytally::{BackendId, Result as Ended};
+use quota_gateway::{BackendId, Result as Ended};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/src/bin/heronstage/config.rs
+++ b/src/bin/quota-gateway/config.rs
@@ -1,6 +1,6 @@
 //! The configuration that RELAY_CONFIG names: one JSON file, checked here once.
 
-use cherrytally::{Class, Counter, Effect, Group, Limits, Plan, Prices, Reports, Rules, Settings};
+use quota_gateway::{Class, Counter, Effect, Group, Limits, Plan, Prices, Reports, Rules, Settings};
 use serde::de::{Error, IgnoredAny, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use std::fmt::Formatter;
--- a/src/bin/heronstage/counter.rs
+++ b/src/bin/quota-gateway/counter.rs
@@ -4,7 +4,7 @@
 use crate::http::Reader;
 use crate::seldom::Seldom;
 use bytes::{Buf, BytesMut};
-use cherrytally::Result as Ended;
+use quota_gateway::Result as Ended;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/bin/heronstage/discovery.rs
+++ b/src/bin/quota-gateway/discovery.rs
@@ -6,7 +6,7 @@
 use crate::http::{Head, Reader};
 use crate::seldom::Seldom;
 use bytes::{Bytes, BytesMut};
-use cherrytally::Settings;
+use quota_gateway::Settings;
 use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
--- a/src/bin/heronstage/driver.rs
+++ b/src/bin/quota-gateway/driver.rs
@@ -8,7 +8,7 @@
 use crate::peers::Peers;
 use crate::seldom::Seldom;
 use bytes::Bytes;
-use cherrytally::{
+use quota_gateway::{
     Action, BackendId, Event, Gateway, Listed, Load, Outcome, Request, RequestId, Result as Ended, Settings,
     State,
 };
--- a/src/bin/heronstage/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -13,10 +13,10 @@
 mod server;
 
 use backends::Backends;
-use cherrytally::Settings;
 use config::Config;
 use discovery::Manner;
 use driver::{Driver, Names};
+use quota_gateway::Settings;
 use server::Server;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -54,7 +54,7 @@
     match runtime.map_err(|e| e.to_string()).and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("heronstage: {message}");
+            eprintln!("quota-gateway: {message}");
             ExitCode::from(2)
         }
     }
@@ -177,7 +177,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use cherrytally::Class;
+    use quota_gateway::Class;
 
     #[test]
     fn all_is_answered_before_sigkill_whatever_the_deadlines() {
--- a/src/bin/heronstage/server.rs
+++ b/src/bin/quota-gateway/server.rs
@@ -5,7 +5,6 @@
 use crate::http::BODY_MOST;
 use crate::seldom::Seldom;
 use bytes::Bytes;
-use cherrytally::{Effect, RequestId, Settings};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
@@ -15,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use quota_gateway::{Effect, RequestId, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
@@ -153,7 +153,7 @@
         driver: Rc<Driver>, settings: &Settings, classes: Vec<String>, plans: Vec<String>,
         places: Arc<Semaphore>,
     ) -> Rc<Self> {
-        let class = |(name, class): (String, &cherrytally::Class)| Class {
+        let class = |(name, class): (String, &quota_gateway::Class)| Class {
             name,
             method: if class.effect == Effect::Safe { Method::GET } else { Method::POST },
             keyed: matches!(class.effect, Effect::Keyed { .. }),
--- a/src/bin/cherrytally-benchlink/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -4,8 +4,8 @@
 mod frame;
 mod setup;
 
-use cherrytally::{Action, Event, Gateway, Listed, Load, Outcome, Request, Result as Ended, State};
 use frame::{Batch, Fields, Reply, ENTRY_BYTES};
+use quota_gateway::{Action, Event, Gateway, Listed, Load, Outcome, Request, Result as Ended, State};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
@@ -26,7 +26,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("cherrytally-benchlink: {message}");
+            eprintln!("simulator-adapter: {message}");
             ExitCode::from(2)
         }
     }
--- a/src/bin/cherrytally-benchlink/setup.rs
+++ b/src/bin/simulator-adapter/setup.rs
@@ -1,6 +1,6 @@
 //! The settings text: path=value lines, translated to the library's settings.
 
-use cherrytally::{Class, Counter, Effect, Group, Limits, Plan, Prices, Reports, Rules, Settings};
+use quota_gateway::{Class, Counter, Effect, Group, Limits, Plan, Prices, Reports, Rules, Settings};
 use std::collections::HashMap;
 
 /// The settings of one instance, with what the adapter itself needs of them.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! and carries out the [`Action`]s it gets back. The same events yield the same actions.
 //!
 //! ```
-//! use cherrytally::{Action, Class, Effect, Event, Gateway, Limits, Listed, Plan, Request, Settings, State};
+//! use quota_gateway::{Action, Class, Effect, Event, Gateway, Limits, Listed, Plan, Request, Settings, State};
 //!
 //! let settings = Settings {
 //!     gateways: 1,
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cherrytally-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -1,7 +1,7 @@
 //! Helpers for driving a gateway through its public interface.
 #![allow(dead_code, missing_docs)]
 
-use cherrytally::*;
+use quota_gateway::*;
 
 pub struct Rig {
     pub gateway: Gateway,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,8 +2,8 @@
 //! the rule.
 
 mod common;
-use cherrytally::*;
 use common::*;
+use quota_gateway::*;
 use std::collections::BTreeMap;
 
 fn instance(settings: &Settings, number: u32, now: f64) -> Rig {
--- a/tests/gateway/play.rs
+++ b/tests/gateway/play.rs
@@ -198,12 +198,12 @@
 pub fn start(config: &serde_json::Value) -> (Child, PathBuf) {
     static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("heronstage-{}-{number}.json", std::process::id()));
+    let path = std::env::temp_dir().join(format!("quota-gateway-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).unwrap();
     // As few descriptors as the configuration tells.
     let mut command = Command::new("sh");
     let sockets = &config["limits"]["sockets"];
-    command.args(["-c", &format!("ulimit -n {sockets}; exec {}", env!("CARGO_BIN_EXE_heronstage"))]);
+    command.args(["-c", &format!("ulimit -n {sockets}; exec {}", env!("CARGO_BIN_EXE_quota-gateway"))]);
     let child = command.env("RELAY_CONFIG", &path).stdin(Stdio::null()).stderr(Stdio::piped()).spawn();
     (child.unwrap(), path)
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,8 +1,8 @@
 //! Each step of the mechanism, without the bench.
 
 mod common;
-use cherrytally::*;
 use common::*;
+use quota_gateway::*;
 
 #[test]
 fn units_are_charged_before_the_request_is_sent() {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -1,8 +1,8 @@
 //! Random legal event sequences with fixed seeds: whatever happens, the rules hold.
 
 mod common;
-use cherrytally::*;
 use common::settings;
+use quota_gateway::*;
 use std::collections::BTreeMap;
 
 struct Out {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The five rules, each kept by one gateway alone, and the failures found so far.
 
 mod common;
-use cherrytally::*;
 use common::*;
+use quota_gateway::*;
 
 /// Settings without a counter or quota, for tests of what comes after.
 fn open_settings() -> Settings {
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -2,8 +2,8 @@
 //! hold with it.
 
 mod common;
-use cherrytally::*;
 use common::*;
+use quota_gateway::*;
 use std::collections::BTreeSet;
 
 const GATEWAYS: u32 = 90;
