--- a/emulator/src/discovery.rs
+++ b/emulator/src/discovery.rs
@@ -2,16 +2,16 @@
 
 use crate::experiment::Discovery as Model;
 use crate::{micros, Micros};
-use quota_gateway::{Listed, State};
+use quota_gateway::{Endpoint, EndpointState};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
 
 pub(crate) struct Discovery {
     /// The whole list now, by number, as discovery knows it.
-    list: Vec<Listed>,
+    list: Vec<Endpoint>,
     /// All changes, oldest first; a gateway's version is how many it has.
-    changes: Vec<Listed>,
+    changes: Vec<Endpoint>,
     notice: [Micros; 2],
     vanished: [Micros; 2],
     rng: ChaCha8Rng,
@@ -19,7 +19,7 @@
 }
 
 impl Discovery {
-    pub(crate) fn new(model: &Model, list: Vec<Listed>, rng: ChaCha8Rng) -> Self {
+    pub(crate) fn new(model: &Model, list: Vec<Endpoint>, rng: ChaCha8Rng) -> Self {
         Discovery {
             list,
             changes: Vec::new(),
@@ -40,7 +40,7 @@
         self.rng.random_range(self.vanished[0]..=self.vanished[1])
     }
 
-    pub(crate) fn change(&mut self, entry: Listed) {
+    pub(crate) fn change(&mut self, entry: Endpoint) {
         let id = entry.id;
         self.changes.push(entry.clone());
         match self.list.iter_mut().rev().find(|e| e.id == id) {
@@ -54,7 +54,7 @@
     }
 
     /// The entries that changed after this version, each as it is now.
-    pub(crate) fn since(&self, version: usize) -> Vec<Listed> {
+    pub(crate) fn since(&self, version: usize) -> Vec<Endpoint> {
         let mut last: FxHashMap<u32, usize> = FxHashMap::default();
         for place in version..self.changes.len() {
             last.insert(self.changes[place].id, place);
@@ -66,7 +66,7 @@
     }
 
     /// The whole list, without what is gone.
-    pub(crate) fn whole(&self) -> Vec<Listed> {
-        self.list.iter().filter(|entry| entry.state != State::Gone).cloned().collect()
+    pub(crate) fn whole(&self) -> Vec<Endpoint> {
+        self.list.iter().filter(|entry| entry.state != EndpointState::Removed).cloned().collect()
     }
 }
--- a/emulator/src/experiment.rs
+++ b/emulator/src/experiment.rs
@@ -1,6 +1,6 @@
 //! Experiments: TOML files, checked here once. A fault is one line that names the field.
 
-use quota_gateway::{Class, Counter, Effect, Group, Limits, Plan, Prices, Rules, Settings};
+use quota_gateway::{Class, CounterSettings, Idempotency, KeyScope, Limits, Plan, Prices, Rules, Settings};
 use serde::Deserialize;
 use std::path::Path;
 
@@ -436,52 +436,55 @@
     pub fn settings(&self) -> Settings {
         let r = &self.rules;
         let effect = |effect| match effect {
-            EffectModel::Safe => Effect::Safe,
-            EffectModel::KeyedZone => Effect::Keyed { group: Group::Zone, window_ms: r.window_ms },
-            EffectModel::KeyedAll => Effect::Keyed { group: Group::All, window_ms: r.window_ms },
-            EffectModel::Unsafe => Effect::Unsafe,
+            EffectModel::Safe => Idempotency::Idempotent,
+            EffectModel::KeyedZone => Idempotency::WithKey { scope: KeyScope::Zone, window_ms: r.window_ms },
+            EffectModel::KeyedAll => Idempotency::WithKey { scope: KeyScope::All, window_ms: r.window_ms },
+            EffectModel::Unsafe => Idempotency::NotIdempotent,
         };
         let class = |c: &ClassModel| Class {
-            aim_ms: c.aim_ms,
+            latency_objective_ms: c.aim_ms,
             deadline_ms: c.deadline_ms,
-            worth: 1.0,
-            effect: effect(c.effect),
+            priority_weight: 1.0,
+            idempotency: effect(c.effect),
             ..Class::default()
         };
         let plan = |p: &PlanModel| Plan {
             rate: p.rate,
             burst: p.burst,
-            price: 1.0,
-            excess_cost: 0.5,
+            weight_multiplier: 1.0,
+            over_quota_cost: 0.5,
             ..Plan::default()
         };
         Settings {
-            gateways: self.gateways.count,
+            gateway_count: self.gateways.count,
             tick_ms: 1.0,
             classes: self.classes.iter().map(class).collect(),
             plans: self.plans.iter().map(plan).collect(),
-            counter: self.counter.as_ref().map(|c| Counter { timeout_ms: c.timeout_ms, price: 0.01 }),
-            most_units: 4.0,
-            settles: true,
+            counter: self
+                .counter
+                .as_ref()
+                .map(|c| CounterSettings { timeout_ms: c.timeout_ms, call_price: 0.01 }),
+            max_units: 4.0,
+            settles_units: true,
             limits: Limits {
                 max_attempts: r.max_attempts,
-                cancel: true,
+                cancellation: true,
                 retry_after: true,
                 max_retry_after_ms: 2000.0,
-                idle_close_ms: r.idle_close_ms,
-                per_connection: 1,
-                connections: self.gateways.connections,
+                idle_timeout_ms: r.idle_close_ms,
+                requests_per_connection: 1,
+                max_connections: self.gateways.connections,
                 ..Limits::default()
             },
             prices: Prices { handshake: r.handshake_price, ..Prices::default() },
             rules: Rules {
-                answer_slack_ms: 50.0,
-                cold_from: r.cold_from,
-                warm_up_ms: r.warm_up_ms,
+                response_slack_ms: 50.0,
+                slow_start_min_capacity: r.cold_from,
+                slow_start_ms: r.warm_up_ms,
                 drain_grace_ms: r.drain_grace_ms,
-                fall_multiple: r.fall_multiple,
-                fall_ms: r.fall_ms,
-                ask_within_ms: 10_000.0,
+                overload_multiple: r.fall_multiple,
+                overload_window_ms: r.fall_ms,
+                max_poll_interval_ms: 10_000.0,
             },
             ..Settings::default()
         }
--- a/emulator/src/slopes.rs
+++ b/emulator/src/slopes.rs
@@ -4,8 +4,8 @@
 
 use crate::report::Spread;
 use quota_gateway::{
-    Action, Class, Counter, Effect, Event, Gateway, Limits, Listed, Load, Outcome, Plan, Prices, Request,
-    Result as Ended, Rules, Settings, State,
+    Action, AttemptEnd, Class, CounterSettings, Endpoint, EndpointState, Event, Gateway, Idempotency, Limits,
+    LoadReport, Outcome, Plan, Prices, Request, Rules, Settings,
 };
 use serde::Serialize;
 use std::collections::VecDeque;
@@ -97,58 +97,58 @@
 
 fn settings() -> Settings {
     Settings {
-        gateways: 720,
+        gateway_count: 720,
         tick_ms: 1.0,
         classes: vec![Class {
-            aim_ms: 500.0,
+            latency_objective_ms: 500.0,
             deadline_ms: 2000.0,
-            worth: 1.0,
-            effect: Effect::Safe,
+            priority_weight: 1.0,
+            idempotency: Idempotency::Idempotent,
             ..Class::default()
         }],
-        plans: vec![Plan { rate: 0.0, burst: 10.0, price: 1.0, ..Plan::default() }],
-        counter: Some(Counter { timeout_ms: 50.0, price: 0.01 }),
-        most_units: 4.0,
+        plans: vec![Plan { rate: 0.0, burst: 10.0, weight_multiplier: 1.0, ..Plan::default() }],
+        counter: Some(CounterSettings { timeout_ms: 50.0, call_price: 0.01 }),
+        max_units: 4.0,
         limits: Limits {
             max_attempts: 3,
-            cancel: true,
-            idle_close_ms: 30_000.0,
-            per_connection: 1,
+            cancellation: true,
+            idle_timeout_ms: 30_000.0,
+            requests_per_connection: 1,
             ..Limits::default()
         },
         prices: Prices { handshake: 0.01, ..Prices::default() },
         rules: Rules {
-            cold_from: 0.16,
-            warm_up_ms: 15_000.0,
+            slow_start_min_capacity: 0.16,
+            slow_start_ms: 15_000.0,
             drain_grace_ms: 2000.0,
-            fall_multiple: 4.0,
-            fall_ms: 1500.0,
+            overload_multiple: 4.0,
+            overload_window_ms: 1500.0,
             ..Rules::default()
         },
         ..Settings::default()
     }
 }
 
-fn listed(id: u32) -> Listed {
-    Listed {
+fn listed(id: u32) -> Endpoint {
+    Endpoint {
         id,
-        key: id.into(),
+        hash_key: id.into(),
         zone: id % 8,
         kind: 0,
         cell: id % 64,
-        state: State::Ready,
-        size: 1.0,
-        started: 0.0,
+        state: EndpointState::Ready,
+        weight: 1.0,
+        started_at: 0.0,
     }
 }
 
-fn list(backends: u32) -> Vec<Listed> {
+fn list(backends: u32) -> Vec<Endpoint> {
     (0..backends).map(listed).collect()
 }
 
 fn gateway(backends: u32) -> Gateway {
     let mut gateway = Gateway::new(settings(), 7, 0.0);
-    gateway.handle(0.0, Event::List { full: true, entries: list(backends) }, &mut Vec::new());
+    gateway.handle(0.0, Event::EndpointUpdate { complete: true, endpoints: list(backends) }, &mut Vec::new());
     gateway
 }
 
@@ -160,21 +160,37 @@
 fn once(gateway: &mut Gateway, id: u64, under: &mut Under, actions: &mut Vec<Action>) -> Option<u32> {
     let now = id as f64 * 8.0;
     let (units, budget_ms, spread) = (1.0, 2000.0, 8.0);
-    let request =
-        Request { id, customer: id % 500, plan: 0, class: 0, units, budget_ms, spread, repeat: false };
+    let request = Request {
+        id,
+        customer: id % 500,
+        plan: 0,
+        class: 0,
+        units,
+        timeout_ms: budget_ms,
+        gateway_set_size: spread,
+        is_retry: false,
+    };
     actions.clear();
     gateway.handle(now, Event::Request(request), actions);
     let backend = actions.iter().find_map(|action| match action {
-        Action::Send { backend, .. } => Some(*backend),
+        Action::SendAttempt { endpoint: backend, .. } => Some(*backend),
         _ => None,
     })?;
     under.push_back((id, backend));
     if under.len() > UNDER {
         let (id, backend) = under.pop_front()?;
-        let (load, units, took_ms) = (Load::default(), None, 8.0 * UNDER as f64);
-        let outcome =
-            Outcome { id, attempt: 0, backend, result: Ended::Ok, ended: true, units, took_ms, load };
-        gateway.handle(now, Event::Outcome(outcome), actions);
+        let (load, units, elapsed_ms) = (LoadReport::default(), None, 8.0 * UNDER as f64);
+        let outcome = AttemptEnd {
+            id,
+            attempt: 0,
+            endpoint: backend,
+            outcome: Outcome::Success,
+            request_answered: true,
+            actual_units: units,
+            elapsed_ms,
+            load,
+        };
+        gateway.handle(now, Event::AttemptEnded(outcome), actions);
     }
     Some(backend)
 }
@@ -199,7 +215,11 @@
     median_us((0..turns.max(3)).map(|turn| {
         let entries = list(backends);
         let begun = Instant::now();
-        gateway.handle(turn as f64, Event::List { full: true, entries }, &mut Vec::new());
+        gateway.handle(
+            turn as f64,
+            Event::EndpointUpdate { complete: true, endpoints: entries },
+            &mut Vec::new(),
+        );
         begun.elapsed().as_secs_f64() * 1e6
     }))
 }
@@ -207,10 +227,14 @@
 fn change_us(backends: u32, turns: u64) -> f64 {
     let mut gateway = gateway(backends);
     median_us((0..turns).map(|turn| {
-        let state = if turn % 2 == 0 { State::Draining } else { State::Ready };
-        let entries = vec![Listed { state, ..listed(turn as u32 / 2 % backends) }];
+        let state = if turn % 2 == 0 { EndpointState::Draining } else { EndpointState::Ready };
+        let entries = vec![Endpoint { state, ..listed(turn as u32 / 2 % backends) }];
         let begun = Instant::now();
-        gateway.handle(turn as f64, Event::List { full: false, entries }, &mut Vec::new());
+        gateway.handle(
+            turn as f64,
+            Event::EndpointUpdate { complete: false, endpoints: entries },
+            &mut Vec::new(),
+        );
         begun.elapsed().as_secs_f64() * 1e6
     }))
 }
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -10,7 +10,8 @@
 use crate::{micros, stream, Micros};
 use hdrhistogram::Histogram;
 use quota_gateway::{
-    Action, Event as Heard, Gateway, Listed, Load, Outcome, Request, Result as Ended, Settings, State,
+    Action, AttemptEnd, Endpoint, EndpointState, Event as Heard, Gateway, LoadReport, Outcome, Request,
+    Settings,
 };
 use rand::Rng;
 use rustc_hash::FxHashMap;
@@ -42,7 +43,7 @@
     /// A client comes again.
     Again(Wish),
     Leave(u64),
-    Timer {
+    TimerFired {
         node: u32,
         epoch: u32,
         token: u64,
@@ -56,16 +57,16 @@
     /// An attempt's answer is at the gateway, or it is known to have none.
     Answer {
         attempt: u64,
-        result: Ended,
+        result: Outcome,
     },
     CounterReach {
         call: u64,
         amount: f64,
         life: Micros,
     },
-    Counted {
+    CounterReply {
         call: u64,
-        result: Ended,
+        result: Outcome,
         total: f64,
     },
     Tell {
@@ -182,8 +183,9 @@
         let backends: Vec<_> = (0..e.backends.count)
             .map(|number| Backend::new(seed, number.into(), number % zones, None))
             .collect();
-        let list =
-            (0..e.backends.count).map(|number| listed(number, number % zones, State::Ready, 0.0)).collect();
+        let list = (0..e.backends.count)
+            .map(|number| listed(number, number % zones, EndpointState::Ready, 0.0))
+            .collect();
         let mut world = World {
             e,
             seed,
@@ -227,7 +229,7 @@
 
     fn node(&mut self, number: u32, epoch: u32) -> Node {
         let zone = number % self.e.topology.zones();
-        let settings = Settings { position: number, zone, ..self.settings.clone() };
+        let settings = Settings { gateway_index: number, zone, ..self.settings.clone() };
         self.starts += 1;
         let seed = stream(self.seed, "gateway", self.starts).random();
         Node {
@@ -250,7 +252,7 @@
         let entries = self.discovery.whole();
         self.nodes[number as usize].version = self.discovery.version();
         self.report.discovery.entries_told += entries.len() as u64;
-        self.handle(number, Heard::List { full: true, entries });
+        self.handle(number, Heard::EndpointUpdate { complete: true, endpoints: entries });
     }
 
     fn clock(&self) -> f64 {
@@ -324,24 +326,24 @@
                 }
             }
             Event::Leave(id) => self.leave(id),
-            Event::Timer { node, epoch, token } => {
+            Event::TimerFired { node, epoch, token } => {
                 if self.nodes[node as usize].epoch == epoch {
-                    self.handle(node, Heard::Timer { token });
+                    self.handle(node, Heard::TimerFired { token });
                 }
             }
             Event::Reach(attempt) => self.reach(attempt),
             Event::Done { backend, generation, attempt } => self.done(backend, generation, attempt),
             Event::Answer { attempt, result } => self.answer(attempt, result),
             Event::CounterReach { call, amount, life } => self.counter_reach(call, amount, life),
-            Event::Counted { call, result, total } => {
+            Event::CounterReply { call, result, total } => {
                 let Some(Call { node, epoch, name, sent }) = self.calls.remove(&call) else { return };
                 if self.counts() {
-                    self.report.counter.timeout += u64::from(result == Ended::Timeout);
-                    self.report.counter.full += u64::from(result == Ended::Full);
+                    self.report.counter.timeout += u64::from(result == Outcome::Timeout);
+                    self.report.counter.full += u64::from(result == Outcome::Rejected);
                 }
                 if self.nodes[node as usize].epoch == epoch {
-                    let took_ms = (self.now - sent) as f64 / 1000.0;
-                    self.handle(node, Heard::Counted { name, result, total, took_ms });
+                    let elapsed_ms = (self.now - sent) as f64 / 1000.0;
+                    self.handle(node, Heard::CounterReply { key: name, outcome: result, total, elapsed_ms });
                 }
             }
             Event::Tell { node, epoch } => self.tell(node, epoch),
@@ -398,9 +400,9 @@
             plan: wish.plan,
             class: wish.class,
             units: wish.units.0,
-            budget_ms: class.deadline_ms,
-            spread: self.e.load.spread.into(),
-            repeat: wish.try_no > 0,
+            timeout_ms: class.deadline_ms,
+            gateway_set_size: self.e.load.spread.into(),
+            is_retry: wish.try_no > 0,
         };
         let epoch = self.nodes[node].epoch;
         let open = Open {
@@ -426,7 +428,7 @@
             self.report.requests.left += 1;
         }
         if self.nodes[node as usize].epoch == epoch {
-            self.handle(node, Heard::Gone { id });
+            self.handle(node, Heard::ClientDisconnected { id });
         }
         self.drop_if_ended(id);
     }
@@ -446,8 +448,8 @@
                 self.at(self.now + work, Event::Done { backend, generation, attempt });
             }
             Reached::Waits => a.inside = true,
-            Reached::Full => self.send_back(attempt, Ended::Full),
-            Reached::Refused => self.send_back(attempt, Ended::ConnectFailed),
+            Reached::Full => self.send_back(attempt, Outcome::Rejected),
+            Reached::Refused => self.send_back(attempt, Outcome::ConnectFailed),
             Reached::Silent => {}
             Reached::Fell(calls, allowed) => {
                 let number = a.backend;
@@ -456,7 +458,7 @@
                 self.report.rules.note(|| {
                     format!("cold: server {number} got {calls} calls of {allowed:.1} allowed, at {at:.3} s")
                 });
-                self.send_back(attempt, Ended::Reset);
+                self.send_back(attempt, Outcome::ConnectionReset);
                 let after = self.discovery.vanished();
                 self.at(self.now + after, Event::Learn(number));
             }
@@ -472,12 +474,12 @@
             self.at(self.now + work, Event::Done { backend, generation, attempt: next });
         }
         if self.backends[backend as usize].life != Life::Vanished {
-            self.send_back(attempt, Ended::Ok);
+            self.send_back(attempt, Outcome::Success);
         }
     }
 
     /// An answer goes back to the gateway, if the way is open.
-    fn send_back(&mut self, attempt: u64, result: Ended) {
+    fn send_back(&mut self, attempt: u64, result: Outcome) {
         let Some(a) = self.attempts.get_mut(&attempt) else { return };
         a.inside = false;
         let (from, to) = (self.backends[a.backend as usize].zone, self.nodes[a.node as usize].zone);
@@ -489,14 +491,14 @@
     }
 
     /// An attempt has ended at the gateway.
-    fn answer(&mut self, attempt: u64, result: Ended) {
+    fn answer(&mut self, attempt: u64, result: Outcome) {
         let counts = self.counts();
         let Some(a) = self.attempts.get_mut(&attempt) else { return };
         if !std::mem::take(&mut a.live) {
             return;
         }
         let (id, number, node, epoch, backend) = (a.request, a.number, a.node, a.epoch, a.backend);
-        let (took_ms, units) = ((self.now - a.sent) as f64 / 1000.0, a.true_units);
+        let (elapsed_ms, units) = ((self.now - a.sent) as f64 / 1000.0, a.true_units);
         let sent = a.sent;
         if !a.inside {
             self.attempts.remove(&attempt);
@@ -504,23 +506,23 @@
         if self.nodes[node as usize].epoch != epoch {
             return;
         }
-        self.line_back(node, backend, matches!(result, Ended::Ok | Ended::Full));
+        self.line_back(node, backend, matches!(result, Outcome::Success | Outcome::Rejected));
         if counts {
             let figures = &mut self.report.attempts;
             match result {
-                Ended::Ok => figures.ok += 1,
-                Ended::Full => figures.full += 1,
-                Ended::ConnectFailed => figures.connect_failed += 1,
-                Ended::Timeout | Ended::Reset => figures.timeout += 1,
+                Outcome::Success => figures.ok += 1,
+                Outcome::Rejected => figures.full += 1,
+                Outcome::ConnectFailed => figures.connect_failed += 1,
+                Outcome::Timeout | Outcome::ConnectionReset => figures.timeout += 1,
                 _ => figures.cancelled += 1,
             }
         }
         let Some(open) = self.open.get_mut(&id) else { return };
         open.out -= 1;
-        if !result.never_ran() && open.ran.is_none() {
+        if !result.never_executed() && open.ran.is_none() {
             open.ran = Some((sent, self.backends[backend as usize].zone));
         }
-        let served = result == Ended::Ok && !open.answered;
+        let served = result == Outcome::Success && !open.answered;
         if served {
             open.answered = true;
             let took = self.now - open.came;
@@ -529,10 +531,19 @@
             self.served(took, in_time, late);
         }
         let ended = self.open.get(&id).is_none_or(|open| open.answered);
-        let units = (result == Ended::Ok).then_some(units);
-        let load = Load::default();
-        let outcome = Outcome { id, attempt: number, backend, result, ended, units, took_ms, load };
-        self.handle(node, Heard::Outcome(outcome));
+        let units = (result == Outcome::Success).then_some(units);
+        let load = LoadReport::default();
+        let outcome = AttemptEnd {
+            id,
+            attempt: number,
+            endpoint: backend,
+            outcome: result,
+            request_answered: ended,
+            actual_units: units,
+            elapsed_ms,
+            load,
+        };
+        self.handle(node, Heard::AttemptEnded(outcome));
         self.drop_if_ended(id);
     }
 
@@ -568,10 +579,10 @@
         }
         let Some(way) = self.links.way(counter.zone, zone) else { return };
         let (at, result, total) = match counter.call(self.now, *name, amount, life) {
-            Some((at, total)) => (at, Ended::Ok, total),
-            None => (self.now, Ended::Full, 0.0),
+            Some((at, total)) => (at, Outcome::Success, total),
+            None => (self.now, Outcome::Rejected, 0.0),
         };
-        self.at(at + way, Event::Counted { call, result, total });
+        self.at(at + way, Event::CounterReply { call, result, total });
     }
 
     // ---- The list -----------------------------------------------------------------------------------------
@@ -598,20 +609,20 @@
         node.version = self.discovery.version();
         for entry in &entries {
             match entry.state {
-                State::Ready => drop(node.told.remove(&entry.id)),
+                EndpointState::Ready => drop(node.told.remove(&entry.id)),
                 _ => drop(node.told.entry(entry.id).or_insert(self.now)),
             }
         }
         self.report.discovery.entries_told += entries.len() as u64;
-        self.handle(number, Heard::List { full: false, entries });
+        self.handle(number, Heard::EndpointUpdate { complete: false, endpoints: entries });
     }
 
     fn learn(&mut self, backend: u32) {
         let server = &self.backends[backend as usize];
         let state = match server.life {
-            Life::Up => State::Ready,
-            Life::Draining => State::Draining,
-            Life::Vanished | Life::Gone => State::Gone,
+            Life::Up => EndpointState::Ready,
+            Life::Draining => EndpointState::Draining,
+            Life::Vanished | Life::Gone => EndpointState::Removed,
         };
         let started = server.started.map_or(0.0, |at| CLOCK_MS + at as f64 / 1000.0);
         self.discovery.change(listed(backend, server.zone, state, started));
@@ -768,18 +779,20 @@
 
     fn act(&mut self, number: u32, action: Action) -> Option<Heard> {
         match action {
-            Action::Send { id, backend, timeout_ms } => return self.send(number, id, backend, timeout_ms),
-            Action::Cancel { id, attempt } => {
+            Action::SendAttempt { id, endpoint: backend, timeout_ms } => {
+                return self.send(number, id, backend, timeout_ms)
+            }
+            Action::CancelAttempt { id, attempt } => {
                 let attempt = *self.open.get(&id)?.sent.get(usize::from(attempt))?;
-                self.at(self.now, Event::Answer { attempt, result: Ended::Cancelled });
+                self.at(self.now, Event::Answer { attempt, result: Outcome::Cancelled });
             }
-            Action::Refuse { id, retry_after_ms } => self.final_answer(id, Some(retry_after_ms)),
+            Action::Reject { id, retry_after_ms } => self.final_answer(id, Some(retry_after_ms)),
             Action::Fail { id } => self.final_answer(id, None),
-            Action::Timer { token, after_ms } => {
+            Action::SetTimer { token, after_ms } => {
                 let epoch = self.nodes[number as usize].epoch;
-                self.at(self.now + micros(after_ms), Event::Timer { node: number, epoch, token });
+                self.at(self.now + micros(after_ms), Event::TimerFired { node: number, epoch, token });
             }
-            Action::Count { name, amount, lifetime_ms } => {
+            Action::AddToCounter { key: name, amount, ttl_ms: lifetime_ms } => {
                 let counter = self.counter.as_ref()?;
                 let (zone, timeout) = (counter.zone, counter.timeout);
                 self.serial += 1;
@@ -793,10 +806,16 @@
                 if let Some(way) = self.links.way(node.zone, zone) {
                     self.at(self.now + way, Event::CounterReach { call, amount, life });
                 }
-                self.at(self.now + timeout, Event::Counted { call, result: Ended::Timeout, total: 0.0 });
+                self.at(
+                    self.now + timeout,
+                    Event::CounterReply { call, result: Outcome::Timeout, total: 0.0 },
+                );
             }
             // The agent pushes its list in any case; probes and messages are not permitted here.
-            Action::Watch | Action::Probe { .. } | Action::Tell { .. } | Action::Log { .. } => {}
+            Action::WatchEndpoints
+            | Action::CheckHealth { .. }
+            | Action::Gossip { .. }
+            | Action::Log { .. } => {}
         }
         None
     }
@@ -804,8 +823,17 @@
     fn send(&mut self, number: u32, id: u64, backend: u32, timeout_ms: f64) -> Option<Heard> {
         let counts = self.counts();
         let moot = |attempt: u8, ended: bool| {
-            let (result, load, units, took_ms) = (Ended::Moot, Load::default(), None, 0.0);
-            Some(Heard::Outcome(Outcome { id, attempt, backend, result, ended, units, took_ms, load }))
+            let (result, load, units, elapsed_ms) = (Outcome::NotSent, LoadReport::default(), None, 0.0);
+            Some(Heard::AttemptEnded(AttemptEnd {
+                id,
+                attempt,
+                endpoint: backend,
+                outcome: result,
+                request_answered: ended,
+                actual_units: units,
+                elapsed_ms,
+                load,
+            }))
         };
         let Some(open) = self.open.get_mut(&id) else { return moot(0, true) };
         self.serial += 1;
@@ -894,17 +922,19 @@
             },
         );
         let until = (self.now + micros(timeout_ms)).min(deadline);
-        self.at(until, Event::Answer { attempt, result: Ended::Timeout });
+        self.at(until, Event::Answer { attempt, result: Outcome::Timeout });
         let connect = micros(self.e.rules.connect_ms);
         match way {
-            Some(way) if full => self.at(self.now + 2 * way, Event::Answer { attempt, result: Ended::Full }),
+            Some(way) if full => {
+                self.at(self.now + 2 * way, Event::Answer { attempt, result: Outcome::Rejected })
+            }
             Some(way) => {
                 let handshake = if new { 2 * way + self.kind.handshake } else { 0 };
                 self.at(self.now + handshake + way, Event::Reach(attempt));
             }
             // A new connection never comes up; on an old one nothing is said.
             None if new => {
-                self.at(self.now + connect, Event::Answer { attempt, result: Ended::ConnectFailed })
+                self.at(self.now + connect, Event::Answer { attempt, result: Outcome::ConnectFailed })
             }
             None => {}
         }
@@ -954,7 +984,7 @@
         report.gateways.tries = nodes(&|node| node.tries as f64);
         report.gateways.backends_used = nodes(&|node| node.used.len() as f64);
         report.gateways.connections = nodes(&|node| f64::from(node.most_lines));
-        report.gateways.customers = nodes(&|node| node.gateway.customers() as f64);
+        report.gateways.customers = nodes(&|node| node.gateway.customer_count() as f64);
         let mut senders = vec![0u32; self.backends.len()];
         for node in &self.nodes {
             node.used.keys().for_each(|backend| senders[*backend as usize] += 1);
@@ -974,6 +1004,15 @@
     }
 }
 
-fn listed(number: u32, zone: u32, state: State, started: f64) -> Listed {
-    Listed { id: number, key: number.into(), zone, kind: 0, cell: 0, state, size: 1.0, started }
+fn listed(number: u32, zone: u32, state: EndpointState, started: f64) -> Endpoint {
+    Endpoint {
+        id: number,
+        hash_key: number.into(),
+        zone,
+        kind: 0,
+        cell: 0,
+        state,
+        weight: 1.0,
+        started_at: started,
+    }
 }
--- a/src/backends.rs
+++ b/src/backends.rs
@@ -49,11 +49,11 @@
 /// All backends as this gateway sees them.
 #[derive(Default)]
 pub(crate) struct Backends {
-    all: BTreeMap<BackendId, Backend>,
+    all: BTreeMap<EndpointId, Backend>,
     subset: Subset,
     /// Members that may be cold, in the order of their numbers; how many lists were taken in, and whether one was
     /// since these were looked for.
-    cold: Vec<BackendId>,
+    cold: Vec<EndpointId>,
     lists: u64,
     listed: bool,
     /// Usual time of each class on an idle backend of usual pace, and answers seen.
@@ -66,12 +66,12 @@
     /// Attempts out on average, members that are of no use, and those with a connection, as of the last tick.
     out: f64,
     lost: usize,
-    lined: Vec<BackendId>,
+    lined: Vec<EndpointId>,
 }
 
 impl Backends {
     pub(crate) fn new(settings: &Settings, now: Millis) -> Self {
-        let usual = settings.classes.iter().map(|c| (c.aim_ms * USUAL_OF_AIM, 0.0)).collect();
+        let usual = settings.classes.iter().map(|c| (c.latency_objective_ms * USUAL_OF_AIM, 0.0)).collect();
         Backends { subset: Subset::new(settings), usual, rate_at: now, ..Backends::default() }
     }
 
@@ -81,7 +81,7 @@
     }
 
     /// Those it keeps to; all that take work where there are few.
-    pub(crate) fn members(&mut self) -> &[BackendId] {
+    pub(crate) fn members(&mut self) -> &[EndpointId] {
         self.listed |= self.subset.update();
         self.subset.members()
     }
@@ -93,7 +93,9 @@
 
     /// Forgets those long gone, and looks at the members: attempts out are so many on average.
     pub(crate) fn tick(&mut self, now: Millis, settings: &Settings, out: f64) {
-        self.all.retain(|_, b| b.listed.state != State::Gone || b.out > 0 || now - b.learned < IDLE_MS);
+        self.all.retain(|_, b| {
+            b.listed.state != EndpointState::Removed || b.out > 0 || now - b.learned < IDLE_MS
+        });
         self.out = out;
         if self.subset.cut() {
             self.members();
@@ -118,15 +120,15 @@
     /// may be sent, else the better of a few members, else the best of all members, else the best of all.
     pub(crate) fn pick(
         &mut self, now: Millis, settings: &Settings, open: &Open, rng: &mut Rng,
-    ) -> Option<BackendId> {
+    ) -> Option<EndpointId> {
         let mut rng = rng.fork();
         if self.subset.update() | std::mem::take(&mut self.listed) {
-            let born = |id: &&BackendId| self.all.get(*id).is_some_and(|b| b.born.is_some());
+            let born = |id: &&EndpointId| self.all.get(*id).is_some_and(|b| b.born.is_some());
             self.cold = self.subset.members().iter().filter(born).copied().collect();
         }
         self.reckon_cold(now, settings);
-        let home = match (open.ran, settings.classes[open.request.class as usize].effect) {
-            (Some((_, backend)), Effect::Keyed { group, .. }) => {
+        let home = match (open.ran, settings.classes[open.request.class as usize].idempotency) {
+            (Some((_, backend)), Idempotency::WithKey { scope: group, .. }) => {
                 self.all.get(&backend).map(|b| (group, b.listed.zone, b.listed.cell))
             }
             _ => None,
@@ -134,14 +136,14 @@
         if !self.subset.cut() {
             return self.best(now, settings, open, home, self.all.values(), &mut rng).map(|(.., id)| id);
         }
-        let few = self.rate * settings.limits.idle_close_ms * LINE_IDLE / 1000.0
+        let few = self.rate * settings.limits.idle_timeout_ms * LINE_IDLE / 1000.0
             < self.lined.len() as f64 * LINE_USES;
         let members = if few { &self.lined } else { self.subset.members() };
         let cold = self.cold.iter().filter_map(|id| self.all.get(id)).filter(|b| b.cold.0 >= 1.0);
         let drawn = std::iter::repeat_with(|| members.get(rng.usize(..members.len().max(1))));
         let drawn = drawn.take(CHOICES.1).filter_map(|id| self.all.get(id?));
         let mut drawn: Vec<_> = drawn
-            .filter(|b| b.listed.state == State::Ready && of_use(now, b, true))
+            .filter(|b| b.listed.state == EndpointState::Ready && of_use(now, b, true))
             .take(CHOICES.0)
             .collect();
         drawn.splice(0..0, cold);
@@ -155,27 +157,27 @@
 
     /// The best of these, and whether it was tried or is to be passed over.
     fn best<'a>(
-        &'a self, now: Millis, settings: &Settings, open: &Open, home: Option<(Group, u32, u32)>,
+        &'a self, now: Millis, settings: &Settings, open: &Open, home: Option<(KeyScope, u32, u32)>,
         among: impl Iterator<Item = &'a Backend> + Clone, rng: &mut Rng,
-    ) -> Option<(bool, f64, BackendId)> {
+    ) -> Option<(bool, f64, EndpointId)> {
         let class = &settings.classes[open.request.class as usize];
         let usual = self.usual[open.request.class as usize].0;
         let allowed = |b: &Backend| {
-            b.listed.state == State::Ready
+            b.listed.state == EndpointState::Ready
                 && home.is_none_or(|(group, zone, cell)| match group {
-                    Group::All => true,
-                    Group::Zone => b.listed.zone == zone,
-                    Group::Cell => b.listed.cell == cell && b.listed.zone == zone,
+                    KeyScope::All => true,
+                    KeyScope::Zone => b.listed.zone == zone,
+                    KeyScope::Cell => b.listed.cell == cell && b.listed.zone == zone,
                 })
                 && (cold_share(now, settings, b).is_none() || b.cold.0 >= 1.0)
         };
-        let ready = among.clone().filter(|b| b.listed.state == State::Ready);
+        let ready = among.clone().filter(|b| b.listed.state == EndpointState::Ready);
         let (bad, ready) =
             ready.fold((0, 0), |(bad, n), b| (bad + u32::from(b.failures >= EJECT_AFTER), n + 1));
         // If most look bad the ejection is distrusted, not the fleet: a lost path or list looks the same.
         let distrust = bad * 2 > ready;
-        let handshake = HANDSHAKE_TIMES * settings.prices.handshake * class.aim_ms;
-        let mut best: Option<(bool, f64, BackendId)> = None;
+        let handshake = HANDSHAKE_TIMES * settings.prices.handshake * class.latency_objective_ms;
+        let mut best: Option<(bool, f64, EndpointId)> = None;
         for b in among.filter(|b| allowed(b)) {
             let trial = b.failures < EJECT_AFTER || distrust || (now >= b.out_until && b.out == 0);
             let tried = open.attempts.iter().any(|a| a.backend == b.listed.id)
@@ -201,7 +203,7 @@
         // The capacity of those it may send to, in warm backends: a cold one counts by what surely is warm of it.
         let share = |id| all.get(id).and_then(|b| cold_share(now, settings, b)).unwrap_or(1.0);
         let warm = members - self.cold.iter().map(|id| 1.0 - share(id)).sum::<f64>();
-        let part = (settings.rules.fall_multiple / 2.0).min(1.0);
+        let part = (settings.rules.overload_multiple / 2.0).min(1.0);
         let usual = self.rate / warm.max(1.0) * part;
         for id in &self.cold {
             let Some(b) = all.get_mut(id) else { continue };
@@ -212,7 +214,7 @@
     }
 
     /// An attempt is sent, a request's first or a further one; how many of this gateway are at the backend then.
-    pub(crate) fn sent(&mut self, now: Millis, settings: &Settings, backend: BackendId, first: bool) -> f64 {
+    pub(crate) fn sent(&mut self, now: Millis, settings: &Settings, backend: EndpointId, first: bool) -> f64 {
         if first {
             let keep = (-(now - self.rate_at).max(0.0) / RATE_MS).exp();
             self.rate = self.rate * keep + 1000.0 / RATE_MS;
@@ -223,7 +225,7 @@
             b.heard = now;
         }
         b.out += 1;
-        let carried = b.out.div_ceil(settings.limits.per_connection.max(1));
+        let carried = b.out.div_ceil(settings.limits.requests_per_connection.max(1));
         // All may have closed meanwhile.
         b.lines = if lines_stay(now, settings, b) { b.lines.max(carried) } else { carried };
         b.cold.0 -= 1.0;
@@ -232,35 +234,36 @@
 
     /// What an outcome tells of the backend's pace and health.
     pub(crate) fn learn(
-        &mut self, now: Millis, settings: &Settings, request: &Request, o: &Outcome, depth: f64,
+        &mut self, now: Millis, settings: &Settings, request: &Request, o: &AttemptEnd, depth: f64,
         rng: &mut Rng,
     ) {
         let (class, plan) = (request.class as usize, request.plan as usize);
-        let Some(b) = self.all.get_mut(&o.backend) else { return };
+        let Some(b) = self.all.get_mut(&o.endpoint) else { return };
         b.out = b.out.saturating_sub(1);
-        if matches!(o.result, Result::Ok | Result::Error | Result::Full) {
+        if matches!(o.outcome, Outcome::Success | Outcome::ErrorResponse | Outcome::Rejected) {
             b.line_used = now;
-        } else if settings.limits.per_connection <= 1 || o.result == Result::ConnectFailed {
+        } else if settings.limits.requests_per_connection <= 1 || o.outcome == Outcome::ConnectFailed {
             // The attempt has taken its connection with it.
             b.lines = b.lines.saturating_sub(1);
         }
-        if matches!(o.result, Result::Full | Result::ConnectFailed) {
+        if matches!(o.outcome, Outcome::Rejected | Outcome::ConnectFailed) {
             let held = now + FULL.0.max(FULL.1 * 1000.0 / self.rate.max(1.0));
             b.full_until.resize(settings.plans.len(), now);
-            match o.result {
-                Result::Full => b.full_until[plan] = held,
+            match o.outcome {
+                Outcome::Rejected => b.full_until[plan] = held,
                 _ => b.full_until.fill(held),
             }
         }
-        let spoilt = f64::from(u8::from(matches!(o.result, Result::Error | Result::Reset)));
-        if spoilt > 0.0 || o.result == Result::Ok {
+        let spoilt =
+            f64::from(u8::from(matches!(o.outcome, Outcome::ErrorResponse | Outcome::ConnectionReset)));
+        if spoilt > 0.0 || o.outcome == Outcome::Success {
             b.spoilt += (spoilt - b.spoilt) * SPOILT.0;
             self.spoilt += (spoilt - self.spoilt) * SPOILT.1;
         }
-        match o.result {
-            Result::Ok => {
+        match o.outcome {
+            Outcome::Success => {
                 (b.failures, b.heard) = (0, now);
-                let took = if o.took_ms.is_finite() { o.took_ms.max(0.1) } else { return };
+                let took = if o.elapsed_ms.is_finite() { o.elapsed_ms.max(0.1) } else { return };
                 let (usual, seen) = &mut self.usual[class];
                 let alone = took / ((depth + UNSEEN) / (1.0 + UNSEEN));
                 let pace = pace(now, b);
@@ -269,49 +272,50 @@
                 *seen += 1.0;
                 *usual += (alone / pace.max(0.1) - *usual) * USUAL_GAIN.max(1.0 / *seen);
             }
-            Result::Full => b.heard = now,
+            Outcome::Rejected => b.heard = now,
             // Cut at its aim though the backend answered others meanwhile: the request was costly.
-            Result::Timeout if b.heard > now - o.took_ms => {}
+            Outcome::Timeout if b.heard > now - o.elapsed_ms => {}
             // Answers that come spoilt or break off from all backends alike tell nothing of this one.
-            Result::Error | Result::Reset if b.spoilt < self.spoilt + SPOILT.2 => {}
-            Result::Error | Result::Timeout | Result::ConnectFailed | Result::Reset => {
+            Outcome::ErrorResponse | Outcome::ConnectionReset if b.spoilt < self.spoilt + SPOILT.2 => {}
+            Outcome::ErrorResponse | Outcome::Timeout | Outcome::ConnectFailed | Outcome::ConnectionReset => {
                 b.failures = b.failures.saturating_add(1);
                 if b.failures >= EJECT_AFTER {
                     let times = f64::from(1u32 << (b.failures - EJECT_AFTER).min(5));
                     b.out_until = now + EJECT_MS * times * (1.0 + 0.2 * rng.f64());
                 }
             }
-            Result::Cancelled | Result::Moot => {}
+            Outcome::Cancelled | Outcome::NotSent => {}
         }
     }
 
     /// Takes in the list, or what changed in it.
     pub(crate) fn list(
-        &mut self, now: Millis, settings: &Settings, full: bool, entries: Vec<Listed>, rng: &mut Rng,
+        &mut self, now: Millis, settings: &Settings, full: bool, entries: Vec<Endpoint>, rng: &mut Rng,
     ) {
         let known = !self.all.is_empty();
         (self.lists, self.listed) = (self.lists + 1, true);
         for entry in entries {
-            let fresh = entry.started > 0.0 && now - entry.started < settings.rules.warm_up_ms;
-            let start = fresh.then_some(entry.started);
-            let (id, zone, key, ready) = (entry.id, entry.zone, entry.key, entry.state == State::Ready);
+            let fresh = entry.started_at > 0.0 && now - entry.started_at < settings.rules.slow_start_ms;
+            let start = fresh.then_some(entry.started_at);
+            let (id, zone, key, ready) =
+                (entry.id, entry.zone, entry.hash_key, entry.state == EndpointState::Ready);
             match self.all.get_mut(&id) {
                 Some(b) => {
                     // Gone and back, or a new start: it may be cold, whatever the list says of its age.
-                    let back = b.listed.state == State::Gone && ready;
-                    if back || entry.started > b.listed.started {
+                    let back = b.listed.state == EndpointState::Removed && ready;
+                    if back || entry.started_at > b.listed.started_at {
                         let born = start.or(back.then_some(now));
                         (b.born, b.cold) = (born, (rng.f64(), now));
                         (b.failures, b.spoilt, b.pace, b.full_until) = (0, 0.0, 1.0, Vec::new());
                     }
                     let old = std::mem::replace(&mut b.listed, entry);
                     b.list = self.lists;
-                    if (old.zone, old.key, old.state == State::Ready) != (zone, key, ready) {
-                        self.subset.set(old.zone, old.key, id, false);
+                    if (old.zone, old.hash_key, old.state == EndpointState::Ready) != (zone, key, ready) {
+                        self.subset.set(old.zone, old.hash_key, id, false);
                         self.subset.set(zone, key, id, ready);
                     }
                 }
-                None if entry.state != State::Gone || known => {
+                None if entry.state != EndpointState::Removed || known => {
                     let mut b = Backend::new(entry, start, now);
                     (b.cold.0, b.list) = (rng.f64(), self.lists);
                     self.all.insert(id, b);
@@ -321,9 +325,13 @@
             }
         }
         if full {
-            for b in self.all.values_mut().filter(|b| b.list != self.lists && b.listed.state != State::Gone) {
-                b.listed.state = State::Gone;
-                self.subset.set(b.listed.zone, b.listed.key, b.listed.id, false);
+            for b in self
+                .all
+                .values_mut()
+                .filter(|b| b.list != self.lists && b.listed.state != EndpointState::Removed)
+            {
+                b.listed.state = EndpointState::Removed;
+                self.subset.set(b.listed.zone, b.listed.hash_key, b.listed.id, false);
             }
         }
         self.subset.resize(settings, self.out, self.lost);
@@ -340,21 +348,21 @@
 fn cold_share(now: Millis, settings: &Settings, backend: &Backend) -> Option<f64> {
     let rules = &settings.rules;
     let age = now - backend.born?;
-    (age < rules.warm_up_ms).then(|| {
-        let from = rules.cold_from.clamp(0.05, 1.0);
-        from + (1.0 - from) * (age / rules.warm_up_ms).clamp(0.0, 1.0)
+    (age < rules.slow_start_ms).then(|| {
+        let from = rules.slow_start_min_capacity.clamp(0.05, 1.0);
+        from + (1.0 - from) * (age / rules.slow_start_ms).clamp(0.0, 1.0)
     })
 }
 
 /// Whether one of this gateway's connections to the backend is likely to be open and free.
 fn has_line(now: Millis, settings: &Settings, backend: &Backend) -> bool {
-    let places = backend.lines * settings.limits.per_connection.max(1);
+    let places = backend.lines * settings.limits.requests_per_connection.max(1);
     lines_stay(now, settings, backend) && backend.out < places
 }
 
 /// Whether its connections were used so lately that they are likely to be open.
 fn lines_stay(now: Millis, settings: &Settings, backend: &Backend) -> bool {
-    now - backend.line_used < settings.limits.idle_close_ms * LINE_IDLE
+    now - backend.line_used < settings.limits.idle_timeout_ms * LINE_IDLE
 }
 
 /// Its pace, which returns to the fleet's while nothing is learned.
--- a/src/bin/quota-gateway/backends.rs
+++ b/src/bin/quota-gateway/backends.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{Head, Reader, BODY_MOST};
 use bytes::Bytes;
-use quota_gateway::{BackendId, Result as Ended};
+use quota_gateway::{EndpointId, Outcome};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -46,7 +46,7 @@
 /// A request to be sent: leave for it, and its bytes, both asked for right before the first byte.
 pub trait Leave {
     /// Why it must not be sent after all.
-    fn refused(&self) -> Option<Ended>;
+    fn refused(&self) -> Option<Outcome>;
     /// What is written. It tells the time that is left, which passes while a connection comes up.
     fn message(&self) -> Vec<u8>;
     /// Its last byte is written.
@@ -55,7 +55,7 @@
 
 /// Writes a message whole, unless leave to begin it is refused. Asked again before each try to write the first
 /// byte: a write that stalls is not begun.
-async fn write(io: &TcpStream, leave: &dyn Leave) -> std::io::Result<Option<Ended>> {
+async fn write(io: &TcpStream, leave: &dyn Leave) -> std::io::Result<Option<Outcome>> {
     let (mut message, mut done) = (Vec::new(), 0);
     while done == 0 || done < message.len() {
         io.writable().await?;
@@ -92,7 +92,7 @@
 /// All connections to backends.
 pub struct Backends {
     /// Those that are listed, each with the address it has now.
-    lines: RefCell<HashMap<BackendId, Lines>>,
+    lines: RefCell<HashMap<EndpointId, Lines>>,
     open: Rc<Cell<usize>>,
     most: usize,
     connect: Duration,
@@ -113,7 +113,7 @@
     }
 
     /// A backend is listed at this address. Its idle connections to another one are closed.
-    pub fn settle(&self, backend: BackendId, addr: SocketAddr) {
+    pub fn settle(&self, backend: EndpointId, addr: SocketAddr) {
         let mut lines = self.lines.borrow_mut();
         let lines = lines.entry(backend).or_insert_with(|| Lines { addr, idle: Vec::new() });
         if lines.addr != addr {
@@ -122,12 +122,12 @@
     }
 
     /// Where a backend is, if it is listed.
-    pub fn addr(&self, backend: BackendId) -> Option<SocketAddr> {
+    pub fn addr(&self, backend: EndpointId) -> Option<SocketAddr> {
         self.lines.borrow().get(&backend).map(|lines| lines.addr)
     }
 
     /// Closes the idle connections to a backend that is gone.
-    pub fn forget(&self, backend: BackendId) {
+    pub fn forget(&self, backend: EndpointId) {
         self.lines.borrow_mut().remove(&backend);
     }
 
@@ -136,15 +136,15 @@
     /// between that and its first byte: finding a connection takes time, in which the client may leave and the
     /// backend be told to drain.
     pub async fn attempt(
-        &self, backend: BackendId, addr: SocketAddr, until: Instant, leave: &dyn Leave,
-    ) -> (Ended, Option<(Head, Bytes)>) {
+        &self, backend: EndpointId, addr: SocketAddr, until: Instant, leave: &dyn Leave,
+    ) -> (Outcome, Option<(Head, Bytes)>) {
         let mut line = loop {
             let (line, used) = match self.reuse(backend) {
                 Some(line) => (line, true),
                 None => match self.connect(addr, until).await {
                     Ok(line) => (line, false),
-                    Err(Failed::Backend) => return (Ended::ConnectFailed, None),
-                    Err(Failed::Own) => return (Ended::Moot, None),
+                    Err(Failed::Backend) => return (Outcome::ConnectFailed, None),
+                    Err(Failed::Own) => return (Outcome::NotSent, None),
                 },
             };
             // A request whose last byte was not written can't have begun; after that it may have.
@@ -157,32 +157,32 @@
                 }
                 // A connection that broke while it stood idle tells nothing of its backend.
                 Ok(Err(_)) if used => {}
-                Ok(Err(_)) => return (Ended::ConnectFailed, None),
-                Err(_) => return (Ended::Moot, None),
+                Ok(Err(_)) => return (Outcome::ConnectFailed, None),
+                Err(_) => return (Outcome::NotSent, None),
             }
         };
         leave.written();
         let (head, body) = match timeout_at(until, line.reader.answer(BODY_MOST)).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(_)) => return (Ended::Reset, None),
-            Err(_) => return (Ended::Timeout, None),
+            Ok(Err(_)) => return (Outcome::ConnectionReset, None),
+            Err(_) => return (Outcome::Timeout, None),
         };
         // Bytes behind the answer belong to no request.
         if head.keep && !line.reader.has_more() {
             self.keep(backend, addr, line);
         }
         let ended = match head.status {
-            200 => Ended::Ok,
+            200 => Outcome::Success,
             // Only these two with this header prove that the request never ran.
-            503 | 504 if head.turned_away => Ended::Full,
-            _ => Ended::Error,
+            503 | 504 if head.turned_away => Outcome::Rejected,
+            _ => Outcome::ErrorResponse,
         };
         (ended, Some((head, body)))
     }
 
     /// Keeps a connection for another request. A backend that has gone or moved meanwhile may have left its
     /// address to another one.
-    fn keep(&self, backend: BackendId, addr: SocketAddr, mut line: Line) {
+    fn keep(&self, backend: EndpointId, addr: SocketAddr, mut line: Line) {
         line.used = Instant::now();
         if let Some(lines) = self.lines.borrow_mut().get_mut(&backend).filter(|lines| lines.addr == addr) {
             lines.idle.push(line);
@@ -191,7 +191,7 @@
 
     /// The connection used last, as it is the warmest, if one is sound. One whose answer has just come rests
     /// first: what its backend sent behind that may not have arrived yet.
-    fn reuse(&self, backend: BackendId) -> Option<Line> {
+    fn reuse(&self, backend: EndpointId) -> Option<Line> {
         let mut lines = self.lines.borrow_mut();
         let idle = &mut lines.get_mut(&backend)?.idle;
         while let Some(place) = idle.iter().rposition(|line| line.used.elapsed() >= REST) {
--- a/src/bin/quota-gateway/config.rs
+++ b/src/bin/quota-gateway/config.rs
@@ -1,6 +1,8 @@
 //! The configuration that RELAY_CONFIG names: one JSON file, checked here once.
 
-use quota_gateway::{Class, Counter, Effect, Group, Limits, Plan, Prices, Reports, Rules, Settings};
+use quota_gateway::{
+    Class, CounterSettings, Idempotency, KeyScope, Limits, LoadReporting, Plan, Prices, Rules, Settings,
+};
 use serde::de::{Error, IgnoredAny, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use std::fmt::Formatter;
@@ -318,49 +320,49 @@
     let Ok(seed) = u64::from_str_radix(&file.seed, 16) else { return fault("seed", "not a hex number") };
     let w = file.settings;
     let settings = Settings {
-        gateways: w.balancers,
-        position: w.position,
+        gateway_count: w.balancers,
+        gateway_index: w.position,
         zone: w.locality,
         tick_ms: w.granularity_ms,
         classes: w.categories.iter().map(class).collect(),
         plans: w.tiers_of_service.iter().map(plan).collect(),
-        counter: w
-            .domain
-            .may_count
-            .then_some(Counter { timeout_ms: w.domain.counter_timeout_ms, price: w.domain.count_fee }),
-        most_units: w.domain.units_top,
-        settles: w.domain.trued_up,
+        counter: w.domain.may_count.then_some(CounterSettings {
+            timeout_ms: w.domain.counter_timeout_ms,
+            call_price: w.domain.count_fee,
+        }),
+        max_units: w.domain.units_top,
+        settles_units: w.domain.trued_up,
         limits: Limits {
             max_attempts: w.limits.try_limit,
-            second_copies: w.limits.may_duplicate,
-            cancel: w.limits.cancel,
-            probes: w.limits.probing,
-            peers: w.limits.peers,
+            hedging: w.limits.may_duplicate,
+            cancellation: w.limits.cancel,
+            health_checks: w.limits.probing,
+            gossip: w.limits.peers,
             retry_after: w.limits.retry_after,
             max_retry_after_ms: w.limits.max_retry_after_ms,
-            idle_close_ms: w.limits.idle_close_ms,
-            per_connection: w.limits.streams_per_conn,
-            connections: 0,
+            idle_timeout_ms: w.limits.idle_close_ms,
+            requests_per_connection: w.limits.streams_per_conn,
+            max_connections: 0,
         },
         prices: Prices {
             cross_zone: w.penalties.cross_zone,
             waste: w.penalties.waste,
-            probe: w.penalties.probe,
+            health_check: w.penalties.probe,
             handshake: w.penalties.handshake,
-            late_fail: w.penalties.late_fail,
+            late_failure: w.penalties.late_fail,
         },
         rules: Rules {
-            answer_slack_ms: w.rules.answer_slack_ms,
-            cold_from: w.rules.cold_from,
-            warm_up_ms: w.rules.warm_up_ms,
+            response_slack_ms: w.rules.answer_slack_ms,
+            slow_start_min_capacity: w.rules.cold_from,
+            slow_start_ms: w.rules.warm_up_ms,
             drain_grace_ms: w.rules.drain_grace_ms,
-            fall_multiple: w.rules.fall_multiple,
-            fall_ms: w.rules.fall_ms,
-            ask_within_ms: w.rules.ask_within_ms,
+            overload_multiple: w.rules.fall_multiple,
+            overload_window_ms: w.rules.fall_ms,
+            max_poll_interval_ms: w.rules.ask_within_ms,
         },
         // The module reads no load reports, so none are taken in.
-        reports: Reports::Off,
-        list_asked: w.membership_mode == Mode::Ask,
+        load_reporting: LoadReporting::Off,
+        endpoints_polled: w.membership_mode == Mode::Ask,
     };
     Ok(Config {
         listen: file.listen,
@@ -385,23 +387,23 @@
 
 fn class(c: &WireClass) -> Class {
     let group = match c.group {
-        Some(WireGroup::All) => Group::All,
-        Some(WireGroup::Zone) => Group::Zone,
-        Some(WireGroup::Cell) | None => Group::Cell,
+        Some(WireGroup::All) => KeyScope::All,
+        Some(WireGroup::Zone) => KeyScope::Zone,
+        Some(WireGroup::Cell) | None => KeyScope::Cell,
     };
     let window_ms = c.window_ms.unwrap_or(0.0);
     Class {
-        aim_ms: c.aim_ms,
+        latency_objective_ms: c.aim_ms,
         deadline_ms: c.give_up_ms,
-        worth: c.value,
-        late_worth: c.late_worth,
-        effect: match c.effect {
-            WireEffect::ReadLike => Effect::Safe,
-            WireEffect::IdempotencyKey => Effect::Keyed { group, window_ms },
-            WireEffect::NonIdempotent => Effect::Unsafe,
+        priority_weight: c.value,
+        late_weight: c.late_worth,
+        idempotency: match c.effect {
+            WireEffect::ReadLike => Idempotency::Idempotent,
+            WireEffect::IdempotencyKey => Idempotency::WithKey { scope: group, window_ms },
+            WireEffect::NonIdempotent => Idempotency::NotIdempotent,
         },
         // The protocol between clients and gateways has no streamed answers.
-        stream: false,
+        streaming: false,
     }
 }
 
@@ -409,10 +411,10 @@
     Plan {
         rate: p.refill,
         burst: p.store_size,
-        max_out: p.max_out,
-        price: p.pays,
-        extra_worth: p.extra_worth,
-        excess_cost: p.excess_cost,
+        max_concurrency: p.max_out,
+        weight_multiplier: p.pays,
+        over_quota_weight: p.extra_worth,
+        over_quota_cost: p.excess_cost,
         ceiling_rate: p.cap_rate,
         ceiling_burst: p.cap_depth,
         ceiling_slack: p.ceiling_slack,
--- a/src/bin/quota-gateway/counter.rs
+++ b/src/bin/quota-gateway/counter.rs
@@ -4,7 +4,7 @@
 use crate::http::Reader;
 use crate::seldom::Seldom;
 use bytes::{Buf, BytesMut};
-use quota_gateway::Result as Ended;
+use quota_gateway::Outcome;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -80,7 +80,7 @@
 }
 
 impl Teller {
-    fn tell(&self, call: &Call, ended: Ended, total: f64) {
+    fn tell(&self, call: &Call, ended: Outcome, total: f64) {
         self.driver.counted(call.name, ended, total, call.at.elapsed().as_secs_f64() * 1000.0);
     }
 }
@@ -103,9 +103,9 @@
             }
             _ => {
                 // No connection: of this call and those behind it nothing was added.
-                teller.tell(&first, Ended::ConnectFailed, 0.0);
+                teller.tell(&first, Outcome::ConnectFailed, 0.0);
                 while let Ok(call) = calls.try_recv() {
-                    teller.tell(&call, Ended::ConnectFailed, 0.0);
+                    teller.tell(&call, Outcome::ConnectFailed, 0.0);
                 }
             }
         }
@@ -212,7 +212,7 @@
                     }
                     // Behind an answer that can't be read the connection is of no use: what follows could be
                     // taken for another call's. The same goes for bytes that no call awaits.
-                    let spoilt = ended == Ended::Error || self.waiting.is_empty() && self.reader.has_more();
+                    let spoilt = ended == Outcome::ErrorResponse || self.waiting.is_empty() && self.reader.has_more();
                     if !head.keep || spoilt {
                         return;
                     }
@@ -224,7 +224,7 @@
                             break;
                         }
                         pending.dropped = true;
-                        self.teller.tell(&pending.call, Ended::Timeout, 0.0);
+                        self.teller.tell(&pending.call, Outcome::Timeout, 0.0);
                     }
                     // Guards against a machine that vanished: its connections stay open and silent.
                     if silent.is_some_and(|at| at <= now) || self.waiting.is_empty() && self.heard + IDLE <= now {
@@ -238,7 +238,8 @@
     /// The connection has ended: what was written whole may have been added, the rest was not.
     fn end(self) {
         for pending in self.waiting.iter().filter(|p| !p.dropped) {
-            let ended = if pending.end <= self.written { Ended::Reset } else { Ended::ConnectFailed };
+            let ended =
+                if pending.end <= self.written { Outcome::ConnectionReset } else { Outcome::ConnectFailed };
             self.teller.tell(&pending.call, ended, 0.0);
         }
     }
@@ -253,14 +254,14 @@
 }
 
 /// What an answer means. Without a total that is a number the amount may have been added.
-fn reading(status: u16, body: &[u8], seldom: &Seldom) -> (Ended, f64) {
+fn reading(status: u16, body: &[u8], seldom: &Seldom) -> (Outcome, f64) {
     let total = || std::str::from_utf8(body).ok()?.trim().parse().ok().filter(|t: &f64| t.is_finite());
     match (status, total()) {
-        (200, Some(total)) => (Ended::Ok, total / SCALE),
-        (503 | 400 | 404, _) => (Ended::Full, 0.0),
+        (200, Some(total)) => (Outcome::Success, total / SCALE),
+        (503 | 400 | 404, _) => (Outcome::Rejected, 0.0),
         _ => {
             seldom.warn("an answer of the counter can't be read; its status", status);
-            (Ended::Error, 0.0)
+            (Outcome::ErrorResponse, 0.0)
         }
     }
 }
@@ -281,11 +282,11 @@
     #[test]
     fn only_a_number_is_a_total() {
         let seldom = Seldom::default();
-        assert_eq!(reading(200, b"20000000.000", &seldom), (Ended::Ok, 2.0));
+        assert_eq!(reading(200, b"20000000.000", &seldom), (Outcome::Success, 2.0));
         for body in [&b"many"[..], b"", b"inf", b"\xff\xfe"] {
-            assert_eq!(reading(200, body, &seldom).0, Ended::Error);
+            assert_eq!(reading(200, body, &seldom).0, Outcome::ErrorResponse);
         }
-        assert_eq!(reading(503, b"", &seldom).0, Ended::Full);
-        assert_eq!(reading(302, b"2", &seldom).0, Ended::Error);
+        assert_eq!(reading(503, b"", &seldom).0, Outcome::Rejected);
+        assert_eq!(reading(302, b"2", &seldom).0, Outcome::ErrorResponse);
     }
 }
--- a/src/bin/quota-gateway/discovery.rs
+++ b/src/bin/quota-gateway/discovery.rs
@@ -66,7 +66,7 @@
 impl Manner {
     /// As the settings have it; the seed sets this gateway apart from the others.
     pub fn new(settings: &Settings, seed: u64) -> Self {
-        let agent = !settings.list_asked;
+        let agent = !settings.endpoints_polled;
         let grace = settings.rules.drain_grace_ms.clamp(0.0, 60_000.0) / 1000.0;
         let call = Duration::from_secs_f64(grace * CALL_OF_GRACE).max(AGENT).min(CONNECT);
         let renew = TOLD - ANSWERED;
@@ -77,7 +77,7 @@
                 answer: if agent { call } else { renew * CALLS_MOST as u32 },
             },
             renew: if agent { call + AGENT } else { renew },
-            cadence: Cadence::new(settings.gateways, renew, seed),
+            cadence: Cadence::new(settings.gateway_count, renew, seed),
             unusable: Backoff::new(AGENT, renew, seed.rotate_left(16)),
             rng: fastrand::Rng::with_seed(seed.rotate_left(32)),
         }
@@ -393,8 +393,8 @@
         assert!(objects(&[b"{", &endless]).is_err());
     }
 
-    fn manner(gateways: u32, list_asked: bool, seed: u64) -> Manner {
-        let mut settings = Settings { gateways, list_asked, ..Settings::default() };
+    fn manner(gateways: u32, endpoints_polled: bool, seed: u64) -> Manner {
+        let mut settings = Settings { gateway_count: gateways, endpoints_polled, ..Settings::default() };
         settings.rules.drain_grace_ms = 2000.0;
         Manner::new(&settings, seed)
     }
@@ -410,8 +410,8 @@
     /// Answers that can't be used, of calls and within watches: no loop, and all the same tried again in time.
     #[test]
     fn what_cannot_be_used_is_not_asked_for_in_a_loop() {
-        for (list_asked, watches) in [(false, false), (false, true), (true, true)] {
-            let mut manner = manner(1, list_asked, 1);
+        for (endpoints_polled, watches) in [(false, false), (false, true), (true, true)] {
+            let mut manner = manner(1, endpoints_polled, 1);
             let waits: Vec<_> = (0..20)
                 .map(|_| match watches {
                     true => manner.after_watch(Duration::ZERO, true),
@@ -421,7 +421,7 @@
             assert!(waits.iter().all(|wait| *wait <= TOLD - ANSWERED), "{waits:?}");
             assert!(waits[8..].iter().sum::<Duration>() > 12 * (TOLD - ANSWERED) / 4, "{waits:?}");
             manner.after_watch(TOLD, false);
-            assert!(manner.after_watch(TOLD, false) <= if list_asked { REOPEN } else { AGENT });
+            assert!(manner.after_watch(TOLD, false) <= if endpoints_polled { REOPEN } else { AGENT });
         }
     }
 
--- a/src/bin/quota-gateway/driver.rs
+++ b/src/bin/quota-gateway/driver.rs
@@ -9,8 +9,8 @@
 use crate::seldom::Seldom;
 use bytes::Bytes;
 use quota_gateway::{
-    Action, BackendId, Event, Gateway, Listed, Load, Outcome, Request, RequestId, Result as Ended, Settings,
-    State,
+    Action, AttemptEnd, Endpoint, EndpointId, EndpointState, Event, Gateway, LoadReport, Outcome, Request,
+    RequestId, Settings,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -114,7 +114,7 @@
 struct Pass {
     driver: Rc<Driver>,
     id: RequestId,
-    backend: BackendId,
+    backend: EndpointId,
     addr: SocketAddr,
     work: Rc<Work>,
     until: Instant,
@@ -122,15 +122,15 @@
 }
 
 impl Leave for Pass {
-    fn refused(&self) -> Option<Ended> {
+    fn refused(&self) -> Option<Outcome> {
         let inner = self.driver.inner.borrow();
         if inner.open.get(&self.id).is_none_or(|open| open.answer.is_none()) {
-            return Some(Ended::Moot);
+            return Some(Outcome::NotSent);
         }
         // As good as turned away by it: another one may be tried.
-        let ready = inner.fleet.get(&self.backend) == Some(&State::Ready);
+        let ready = inner.fleet.get(&self.backend) == Some(&EndpointState::Ready);
         let there = self.driver.backends.addr(self.backend) == Some(self.addr);
-        (!ready || !there).then_some(Ended::Full)
+        (!ready || !there).then_some(Outcome::Rejected)
     }
 
     fn message(&self) -> Vec<u8> {
@@ -146,7 +146,7 @@
 struct Probe(SocketAddr);
 
 impl Leave for Probe {
-    fn refused(&self) -> Option<Ended> {
+    fn refused(&self) -> Option<Outcome> {
         None
     }
 
@@ -173,7 +173,7 @@
 struct Inner {
     gateway: Gateway,
     open: HashMap<RequestId, Open>,
-    fleet: HashMap<BackendId, State>,
+    fleet: HashMap<EndpointId, EndpointState>,
     numbers: Numbers,
     next: RequestId,
     actions: Vec<Action>,
@@ -183,12 +183,12 @@
 /// as the module may remember it, and then dropped, as names are ever new.
 #[derive(Default)]
 struct Numbers {
-    last: BackendId,
-    given: HashMap<String, (BackendId, Option<Instant>)>,
+    last: EndpointId,
+    given: HashMap<String, (EndpointId, Option<Instant>)>,
 }
 
 impl Numbers {
-    fn get(&mut self, name: String, gone: bool) -> BackendId {
+    fn get(&mut self, name: String, gone: bool) -> EndpointId {
         let gone = gone.then(Instant::now);
         let (id, at) = self.given.entry(name).or_insert_with(|| {
             self.last += 1;
@@ -199,7 +199,7 @@
     }
 
     /// All that the list does not name are gone.
-    fn mark(&mut self, listed: &HashSet<BackendId>) {
+    fn mark(&mut self, listed: &HashSet<EndpointId>) {
         for (id, gone) in self.given.values_mut() {
             if gone.is_none() && !listed.contains(id) {
                 *gone = Some(Instant::now());
@@ -227,8 +227,8 @@
     peers: Option<Rc<Peers>>,
     names: Names,
     max_attempts: usize,
-    most_units: f64,
-    second_copies: bool,
+    max_units: f64,
+    hedging: bool,
     discovery_heard: Cell<bool>,
     started: Instant,
     seldom: Seldom,
@@ -240,9 +240,8 @@
         peers: Option<Rc<Peers>>,
     ) -> Rc<Self> {
         let clock = Clock::new();
-        let (max_attempts, second_copies) =
-            (settings.limits.max_attempts as usize, settings.limits.second_copies);
-        let most_units = settings.most_units;
+        let (max_attempts, hedging) = (settings.limits.max_attempts as usize, settings.limits.hedging);
+        let max_units = settings.max_units;
         let inner = Inner {
             // Numbers go on from the clock: an answer to a request from before a restart names none of now.
             next: (clock.now() as u64) << 16,
@@ -260,8 +259,8 @@
             peers,
             names,
             max_attempts,
-            most_units,
-            second_copies,
+            max_units,
+            hedging,
             discovery_heard: Cell::new(false),
             started: Instant::now(),
             seldom: Seldom::default(),
@@ -289,9 +288,9 @@
             plan: asked.plan,
             class: asked.class,
             units: asked.units,
-            budget_ms,
-            spread: asked.spread,
-            repeat: asked.repeat,
+            timeout_ms: budget_ms,
+            gateway_set_size: asked.spread,
+            is_retry: asked.repeat,
         };
         self.handle(inner, Event::Request(request));
         (id, ends, receiver)
@@ -305,7 +304,7 @@
             if !open.out() {
                 inner.open.remove(&id);
             }
-            self.handle(inner, Event::Gone { id });
+            self.handle(inner, Event::ClientDisconnected { id });
         }
     }
 
@@ -316,43 +315,46 @@
     }
 
     fn attempt_ended(
-        self: &Rc<Self>, id: RequestId, attempt: usize, backend: BackendId, took_ms: f64, result: Ended,
-        answer: Option<(Head, Bytes)>,
+        self: &Rc<Self>, id: RequestId, attempt: usize, backend: EndpointId, elapsed_ms: f64,
+        result: Outcome, answer: Option<(Head, Bytes)>,
     ) {
         let inner = &mut *self.inner.borrow_mut();
         let Some(open) = inner.open.get_mut(&id) else { return };
         open.attempts[attempt] = None;
         let mut units = None;
-        if let (Some((head, body)), true) = (answer, result == Ended::Ok && open.answer.is_some()) {
+        if let (Some((head, body)), true) = (answer, result == Outcome::Success && open.answer.is_some()) {
             // A figure beyond what one request can count is as good as none.
-            units = head.units.filter(|units| *units <= self.most_units);
+            units = head.units.filter(|units| *units <= self.max_units);
             open.give(Answer::Served { content_type: head.content_type, body });
         }
         let ended = open.answer.is_none();
         if ended && !open.out() {
             inner.open.remove(&id);
         }
-        let outcome = Outcome {
+        let outcome = AttemptEnd {
             id,
             attempt: attempt as u8,
-            backend,
-            result,
-            ended,
-            units,
-            took_ms,
-            load: Load::default(),
+            endpoint: backend,
+            outcome: result,
+            request_answered: ended,
+            actual_units: units,
+            elapsed_ms,
+            load: LoadReport::default(),
         };
-        self.handle(inner, Event::Outcome(outcome));
+        self.handle(inner, Event::AttemptEnded(outcome));
     }
 
     /// A call to the counter has ended.
-    pub fn counted(self: &Rc<Self>, name: u64, result: Ended, total: f64, took_ms: f64) {
-        self.handle(&mut self.inner.borrow_mut(), Event::Counted { name, result, total, took_ms });
+    pub fn counted(self: &Rc<Self>, name: u64, result: Outcome, total: f64, elapsed_ms: f64) {
+        self.handle(
+            &mut self.inner.borrow_mut(),
+            Event::CounterReply { key: name, outcome: result, total, elapsed_ms },
+        );
     }
 
     /// A message from another gateway came in.
     pub fn message(self: &Rc<Self>, from: u32, body: Vec<u8>) {
-        self.handle(&mut self.inner.borrow_mut(), Event::Message { from, body });
+        self.handle(&mut self.inner.borrow_mut(), Event::Gossip { from, body });
     }
 
     /// Discovery told the list, or what changed in it.
@@ -364,27 +366,27 @@
         }
         for server in registry.servers.good {
             let state = match server.state {
-                ServerState::Ready => State::Ready,
-                ServerState::Terminating => State::Draining,
-                ServerState::Gone => State::Gone,
+                ServerState::Ready => EndpointState::Ready,
+                ServerState::Terminating => EndpointState::Draining,
+                ServerState::Gone => EndpointState::Removed,
             };
             let key = xxh3_64(server.id.as_bytes());
-            let id = inner.numbers.get(server.id, state == State::Gone);
+            let id = inner.numbers.get(server.id, state == EndpointState::Removed);
             let place = |names: &[String], name: &str| {
                 names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
             };
-            entries.push(Listed {
+            entries.push(Endpoint {
                 id,
-                key,
+                hash_key: key,
                 zone: place(&self.names.zones, &server.zone),
                 kind: place(&self.names.kinds, &server.kind),
                 cell: server.cell,
                 state,
-                size: server.weight,
-                started: server.started_ms,
+                weight: server.weight,
+                started_at: server.started_ms,
             });
             match server.addr {
-                Some(addr) if state != State::Gone => {
+                Some(addr) if state != EndpointState::Removed => {
                     inner.fleet.insert(id, state);
                     self.backends.settle(id, addr);
                 }
@@ -405,7 +407,7 @@
                 stays
             });
         }
-        self.handle(inner, Event::List { full: registry.full, entries });
+        self.handle(inner, Event::EndpointUpdate { complete: registry.full, endpoints: entries });
     }
 
     /// Discovery has told what there is to tell by now.
@@ -416,7 +418,7 @@
     /// True once requests can be served: the list is fresh, or discovery is silent, and a backend is ready.
     pub fn ready(&self) -> bool {
         let told = self.discovery_heard.get() || self.started.elapsed() > Duration::from_secs(1);
-        told && self.inner.borrow().fleet.values().any(|state| *state == State::Ready)
+        told && self.inner.borrow().fleet.values().any(|state| *state == EndpointState::Ready)
     }
 
     /// Closes connections that stood idle for too long, and forgets backends long gone.
@@ -441,55 +443,69 @@
 
     fn act(self: &Rc<Self>, inner: &mut Inner, action: Action, events: &mut VecDeque<Event>) {
         match action {
-            Action::Send { id, backend, timeout_ms } => {
+            Action::SendAttempt { id, endpoint: backend, timeout_ms } => {
                 if let Some(attempt) = self.send(inner, id, backend, timeout_ms) {
-                    let (result, load) = (Ended::Moot, Load::default());
+                    let (result, load) = (Outcome::NotSent, LoadReport::default());
                     let ended = inner.open.get(&id).is_none_or(|open| open.answer.is_none());
-                    let (took_ms, units) = (0.0, None);
-                    let outcome = Outcome { id, attempt, backend, result, ended, units, took_ms, load };
-                    events.push_back(Event::Outcome(outcome));
+                    let (elapsed_ms, units) = (0.0, None);
+                    let outcome = AttemptEnd {
+                        id,
+                        attempt,
+                        endpoint: backend,
+                        outcome: result,
+                        request_answered: ended,
+                        actual_units: units,
+                        elapsed_ms,
+                        load,
+                    };
+                    events.push_back(Event::AttemptEnded(outcome));
                 }
             }
-            Action::Cancel { id, attempt } => {
+            Action::CancelAttempt { id, attempt } => {
                 let attempt = inner.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt as usize));
                 // The attempt's task closes the connection, then tells the outcome. It counts as out until then.
                 if let Some(attempt) = attempt.and_then(Option::as_mut) {
                     attempt.withdraw();
                 }
             }
-            Action::Refuse { id, retry_after_ms } => give(inner, id, Answer::Refused { retry_after_ms }),
+            Action::Reject { id, retry_after_ms } => give(inner, id, Answer::Refused { retry_after_ms }),
             Action::Fail { id } => give(inner, id, Answer::Failed),
-            Action::Timer { token, after_ms } => {
+            Action::SetTimer { token, after_ms } => {
                 let driver = self.clone();
                 tokio::task::spawn_local(async move {
                     sleep(duration(after_ms)).await;
-                    driver.handle(&mut driver.inner.borrow_mut(), Event::Timer { token });
+                    driver.handle(&mut driver.inner.borrow_mut(), Event::TimerFired { token });
                 });
             }
-            Action::Probe { backend } => self.probe(backend),
-            Action::Count { name, amount, lifetime_ms } => {
+            Action::CheckHealth { endpoint: backend } => self.probe(backend),
+            Action::AddToCounter { key: name, amount, ttl_ms: lifetime_ms } => {
                 if let Some(lanes) = &self.lanes {
                     if !lanes.call(Call { name, amount, lifetime_ms, at: Instant::now() }) {
-                        let (result, total, took_ms) = (Ended::Full, 0.0, 0.0);
-                        events.push_back(Event::Counted { name, result, total, took_ms });
+                        let (result, total, elapsed_ms) = (Outcome::Rejected, 0.0, 0.0);
+                        events.push_back(Event::CounterReply {
+                            key: name,
+                            outcome: result,
+                            total,
+                            elapsed_ms,
+                        });
                     }
                 }
             }
             // The watch on discovery is held open in any case.
-            Action::Watch => {}
-            Action::Tell { to, body } => {
+            Action::WatchEndpoints => {}
+            Action::Gossip { to, body } => {
                 if let Some(peers) = &self.peers {
                     peers.tell(to, &body);
                 }
             }
-            Action::Log { line } => tracing::info!("{line}"),
+            Action::Log { message: line } => tracing::info!("{line}"),
         }
     }
 
     /// Starts an attempt. One that may not be sent is given back with its number: past the attempt limit,
     /// for a request that has ended, to a backend not listed, out of time, or while another one is out.
     fn send(
-        self: &Rc<Self>, inner: &mut Inner, id: RequestId, backend: BackendId, timeout_ms: f64,
+        self: &Rc<Self>, inner: &mut Inner, id: RequestId, backend: EndpointId, timeout_ms: f64,
     ) -> Option<u8> {
         let Some(open) = inner.open.get_mut(&id) else { return Some(0) };
         let number = open.attempts.len();
@@ -499,7 +515,7 @@
         let may = open.answer.is_some()
             && number < self.max_attempts
             && until > now
-            && (self.second_copies || !open.out());
+            && (self.hedging || !open.out());
         let Some(addr) = addr.filter(|_| may) else {
             open.attempts.push(None);
             return Some(number as u8);
@@ -516,24 +532,29 @@
                 ended = driver.backends.attempt(backend, addr, until, &pass) => ended,
                 // Dropping the attempt closes its connection.
                 Ok(()) = &mut cancelled => {
-                    (if written.get() { Ended::Cancelled } else { Ended::Moot }, None)
+                    (if written.get() { Outcome::Cancelled } else { Outcome::NotSent }, None)
                 }
             };
-            let took_ms = now.elapsed().as_secs_f64() * 1000.0;
-            driver.attempt_ended(id, number, backend, took_ms, result, answer);
+            let elapsed_ms = now.elapsed().as_secs_f64() * 1000.0;
+            driver.attempt_ended(id, number, backend, elapsed_ms, result, answer);
         });
         None
     }
 
-    fn probe(self: &Rc<Self>, backend: BackendId) {
+    fn probe(self: &Rc<Self>, backend: EndpointId) {
         let Some(addr) = self.backends.addr(backend) else { return };
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let now = Instant::now();
             let until = now + driver.backends.connect_time();
             let (result, _) = driver.backends.attempt(backend, addr, until, &Probe(addr)).await;
-            let took_ms = now.elapsed().as_secs_f64() * 1000.0;
-            let event = Event::Probed { backend, result, took_ms, load: Load::default() };
+            let elapsed_ms = now.elapsed().as_secs_f64() * 1000.0;
+            let event = Event::HealthCheckEnded {
+                endpoint: backend,
+                outcome: result,
+                elapsed_ms,
+                load: LoadReport::default(),
+            };
             driver.handle(&mut driver.inner.borrow_mut(), event);
         });
     }
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -64,7 +64,7 @@
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let listener = listen(&config).map_err(|e| format!("listen {}: {e}", config.listen))?;
-    let peers = match config.peer_listen.filter(|_| config.settings.limits.peers) {
+    let peers = match config.peer_listen.filter(|_| config.settings.limits.gossip) {
         Some(at) => {
             let peers = peers::Peers::bind(at, config.peers, config.peers_all).await;
             Some(Rc::new(peers.map_err(|e| format!("peer_listen {at}: {e}"))?))
@@ -81,7 +81,7 @@
     let (lanes, ends) = counter::Lanes::new();
     let names = Names { zones: config.zones, kinds: config.kinds };
     let mut settings = config.settings;
-    settings.limits.connections = onward.try_into().unwrap_or(u32::MAX);
+    settings.limits.max_connections = onward.try_into().unwrap_or(u32::MAX);
     let lanes = counter.as_ref().map(|_| lanes);
     let driver = Driver::new(settings.clone(), config.seed, names, backends, lanes, peers.clone());
     if let Some((timeout_ms, (_, addr))) = &counter {
--- a/src/bin/quota-gateway/server.rs
+++ b/src/bin/quota-gateway/server.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use quota_gateway::{Effect, RequestId, Settings};
+use quota_gateway::{Idempotency, RequestId, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
@@ -68,7 +68,7 @@
     driver: Rc<Driver>,
     classes: Vec<Class>,
     plans: Vec<String>,
-    most_units: f64,
+    max_units: f64,
     gateways: u64,
     /// What a client gets for whom there is no place.
     no_place: String,
@@ -155,8 +155,8 @@
     ) -> Rc<Self> {
         let class = |(name, class): (String, &quota_gateway::Class)| Class {
             name,
-            method: if class.effect == Effect::Safe { Method::GET } else { Method::POST },
-            keyed: matches!(class.effect, Effect::Keyed { .. }),
+            method: if class.idempotency == Idempotency::Idempotent { Method::GET } else { Method::POST },
+            keyed: matches!(class.idempotency, Idempotency::WithKey { .. }),
             give_up_ms: class.deadline_ms,
         };
         let classes = classes.into_iter().zip(&settings.classes).map(class).collect();
@@ -164,8 +164,8 @@
             driver,
             classes,
             plans,
-            most_units: settings.most_units,
-            gateways: settings.gateways.into(),
+            max_units: settings.max_units,
+            gateways: settings.gateway_count.into(),
             no_place: no_place(settings),
             draining: Cell::default(),
             busy: Cell::default(),
@@ -473,7 +473,7 @@
             parts.next().filter(|_| parts.next().is_none())
         };
         let units = part("units").filter(|v| v.bytes().all(|b| b.is_ascii_digit() || b == b'.'));
-        let units = units.and_then(|v| v.parse().ok()).filter(|v: &f64| *v > 0.0 && *v <= self.most_units);
+        let units = units.and_then(|v| v.parse().ok()).filter(|v: &f64| *v > 0.0 && *v <= self.max_units);
         let spread = part("spread").and_then(whole).filter(|v| (1..=self.gateways).contains(v));
         let first = part("first").and_then(whole).filter(|v| *v < self.gateways);
         let (Some(units), Some(spread), Some(_)) = (units, spread, first) else {
--- a/src/bin/simulator-adapter/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -5,7 +5,9 @@
 mod setup;
 
 use frame::{Batch, Fields, Reply, ENTRY_BYTES};
-use quota_gateway::{Action, Event, Gateway, Listed, Load, Outcome, Request, Result as Ended, State};
+use quota_gateway::{
+    Action, AttemptEnd, Endpoint, EndpointState, Event, Gateway, LoadReport, Outcome, Request,
+};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
@@ -18,7 +20,7 @@
 #[derive(Default)]
 struct Link {
     instances: BTreeMap<u32, Instance>,
-    lists: BTreeMap<u32, Vec<Listed>>,
+    lists: BTreeMap<u32, Vec<Endpoint>>,
     actions: Vec<Action>,
 }
 
@@ -78,41 +80,41 @@
         };
         let names = &instance.report_names;
         let event = match code {
-            1 => Event::Probed {
-                backend: r.u32(6)?,
-                result: ended(r, 5)?,
-                took_ms: r.f64(10)?,
+            1 => Event::HealthCheckEnded {
+                endpoint: r.u32(6)?,
+                outcome: ended(r, 5)?,
+                elapsed_ms: r.f64(10)?,
                 load: load(r, 18, names)?,
             },
-            3 => Event::Gone { id: r.u64(5)? },
-            4 => Event::Counted {
-                name: r.u64(6)?,
-                result: ended(r, 5)?,
+            3 => Event::ClientDisconnected { id: r.u64(5)? },
+            4 => Event::CounterReply {
+                key: r.u64(6)?,
+                outcome: ended(r, 5)?,
                 total: r.f32(14)?,
-                took_ms: r.f64(18)?,
+                elapsed_ms: r.f64(18)?,
             },
-            6 => Event::Message { from: u32::from(r.u16(5)?), body: batch.tail(r, 7, 1)?.to_vec() },
-            7 => Event::Started { id: r.u64(5)?, attempt: r.u8(13)? },
+            6 => Event::Gossip { from: u32::from(r.u16(5)?), body: batch.tail(r, 7, 1)?.to_vec() },
+            7 => Event::ResponseStarted { id: r.u64(5)?, attempt: r.u8(13)? },
             8 => match r.u8(5)? {
-                3 => Event::ListFailed,
+                3 => Event::EndpointPollFailed,
                 scope @ 0..=2 => {
                     let list = r.u32(14)?;
                     let entries = self.lists.get(&list).cloned().ok_or_else(|| {
                         format!("record at byte {} refers to list {list}, never defined", r.place())
                     })?;
-                    Event::List { full: scope != 0, entries }
+                    Event::EndpointUpdate { complete: scope != 0, endpoints: entries }
                 }
                 scope => return Err(format!("record at byte {}: unknown list scope {scope}", r.place())),
             },
-            9 => Event::Timer { token: r.u64(5)? },
-            10 => Event::Outcome(Outcome {
+            9 => Event::TimerFired { token: r.u64(5)? },
+            10 => Event::AttemptEnded(AttemptEnd {
                 id: r.u64(5)?,
                 attempt: r.u8(13)?,
-                backend: r.u32(15)?,
-                result: ended(r, 29)?,
-                ended: r.u8(14)? != 0,
-                units: Some(f64::from(r.u16(19)?)).filter(|units| *units > 0.0),
-                took_ms: r.f64(21)?,
+                endpoint: r.u32(15)?,
+                outcome: ended(r, 29)?,
+                request_answered: r.u8(14)? != 0,
+                actual_units: Some(f64::from(r.u16(19)?)).filter(|units| *units > 0.0),
+                elapsed_ms: r.f64(21)?,
                 load: load(r, 32, names)?,
             }),
             12 => Event::Request(Request {
@@ -121,9 +123,9 @@
                 plan: u32::from(r.u16(43)?),
                 class: u32::from(r.u8(34)?),
                 units: r.f32(22)?,
-                budget_ms: r.f64(35)?,
-                spread: r.f32(17)?,
-                repeat: r.u8(21)? & 2 != 0,
+                timeout_ms: r.f64(35)?,
+                gateway_set_size: r.f32(17)?,
+                is_retry: r.u8(21)? & 2 != 0,
             }),
             code => return Err(format!("record at byte {}: unknown event code {code}", r.place())),
         };
@@ -135,48 +137,48 @@
     }
 }
 
-fn entry(e: &Fields) -> Result<Listed, String> {
+fn entry(e: &Fields) -> Result<Endpoint, String> {
     let state = match e.u8(8)? {
-        0 => State::Gone,
-        1 => State::Ready,
-        2 => State::Draining,
+        0 => EndpointState::Removed,
+        1 => EndpointState::Ready,
+        2 => EndpointState::Draining,
         state => return Err(format!("list at record {}: unknown state {state}", e.place())),
     };
-    Ok(Listed {
+    Ok(Endpoint {
         id: e.u32(0)?,
-        key: e.u32(0)?.into(),
+        hash_key: e.u32(0)?.into(),
         zone: u32::from(e.u8(4)?),
         kind: u32::from(e.u8(5)?),
         cell: u32::from(e.u16(6)?),
         state,
-        size: e.f32(9)?,
-        started: e.f64(13)?,
+        weight: e.f32(9)?,
+        started_at: e.f64(13)?,
     })
 }
 
-fn ended(r: &Fields, at: usize) -> Result<Ended, String> {
+fn ended(r: &Fields, at: usize) -> Result<Outcome, String> {
     Ok(match r.u8(at)? {
-        0 => Ended::Ok,
-        5 => Ended::Error,
-        11 => Ended::Full,
-        104 => Ended::Reset,
-        110 => Ended::Timeout,
-        111 => Ended::ConnectFailed,
-        114 => Ended::Moot,
-        125 => Ended::Cancelled,
+        0 => Outcome::Success,
+        5 => Outcome::ErrorResponse,
+        11 => Outcome::Rejected,
+        104 => Outcome::ConnectionReset,
+        110 => Outcome::Timeout,
+        111 => Outcome::ConnectFailed,
+        114 => Outcome::NotSent,
+        125 => Outcome::Cancelled,
         code => return Err(format!("record at byte {}: unknown outcome {code}", r.place())),
     })
 }
 
-fn load(r: &Fields, at: usize, names: &[String]) -> Result<Load, String> {
-    let mut load = Load::default();
+fn load(r: &Fields, at: usize, names: &[String]) -> Result<LoadReport, String> {
+    let mut load = LoadReport::default();
     let count = usize::from(r.u8(at)?).min(4);
     for (i, name) in names.iter().take(count).enumerate() {
         let value = Some(r.f32(at + 1 + 4 * i)?).filter(|v| v.is_finite());
         match name.as_str() {
-            "concurrent" => load.in_hand = value,
-            "depth" => load.queue = value,
-            "load_share" => load.busy = value,
+            "concurrent" => load.in_flight = value,
+            "depth" => load.queued = value,
+            "load_share" => load.utilization = value,
             "mean_ms" => load.service_ms = value,
             "tps" => load.served_per_s = value,
             "err_ps" => load.errors_per_s = value,
@@ -188,50 +190,50 @@
 
 fn put(reply: &mut Reply, instance: u32, action: &Action) {
     let code = match action {
-        Action::Send { .. } => 65,
-        Action::Refuse { .. } => 66,
+        Action::SendAttempt { .. } => 65,
+        Action::Reject { .. } => 66,
         Action::Fail { .. } => 67,
-        Action::Cancel { .. } => 68,
-        Action::Timer { .. } => 69,
-        Action::Probe { .. } => 70,
-        Action::Tell { .. } => 72,
+        Action::CancelAttempt { .. } => 68,
+        Action::SetTimer { .. } => 69,
+        Action::CheckHealth { .. } => 70,
+        Action::Gossip { .. } => 72,
         Action::Log { .. } => 73,
-        Action::Watch => 75,
-        Action::Count { .. } => 77,
+        Action::WatchEndpoints => 75,
+        Action::AddToCounter { .. } => 77,
     };
     let mut record = reply.record(code, instance);
     match action {
-        Action::Send { id, backend, timeout_ms } => {
+        Action::SendAttempt { id, endpoint: backend, timeout_ms } => {
             record
                 .put(5, &id.to_le_bytes())
                 .put(13, &timeout_ms.to_le_bytes())
                 .put(21, &backend.to_le_bytes());
         }
-        Action::Refuse { id, retry_after_ms } => {
+        Action::Reject { id, retry_after_ms } => {
             record.put(5, &id.to_le_bytes()).put(13, &retry_after_ms.to_le_bytes());
         }
         Action::Fail { id } => {
             record.put(5, &id.to_le_bytes());
         }
-        Action::Cancel { id, attempt } => {
+        Action::CancelAttempt { id, attempt } => {
             record.put(5, &id.to_le_bytes()).put(13, &[*attempt]);
         }
-        Action::Timer { token, after_ms } => {
+        Action::SetTimer { token, after_ms } => {
             record.put(5, &token.to_le_bytes()).put(13, &after_ms.to_le_bytes());
         }
-        Action::Probe { backend } => {
+        Action::CheckHealth { endpoint: backend } => {
             record.put(5, &backend.to_le_bytes());
         }
-        Action::Tell { to, body } => {
+        Action::Gossip { to, body } => {
             record.put(5, &to.to_le_bytes()).put_tail(9, body);
         }
-        Action::Log { line } => {
+        Action::Log { message: line } => {
             record.put_tail(5, line.as_bytes());
         }
-        Action::Watch => {
+        Action::WatchEndpoints => {
             record.put(5, &[1]);
         }
-        Action::Count { name, amount, lifetime_ms } => {
+        Action::AddToCounter { key: name, amount, ttl_ms: lifetime_ms } => {
             let amount = *amount as f32;
             record
                 .put(5, &name.to_le_bytes())
--- a/src/bin/simulator-adapter/setup.rs
+++ b/src/bin/simulator-adapter/setup.rs
@@ -1,6 +1,8 @@
 //! The settings text: path=value lines, translated to the library's settings.
 
-use quota_gateway::{Class, Counter, Effect, Group, Limits, Plan, Prices, Reports, Rules, Settings};
+use quota_gateway::{
+    Class, CounterSettings, Idempotency, KeyScope, Limits, LoadReporting, Plan, Prices, Rules, Settings,
+};
 use std::collections::HashMap;
 
 /// The settings of one instance, with what the adapter itself needs of them.
@@ -49,7 +51,7 @@
     let counter = if text.truth("domain.may-count")? {
         let (timeout_ms, price) =
             (text.number("domain.counter-timeout-ms")?, text.number("domain.count-fee")?);
-        Some(Counter { timeout_ms, price })
+        Some(CounterSettings { timeout_ms, call_price: price })
     } else {
         None
     };
@@ -59,48 +61,52 @@
         return Err(format!("setting locality names zone {zone} of {zones}"));
     }
     let settings = Settings {
-        gateways: text.whole("balancers")?,
-        position: text.whole("position")?,
+        gateway_count: text.whole("balancers")?,
+        gateway_index: text.whole("position")?,
         zone,
         tick_ms: text.number("granularity-ms")?,
         classes,
         plans,
         counter,
-        most_units: text.number("domain.units-top")?,
-        settles: text.truth("domain.trued-up")?,
+        max_units: text.number("domain.units-top")?,
+        settles_units: text.truth("domain.trued-up")?,
         limits: Limits {
             max_attempts: text.whole("limits.try-limit")?,
-            second_copies: text.truth("limits.may-duplicate")?,
-            cancel: text.truth("limits.cancel")?,
-            probes: text.truth("limits.probing")?,
-            peers: text.truth("limits.peers")?,
+            hedging: text.truth("limits.may-duplicate")?,
+            cancellation: text.truth("limits.cancel")?,
+            health_checks: text.truth("limits.probing")?,
+            gossip: text.truth("limits.peers")?,
             retry_after: text.truth("limits.retry-after")?,
             max_retry_after_ms: text.number("limits.max-retry-after-ms")?,
-            idle_close_ms: text.number("limits.idle-close-ms")?,
-            per_connection: text.whole("limits.streams-per-conn")?,
-            connections: 0,
+            idle_timeout_ms: text.number("limits.idle-close-ms")?,
+            requests_per_connection: text.whole("limits.streams-per-conn")?,
+            max_connections: 0,
         },
         prices: Prices {
             cross_zone: text.number("penalties.cross-zone")?,
             waste: text.number("penalties.waste")?,
-            probe: text.number("penalties.probe")?,
+            health_check: text.number("penalties.probe")?,
             handshake: text.number("penalties.handshake")?,
-            late_fail: text.number("penalties.late-fail")?,
+            late_failure: text.number("penalties.late-fail")?,
         },
         rules: Rules {
-            answer_slack_ms: text.number("rules.answer-slack-ms")?,
-            cold_from: text.number("rules.cold-from")?,
-            warm_up_ms: text.number("rules.warm-up-ms")?,
+            response_slack_ms: text.number("rules.answer-slack-ms")?,
+            slow_start_min_capacity: text.number("rules.cold-from")?,
+            slow_start_ms: text.number("rules.warm-up-ms")?,
             drain_grace_ms: text.number("rules.drain-grace-ms")?,
-            fall_multiple: text.number("rules.fall-multiple")?,
-            fall_ms: text.number("rules.fall-ms")?,
-            ask_within_ms: text.number("rules.ask-within-ms")?,
+            overload_multiple: text.number("rules.fall-multiple")?,
+            overload_window_ms: text.number("rules.fall-ms")?,
+            max_poll_interval_ms: text.number("rules.ask-within-ms")?,
         },
-        reports: text.word(
+        load_reporting: text.word(
             "report.how",
-            &[("off", Reports::Off), ("inline", Reports::Answers), ("on_probe", Reports::Probes)],
+            &[
+                ("off", LoadReporting::Off),
+                ("inline", LoadReporting::Responses),
+                ("on_probe", LoadReporting::HealthChecks),
+            ],
         )?,
-        list_asked: text.word("membership-mode", &[("push", false), ("ask", true)])?,
+        endpoints_polled: text.word("membership-mode", &[("push", false), ("ask", true)])?,
     };
     let names = text.raw("report.names").unwrap_or("");
     let report_names = names.split(',').filter(|n| !n.is_empty()).map(str::to_owned).collect();
@@ -109,23 +115,23 @@
 
 fn class(text: &Text, index: u32) -> Result<Class, String> {
     let at = |key: &str| format!("categories.{index}.{key}");
-    let group = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    let group = [("all", KeyScope::All), ("zone", KeyScope::Zone), ("cell", KeyScope::Cell)];
     let effect =
         match text.word(&at("effect"), &[("read_like", 0), ("idempotency_key", 1), ("non_idempotent", 2)])? {
-            0 => Effect::Safe,
-            1 => Effect::Keyed {
-                group: text.word(&at("group"), &group)?,
+            0 => Idempotency::Idempotent,
+            1 => Idempotency::WithKey {
+                scope: text.word(&at("group"), &group)?,
                 window_ms: text.number(&at("window-ms"))?,
             },
-            _ => Effect::Unsafe,
+            _ => Idempotency::NotIdempotent,
         };
     Ok(Class {
-        aim_ms: text.number(&at("aim-ms"))?,
+        latency_objective_ms: text.number(&at("aim-ms"))?,
         deadline_ms: text.number(&at("give-up-ms"))?,
-        worth: text.number(&at("value"))?,
-        late_worth: text.number(&at("late-worth"))?,
-        effect,
-        stream: text.truth(&at("stream"))?,
+        priority_weight: text.number(&at("value"))?,
+        late_weight: text.number(&at("late-worth"))?,
+        idempotency: effect,
+        streaming: text.truth(&at("stream"))?,
     })
 }
 
@@ -134,10 +140,10 @@
     Ok(Plan {
         rate: text.number(&at("refill"))?,
         burst: text.number(&at("store-size"))?,
-        max_out: text.whole(&at("max-out"))?,
-        price: text.number(&at("pays"))?,
-        extra_worth: text.number(&at("extra-worth"))?,
-        excess_cost: text.number(&at("excess-cost"))?,
+        max_concurrency: text.whole(&at("max-out"))?,
+        weight_multiplier: text.number(&at("pays"))?,
+        over_quota_weight: text.number(&at("extra-worth"))?,
+        over_quota_cost: text.number(&at("excess-cost"))?,
         ceiling_rate: text.number(&at("cap-rate"))?,
         ceiling_burst: text.number(&at("cap-depth"))?,
         ceiling_slack: text.number(&at("ceiling-slack"))?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,8 +10,6 @@
 use crate::state::*;
 use std::collections::{BTreeMap, VecDeque};
 
-// ---- Tuned values -----------------------------------------------------------------------------------------
-
 /// Use fades from the count by a factor e in so many times burst over rate, and so many bursts are its
 /// limit: together they hold a customer to its rate. More is kinder to chance, less to sudden bursts.
 const FADE: f64 = 1.25;
@@ -86,8 +84,6 @@
 const TOKEN_TELL: u64 = 1 << 61;
 const TOKEN_ID: u64 = (1 << 60) - 1;
 
-// ---- The gateway; what it remembers is in `src/state.rs` -------------------------------------------------
-
 /// The decisions of one gateway.
 pub struct Gateway {
     settings: Settings,
@@ -163,12 +159,12 @@
     }
 
     /// Customers remembered now.
-    pub fn customers(&self) -> usize {
+    pub fn customer_count(&self) -> usize {
         self.customers.len()
     }
 
     /// Backends that it keeps to now.
-    pub fn members(&mut self) -> &[BackendId] {
+    pub fn subset(&mut self) -> &[EndpointId] {
         self.backends.members()
     }
 
@@ -176,24 +172,24 @@
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         if !self.ticking {
             self.ticking = true;
-            actions.push(Action::Timer { token: TOKEN_TICK, after_ms: TICK_MS });
-            if self.settings.list_asked {
-                actions.push(Action::Watch);
+            actions.push(Action::SetTimer { token: TOKEN_TICK, after_ms: TICK_MS });
+            if self.settings.endpoints_polled {
+                actions.push(Action::WatchEndpoints);
             }
         }
         match event {
-            Event::List { full, entries } => {
+            Event::EndpointUpdate { complete: full, endpoints: entries } => {
                 self.backends.list(now, &self.settings, full, entries, &mut self.rng);
             }
-            Event::ListFailed => self.list_retry = Some(now + EJECT_MS * (1.0 + self.rng.f64())),
+            Event::EndpointPollFailed => self.list_retry = Some(now + EJECT_MS * (1.0 + self.rng.f64())),
             Event::Request(request) => self.request(now, request, actions),
-            Event::Started { id, .. } => {
+            Event::ResponseStarted { id, .. } => {
                 if let Some(open) = self.requests.get_mut(&id) {
                     open.streaming = true;
                 }
             }
-            Event::Outcome(outcome) => self.outcome(now, outcome, actions),
-            Event::Gone { id } => {
+            Event::AttemptEnded(outcome) => self.outcome(now, outcome, actions),
+            Event::ClientDisconnected { id } => {
                 // What it was charged while it waited rides back on the customer's next charge.
                 if let Some(open) = self.requests.get(&id).filter(|open| open.held) {
                     let Request { customer, plan, units, .. } = open.request;
@@ -203,23 +199,23 @@
                 }
                 self.close(id, actions);
             }
-            Event::Timer { token } => match token & !TOKEN_ID {
+            Event::TimerFired { token } => match token & !TOKEN_ID {
                 TOKEN_WAIT => drop(self.decide(now, token & TOKEN_ID, actions)),
                 TOKEN_TELL => self.tell(now, actions),
                 _ => self.tick(now, actions),
             },
-            Event::Message { from, body } => self.message(now, from, &body),
-            Event::Probed { .. } => {}
-            Event::Counted { name, result, total, took_ms } => {
-                self.counted(now, name, result, total, took_ms, actions)
+            Event::Gossip { from, body } => self.message(now, from, &body),
+            Event::HealthCheckEnded { .. } => {}
+            Event::CounterReply { key: name, outcome: result, total, elapsed_ms } => {
+                self.counted(now, name, result, total, elapsed_ms, actions)
             }
         }
     }
 
     fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        actions.push(Action::Timer { token: TOKEN_TICK, after_ms: TICK_MS });
+        actions.push(Action::SetTimer { token: TOKEN_TICK, after_ms: TICK_MS });
         if self.list_retry.take_if(|at| *at <= now).is_some() {
-            actions.push(Action::Watch);
+            actions.push(Action::WatchEndpoints);
         }
         let longest = self.settings.plans.iter().filter(|p| p.ceiling_rate > 0.0);
         let longest = longest.map(|p| p.ceiling_burst / p.ceiling_rate * 1000.0);
@@ -231,28 +227,24 @@
         self.customers.retain(|_, c| c.calls > 0 || c.out > 0 || c.waiting > 0.0 || now - c.last < longest);
     }
 
-    // ---- The request comes in: quota first, then room, then the charge -----------------------------------
-
     fn request(&mut self, now: Millis, mut request: Request, actions: &mut Vec<Action>) {
         let id = request.id;
         if self.requests.contains_key(&id) {
             return;
         }
         let sane = |x: f64| if x.is_finite() { x.max(0.0) } else { 0.0 };
-        (request.units, request.budget_ms) = (sane(request.units), sane(request.budget_ms));
+        (request.units, request.timeout_ms) = (sane(request.units), sane(request.timeout_ms));
         let (class, plan_no) = (request.class as usize, request.plan as usize);
         let (classes, plans) = (self.settings.classes.len(), self.settings.plans.len());
-        if classes <= class || plans <= plan_no || request.budget_ms <= 0.0 {
-            actions.push(Action::Refuse { id, retry_after_ms: 0.0 });
+        if classes <= class || plans <= plan_no || request.timeout_ms <= 0.0 {
+            actions.push(Action::Reject { id, retry_after_ms: 0.0 });
             return;
         }
-        let (units, customer) = (request.units, request.customer);
+        let (units, customer, timeout_ms) = (request.units, request.customer, request.timeout_ms);
         self.units += (units - self.units) * USUAL_GAIN;
-        let aim = self.settings.classes[class].aim_ms.min(request.budget_ms);
-        self.customer(now, customer, plan_no, request.spread);
-        let (ends, aim_ends, attempts) = (now + request.budget_ms, now + aim, Vec::new());
-        let (held, inside, sent, closed, streaming, ran) = (false, true, false, false, false, None);
-        let open = Open { request, ends, aim_ends, held, inside, sent, closed, streaming, attempts, ran };
+        let aim = self.settings.classes[class].latency_objective_ms.min(request.timeout_ms);
+        self.customer(now, customer, plan_no, request.gateway_set_size);
+        let open = Open::new(request, now + timeout_ms, now + aim);
         self.requests.insert(id, open);
         // Seen past the limit: refused without a call until there is room; others can only have used more.
         let c = &self.customers[&customer];
@@ -260,7 +252,7 @@
         // Attempts-out caps: own attempts are counted, the others' reckoned from their use and time in hand.
         let theirs = c.others / self.units.max(0.1) * self.backends.usual(class) / 1000.0;
         let out = f64::from(c.out + c.calls) + theirs.round();
-        let capped = plan.max_out > 0 && out >= f64::from(plan.max_out);
+        let capped = plan.max_concurrency > 0 && out >= f64::from(plan.max_concurrency);
         let store = if self.shared(now) { c.shared } else { c.store.min(plan.burst) };
         if capped || plan.rate > 0.0 && store - c.waiting < units {
             // A look at the count now and then keeps the view fresh while the counter is well.
@@ -289,7 +281,7 @@
         if trusted {
             self.customers.get_mut(&customer).expect("just entered").waiting += units;
             self.requests.get_mut(&id).expect("just entered").held = true;
-            actions.push(Action::Timer { token: TOKEN_WAIT | id, after_ms: self.wait(aim) });
+            actions.push(Action::SetTimer { token: TOKEN_WAIT | id, after_ms: self.wait(aim) });
         } else {
             self.grant(now, id, actions);
         }
@@ -336,14 +328,14 @@
         c.calls += 1;
         c.called = now;
         let lifetime_ms = (left + NAME_LIFE_MS - WINDOW_MOST_MS).min(NAME_LIFE_MS);
-        actions.push(Action::Count { name, amount, lifetime_ms });
+        actions.push(Action::AddToCounter { key: name, amount, ttl_ms: lifetime_ms });
         let call = Call { customer, request, plan: plan_no, amount, units };
         self.calls.entry(name).or_default().push_back(call);
     }
 
     /// Whether gateways tell each other what customers take.
     fn shared(&self, now: Millis) -> bool {
-        self.settings.limits.peers && self.settings.gateways > 1 && now - self.short.1 < SHORT_MS
+        self.settings.limits.gossip && self.settings.gateway_count > 1 && now - self.short.1 < SHORT_MS
     }
 
     /// The customer took these units here, or gets them back: the others are to be told.
@@ -363,8 +355,8 @@
 
     fn rouse(&mut self, actions: &mut Vec<Action>) {
         if !self.uses.is_empty() && !std::mem::replace(&mut self.telling, true) {
-            let after_ms = TELL_MS * f64::from(self.settings.gateways - 1);
-            actions.push(Action::Timer { token: TOKEN_TELL, after_ms });
+            let after_ms = TELL_MS * f64::from(self.settings.gateway_count - 1);
+            actions.push(Action::SetTimer { token: TOKEN_TELL, after_ms });
         }
     }
 
@@ -373,14 +365,14 @@
         let uses =
             std::iter::from_fn(|| self.uses.pop_first()).take(USES_MOST).map(|(_, told)| told).collect();
         let short = now - self.short.0 < SHORT_MS;
-        actions.push(Action::Tell { to: u32::MAX, body: Message { short, uses }.encode() });
+        actions.push(Action::Gossip { to: u32::MAX, body: Message { short, uses }.encode() });
         self.rouse(actions);
     }
 
     /// Another gateway tells what customers took there.
     fn message(&mut self, now: Millis, from: u32, body: &[u8]) {
-        let known = from < self.settings.gateways && from != self.settings.position;
-        let Some(message) = Message::decode(body).filter(|_| known && self.settings.limits.peers) else {
+        let known = from < self.settings.gateway_count && from != self.settings.gateway_index;
+        let Some(message) = Message::decode(body).filter(|_| known && self.settings.limits.gossip) else {
             return;
         };
         if message.short {
@@ -419,7 +411,7 @@
             self.forget_idle();
         }
         let plan = &self.settings.plans[plan];
-        let share = 1.0 / spread.clamp(1.0, f64::from(self.settings.gateways.max(1)));
+        let share = 1.0 / spread.clamp(1.0, f64::from(self.settings.gateway_count.max(1)));
         let up = (now - self.started).max(0.0) / 1000.0;
         let c = self.customers.entry(customer).or_insert_with(|| Customer {
             store: plan.burst,
@@ -446,19 +438,17 @@
         (c.at, c.last) = (now, now);
     }
 
-    // ---- The counter answers ------------------------------------------------------------------------------
-
     fn counted(
-        &mut self, now: Millis, name: u64, result: Result, total: f64, took: f64, actions: &mut Vec<Action>,
+        &mut self, now: Millis, name: u64, result: Outcome, total: f64, took: f64, actions: &mut Vec<Action>,
     ) {
         let Some(queue) = self.calls.get_mut(&name) else { return };
         let Some(call) = queue.pop_front() else { return };
         if queue.is_empty() {
             self.calls.remove(&name);
         }
-        let ok = result == Result::Ok && total.is_finite();
+        let ok = result == Outcome::Success && total.is_finite();
         // A reply slower than the wait counts as a miss like none at all: both leave requests unchecked.
-        let aim = self.settings.classes.iter().map(|c| c.aim_ms).fold(f64::INFINITY, f64::min);
+        let aim = self.settings.classes.iter().map(|c| c.latency_objective_ms).fold(f64::INFINITY, f64::min);
         let good = ok && took <= self.wait(aim);
         if ok {
             let usual = self.count_ms.get_or_insert(took);
@@ -473,7 +463,7 @@
             let near = self.calls_once.is_some_and(|once| self.calls_pace > once * CALLS_NEAR);
             let share = if near { CALLS_MORE.1 } else { CALLS_MORE.2 };
             self.calls_pace = (self.calls_pace * (1.0 + share) + CALLS_MORE.0).min(CALLS_MOST);
-        } else if !matches!(result, Result::Error | Result::Reset) {
+        } else if !matches!(result, Outcome::ErrorResponse | Outcome::ConnectionReset) {
             // A spoilt answer, or the end of its connection, tells nothing of what the counter bears.
             self.short = (now, now);
             if self.misses == 0 {
@@ -496,14 +486,14 @@
     }
 
     /// Rebuilds the store from a total: what it rose by beyond this gateway's own charge, others used.
-    fn reckon(&mut self, now: Millis, name: u64, call: &Call, total: Option<f64>, result: Result) {
+    fn reckon(&mut self, now: Millis, name: u64, call: &Call, total: Option<f64>, result: Outcome) {
         let shared = self.shared(now);
         let plan = &self.settings.plans[call.plan];
         let Some(c) = self.customers.get_mut(&call.customer) else { return };
         c.calls = c.calls.saturating_sub(1);
         let Some(total) = total else {
             // Proven not added: it rides on the next charge. A timed-out add may have counted and is left.
-            if result.never_ran() {
+            if result.never_executed() {
                 c.owe(now, call.units, plan);
             }
             return;
@@ -541,7 +531,7 @@
                 c.others = c.others * keep + (others.max(0.0) * 1000.0 / passed) * (1.0 - keep);
             }
         }
-        c.store = c.store.max(-self.settings.most_units.max(plan.burst / 4.0));
+        c.store = c.store.max(-self.settings.max_units.max(plan.burst / 4.0));
         c.store = c.store.min(plan.burst);
         (c.seen, c.seen_at) = (Some(used), now);
         // The count alone tells while all use is on it.
@@ -556,7 +546,7 @@
         let Some(open) = self.requests.get(&id).filter(|open| open.held) else { return true };
         let request = open.request.clone();
         self.release(id);
-        self.customer(now, request.customer, request.plan as usize, request.spread);
+        self.customer(now, request.customer, request.plan as usize, request.gateway_set_size);
         let shared = self.shared(now);
         let plan = &self.settings.plans[request.plan as usize];
         let c = self.customers.get_mut(&request.customer).expect("just entered");
@@ -594,8 +584,8 @@
         let expected = self.expected(now, id);
         let Some(open) = self.requests.get_mut(&id) else { return };
         let plan = &self.settings.plans[open.request.plan as usize];
-        let aim = self.settings.classes[open.request.class as usize].aim_ms;
-        if plan.extra_worth > plan.excess_cost && expected < ROOM_OF_AIM * aim {
+        let aim = self.settings.classes[open.request.class as usize].latency_objective_ms;
+        if plan.over_quota_weight > plan.over_quota_cost && expected < ROOM_OF_AIM * aim {
             open.inside = false;
             return self.send(now, id, actions);
         }
@@ -611,13 +601,13 @@
         self.flow(now, 0.0, 0.0);
         let Some(open) = self.requests.get(&id) else { return f64::INFINITY };
         let usual = self.backends.usual(open.request.class as usize);
-        let aim = self.settings.classes[open.request.class as usize].aim_ms;
+        let aim = self.settings.classes[open.request.class as usize].latency_objective_ms;
         if self.backends.ready() == 0 {
             return f64::INFINITY;
         }
         // A few hung attempts must not lock the gateway: its part of the least work is always let in.
         let ready = self.backends.ready() as f64;
-        if self.out < (ready * ALWAYS / f64::from(self.settings.gateways.max(1))).max(1.0) {
+        if self.out < (ready * ALWAYS / f64::from(self.settings.gateway_count.max(1))).max(1.0) {
             return 0.0;
         }
         // Half of it by the average: a burst alone is soon over, and where the fleet slows both rise.
@@ -639,8 +629,6 @@
         self.out += out;
     }
 
-    // ---- Attempts -----------------------------------------------------------------------------------------
-
     fn send(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let picked = self.backends.pick(now, &self.settings, open, &mut self.rng);
@@ -651,14 +639,14 @@
         let left = open.ends - now;
         let mut may = picked.is_some() && left > 0.0;
         may &= (open.attempts.len() as u32) < self.settings.limits.max_attempts.max(1);
-        if let (Some((since, _)), Effect::Keyed { window_ms, .. }) = (open.ran, class.effect) {
+        if let (Some((since, _)), Idempotency::WithKey { window_ms, .. }) = (open.ran, class.idempotency) {
             may &= now - since < window_ms;
         }
         if first && plan.ceiling_rate > 0.0 {
             may &= self.customers.get(&request.customer).is_some_and(|c| c.ceiling >= request.units);
         }
         let Some(backend) = picked.filter(|_| may) else {
-            let (wait, live) = (class.aim_ms / 2.0, open.attempts.iter().any(|a| a.live));
+            let (wait, live) = (class.latency_objective_ms / 2.0, open.attempts.iter().any(|a| a.live));
             if first {
                 self.give_back(now, id, actions);
             }
@@ -678,9 +666,9 @@
         // Past its aim an answer may earn nothing: the attempt ends before. It frees a place but wastes
         // work that backends finish all the same: only where waste is priced below late failure.
         let prices = &self.settings.prices;
-        let cuts = class.late_worth <= 0.0 && prices.waste < prices.late_fail;
+        let cuts = class.late_weight <= 0.0 && prices.waste < prices.late_failure;
         let cut = if cuts { open.aim_ends - now - CUT_MS - 2.0 * self.settings.tick_ms } else { left };
-        actions.push(Action::Send { id, backend, timeout_ms: left.min(cut.max(1.0)) });
+        actions.push(Action::SendAttempt { id, endpoint: backend, timeout_ms: left.min(cut.max(1.0)) });
         self.flow(now, 1.0, 0.0);
         if first {
             self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
@@ -700,7 +688,7 @@
         self.used(now, customer, plan as usize, -units, actions);
     }
 
-    fn outcome(&mut self, now: Millis, o: Outcome, actions: &mut Vec<Action>) {
+    fn outcome(&mut self, now: Millis, o: AttemptEnd, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&o.id) else { return };
         let Some(attempt) = open.attempts.get_mut(o.attempt as usize) else { return };
         if !std::mem::take(&mut attempt.live) {
@@ -712,7 +700,7 @@
         if let Some(c) = self.customers.get_mut(&open.request.customer) {
             c.out = c.out.saturating_sub(1);
             // The settlement: the true units' difference rides on the customer's next charge.
-            if let (true, true, Some(units)) = (self.settings.settles, open.inside, o.units) {
+            if let (true, true, Some(units)) = (self.settings.settles_units, open.inside, o.actual_units) {
                 if units.is_finite() {
                     c.owe(now, units - open.request.units, &self.settings.plans[plan]);
                     settled = Some((open.request.customer, units - open.request.units));
@@ -720,10 +708,10 @@
                 }
             }
         }
-        if !o.result.never_ran() && open.ran.is_none() {
+        if !o.outcome.never_executed() && open.ran.is_none() {
             open.ran = Some((sent, backend));
         }
-        open.sent |= o.result != Result::Moot;
+        open.sent |= o.outcome != Outcome::NotSent;
         let unsent = !open.sent && !open.attempts.iter().any(|a| a.live);
         if let Some((customer, units)) = settled {
             self.used(now, customer, plan, units, actions);
@@ -731,46 +719,45 @@
         if unsent {
             self.give_back(now, o.id, actions);
         }
-        self.flow(now, -1.0, f64::from(u8::from(o.result == Result::Ok)));
-        if matches!(o.result, Result::Ok | Result::Timeout) {
-            let share = (now - sent) / self.settings.classes[class].aim_ms.max(1.0);
+        self.flow(now, -1.0, f64::from(u8::from(o.outcome == Outcome::Success)));
+        if matches!(o.outcome, Outcome::Success | Outcome::Timeout) {
+            let share = (now - sent) / self.settings.classes[class].latency_objective_ms.max(1.0);
             self.late += (share.min(1.0) - self.late) * LATE_GAIN;
         }
         let open = &self.requests[&o.id];
         self.backends.learn(now, &self.settings, &open.request, &o, depth, &mut self.rng);
-        if o.ended || open.closed {
+        if o.request_answered || open.closed {
             return self.close(o.id, actions);
         }
         if open.attempts.iter().any(|a| a.live) {
             return;
         }
-        let effect = self.settings.classes[class].effect;
+        let class = &self.settings.classes[class];
         let worth =
-            self.settings.classes[class].late_worth > 0.0 || now + self.backends.usual(class) < open.aim_ends;
-        let again = worth && (o.result.never_ran() || (effect != Effect::Unsafe && self.retries >= 1.0));
-        if again && o.result != Result::Moot && open.ends > now && !open.streaming {
-            if !o.result.never_ran() && o.result != Result::Cancelled {
+            class.late_weight > 0.0 || now + self.backends.usual(open.request.class as usize) < open.aim_ends;
+        let repeatable = class.idempotency != Idempotency::NotIdempotent && self.retries >= 1.0;
+        let again = worth && (o.outcome.never_executed() || repeatable);
+        if again && o.outcome != Outcome::NotSent && open.ends > now && !open.streaming {
+            if !o.outcome.never_executed() && o.outcome != Outcome::Cancelled {
                 self.retries -= 1.0;
             }
             return self.send(now, o.id, actions);
         }
-        self.finish(o.id, self.settings.classes[class].aim_ms / 2.0, actions);
+        self.finish(o.id, class.latency_objective_ms / 2.0, actions);
     }
 
-    // ---- Final answers ------------------------------------------------------------------------------------
-
     /// Ends the request: refused where trying again is harmless, failed where an attempt may have run.
     fn finish(&mut self, id: RequestId, wait: f64, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id) else { return };
-        let harmless = match self.settings.classes[open.request.class as usize].effect {
-            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+        let harmless = match self.settings.classes[open.request.class as usize].idempotency {
+            Idempotency::Idempotent | Idempotency::WithKey { scope: KeyScope::All, .. } => true,
             _ => open.ran.is_none() && !open.attempts.iter().any(|a| a.live),
         };
         if harmless {
             let limits = &self.settings.limits;
             let wait = wait.clamp(0.0, limits.max_retry_after_ms.max(0.0));
             let retry_after_ms = if limits.retry_after { wait } else { 0.0 };
-            actions.push(Action::Refuse { id, retry_after_ms });
+            actions.push(Action::Reject { id, retry_after_ms });
         } else {
             actions.push(Action::Fail { id });
         }
@@ -781,9 +768,9 @@
     fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         self.release(id);
         let Some(open) = self.requests.get_mut(&id) else { return };
-        if !std::mem::replace(&mut open.closed, true) && self.settings.limits.cancel {
+        if !std::mem::replace(&mut open.closed, true) && self.settings.limits.cancellation {
             for (number, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.live) {
-                actions.push(Action::Cancel { id, attempt: number as u8 });
+                actions.push(Action::CancelAttempt { id, attempt: number as u8 });
             }
         }
         if !open.attempts.iter().any(|a| a.live) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,27 +4,28 @@
 //! and carries out the [`Action`]s it gets back. The same events yield the same actions.
 //!
 //! ```
-//! use quota_gateway::{Action, Class, Effect, Event, Gateway, Limits, Listed, Plan, Request, Settings, State};
+//! use quota_gateway::{Action, Class, Endpoint, EndpointState, Event, Gateway, Idempotency, Limits, Plan, Request, Settings};
 //!
 //! let settings = Settings {
-//!     gateways: 1,
-//!     classes: vec![Class { aim_ms: 500.0, deadline_ms: 2000.0, worth: 1.0, effect: Effect::Safe,
-//!         ..Class::default() }],
-//!     plans: vec![Plan { rate: 2.0, burst: 4.0, price: 1.0, ..Plan::default() }],
+//!     gateway_count: 1,
+//!     classes: vec![Class { latency_objective_ms: 500.0, deadline_ms: 2000.0, priority_weight: 1.0,
+//!         idempotency: Idempotency::Idempotent, ..Class::default() }],
+//!     plans: vec![Plan { rate: 2.0, burst: 4.0, weight_multiplier: 1.0, ..Plan::default() }],
 //!     limits: Limits { max_attempts: 3, ..Limits::default() },
 //!     ..Settings::default()
 //! };
 //! let mut gateway = Gateway::new(settings, 7, 0.0);
 //! let mut actions = Vec::new();
-//! let entries = vec![Listed { id: 11, key: 11, zone: 0, kind: 0, cell: 0, state: State::Ready, size: 1.0, started: 0.0 }];
-//! gateway.handle(0.0, Event::List { full: true, entries }, &mut actions);
+//! let endpoints = vec![Endpoint { id: 11, hash_key: 11, zone: 0, kind: 0, cell: 0,
+//!     state: EndpointState::Ready, weight: 1.0, started_at: 0.0 }];
+//! gateway.handle(0.0, Event::EndpointUpdate { complete: true, endpoints }, &mut actions);
 //! let request = |id| Event::Request(Request { id, customer: 5, plan: 0, class: 0, units: 3.0,
-//!     budget_ms: 2000.0, spread: 1.0, repeat: false });
+//!     timeout_ms: 2000.0, gateway_set_size: 1.0, is_retry: false });
 //! gateway.handle(1.0, request(1), &mut actions);
-//! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, backend: 11, .. })));
+//! assert!(actions.iter().any(|a| matches!(a, Action::SendAttempt { id: 1, endpoint: 11, .. })));
 //! // The store held 4 units and 1 is left: a second request of 3 units is refused at once.
 //! gateway.handle(2.0, request(2), &mut actions);
-//! assert!(actions.iter().any(|a| matches!(a, Action::Refuse { id: 2, .. })));
+//! assert!(actions.iter().any(|a| matches!(a, Action::Reject { id: 2, .. })));
 //! ```
 
 mod backends;
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -1,7 +1,7 @@
 //! Backends on a ring for each zone, by a key that all gateways see alike, and arcs of it. A data structure: nothing
 //! here decides anything.
 
-use crate::interface::BackendId;
+use crate::interface::EndpointId;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Part of a whole turn between two gateways that follow each other in number.
@@ -10,7 +10,7 @@
 /// The rings.
 #[derive(Default)]
 pub(crate) struct Ring {
-    zones: BTreeMap<u32, BTreeSet<(u64, BackendId)>>,
+    zones: BTreeMap<u32, BTreeSet<(u64, EndpointId)>>,
     len: usize,
 }
 
@@ -49,7 +49,7 @@
     }
 
     /// Puts a backend on its ring or takes it off. Its place and how many are there now, if that changes anything.
-    pub(crate) fn set(&mut self, zone: u32, key: u64, id: BackendId, on: bool) -> Option<(u64, usize)> {
+    pub(crate) fn set(&mut self, zone: u32, key: u64, id: EndpointId, on: bool) -> Option<(u64, usize)> {
         let (ring, place) = (self.zones.entry(zone).or_default(), place(key));
         let changed = if on { ring.insert((place, id)) } else { ring.remove(&(place, id)) };
         changed.then(|| {
@@ -59,11 +59,11 @@
     }
 
     /// Those of all rings within the arc, and at least so many behind its begin on each, in the order of their numbers.
-    pub(crate) fn arc(&self, begin: u64, length: u64, least: usize) -> Vec<BackendId> {
+    pub(crate) fn arc(&self, begin: u64, length: u64, least: usize) -> Vec<EndpointId> {
         let mut found = Vec::new();
         for ring in self.zones.values() {
             let behind = ring.range((begin, 0)..).chain(ring.range(..(begin, 0)));
-            let inside = |(n, (place, _)): &(usize, &(u64, BackendId))| {
+            let inside = |(n, (place, _)): &(usize, &(u64, EndpointId))| {
                 *n < least || place.wrapping_sub(begin) <= length
             };
             found.extend(behind.enumerate().take_while(inside).map(|(_, (_, id))| *id));
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a gateway remembers: plain data, nothing here decides anything.
 
-use crate::interface::{BackendId, CustomerId, Listed, Millis, Request, RequestId};
+use crate::interface::{CustomerId, Endpoint, EndpointId, Millis, Request, RequestId};
 
 /// One customer as this gateway sees it.
 #[derive(Default)]
@@ -34,7 +34,7 @@
 
 /// One attempt of a request.
 pub(crate) struct Attempt {
-    pub(crate) backend: BackendId,
+    pub(crate) backend: EndpointId,
     pub(crate) sent: Millis,
     /// Requests of this gateway at the backend when it was sent, this one included.
     pub(crate) depth: f64,
@@ -57,7 +57,25 @@
     pub(crate) streaming: bool,
     pub(crate) attempts: Vec<Attempt>,
     /// First attempt that may have run: when it was sent and where.
-    pub(crate) ran: Option<(Millis, BackendId)>,
+    pub(crate) ran: Option<(Millis, EndpointId)>,
+}
+
+impl Open {
+    /// A request that has just come in.
+    pub(crate) fn new(request: Request, ends: Millis, aim_ends: Millis) -> Self {
+        Open {
+            request,
+            ends,
+            aim_ends,
+            held: false,
+            inside: true,
+            sent: false,
+            closed: false,
+            streaming: false,
+            attempts: Vec::new(),
+            ran: None,
+        }
+    }
 }
 
 /// A call to the counter whose answer is out.
@@ -71,7 +89,7 @@
 
 /// One backend as this gateway sees it.
 pub(crate) struct Backend {
-    pub(crate) listed: Listed,
+    pub(crate) listed: Endpoint,
     /// The last list that named it.
     pub(crate) list: u64,
     /// When it started or came back, if it may be cold.
@@ -97,7 +115,7 @@
 }
 
 impl Backend {
-    pub(crate) fn new(listed: Listed, born: Option<Millis>, now: Millis) -> Self {
+    pub(crate) fn new(listed: Endpoint, born: Option<Millis>, now: Millis) -> Self {
         let (learned, heard, out_until, full_until) = (now, now, now, Vec::new());
         let (cold, out, pace, failures, spoilt) = ((0.0, now), 0, 1.0, 0, 0.0);
         let (lines, line_used) = (0, now);
--- a/src/subset.rs
+++ b/src/subset.rs
@@ -1,7 +1,7 @@
 //! Which backends a gateway keeps to where there are too many to keep to all: an arc of the ring. Gateways begin at even
 //! distances, so each backend has as many of them as any other, and one that comes or goes concerns only its own.
 
-use crate::interface::{BackendId, Settings};
+use crate::interface::{EndpointId, Settings};
 use crate::ring::{begin, turn, Ring};
 
 /// Up to so many backends a gateway looks at all of them: that takes it some 10 us a request.
@@ -27,12 +27,12 @@
     share: f64,
     stale: bool,
     /// In the order of their numbers.
-    members: Vec<BackendId>,
+    members: Vec<EndpointId>,
 }
 
 impl Subset {
     pub(crate) fn new(settings: &Settings) -> Self {
-        Subset { begin: begin(settings.position, settings.gateways), ..Subset::default() }
+        Subset { begin: begin(settings.gateway_index, settings.gateway_count), ..Subset::default() }
     }
 
     pub(crate) fn ready(&self) -> usize {
@@ -45,7 +45,7 @@
     }
 
     /// A backend takes work from now on, or no longer.
-    pub(crate) fn set(&mut self, zone: u32, key: u64, id: BackendId, ready: bool) {
+    pub(crate) fn set(&mut self, zone: u32, key: u64, id: EndpointId, ready: bool) {
         if let Some((place, now)) = self.ring.set(zone, key, id, ready) {
             self.stale |= place.wrapping_sub(self.begin) <= self.length || now <= 2 * ZONE_LEAST;
         }
@@ -54,10 +54,10 @@
     /// Members as the settings and the attempts out want them; so many of those now are of no use.
     pub(crate) fn resize(&mut self, settings: &Settings, out: f64, lost: usize) {
         let ready = self.ready().max(1) as f64;
-        let owned = OWNERS * ready / f64::from(settings.gateways.max(1));
+        let owned = OWNERS * ready / f64::from(settings.gateway_count.max(1));
         let wanted = owned.max(out * SPARE).max(ALL as f64);
         let wanted = wanted + (lost as f64).min(wanted);
-        let most = match settings.limits.connections {
+        let most = match settings.limits.max_connections {
             0 => f64::INFINITY,
             most => f64::from(most) * OF_CONNECTIONS,
         };
@@ -76,7 +76,7 @@
     }
 
     /// The members, as of the last update.
-    pub(crate) fn members(&self) -> &Vec<BackendId> {
+    pub(crate) fn members(&self) -> &Vec<EndpointId> {
         &self.members
     }
 }
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -9,46 +9,59 @@
 }
 
 pub fn settings() -> Settings {
-    let class = |effect| Class { aim_ms: 500.0, deadline_ms: 2000.0, worth: 1.0, effect, ..Class::default() };
-    let keyed = Effect::Keyed { group: Group::Zone, window_ms: 1500.0 };
+    let class = |effect| Class {
+        latency_objective_ms: 500.0,
+        deadline_ms: 2000.0,
+        priority_weight: 1.0,
+        idempotency: effect,
+        ..Class::default()
+    };
+    let keyed = Idempotency::WithKey { scope: KeyScope::Zone, window_ms: 1500.0 };
     Settings {
-        gateways: 2,
+        gateway_count: 2,
         tick_ms: 1.0,
-        classes: vec![class(Effect::Safe), class(keyed), class(Effect::Unsafe)],
-        plans: vec![Plan { rate: 2.0, burst: 10.0, price: 1.0, excess_cost: 1.0, ..Plan::default() }],
-        counter: Some(Counter { timeout_ms: 80.0, price: 0.01 }),
-        most_units: 4.0,
-        settles: true,
+        classes: vec![class(Idempotency::Idempotent), class(keyed), class(Idempotency::NotIdempotent)],
+        plans: vec![Plan {
+            rate: 2.0,
+            burst: 10.0,
+            weight_multiplier: 1.0,
+            over_quota_cost: 1.0,
+            ..Plan::default()
+        }],
+        counter: Some(CounterSettings { timeout_ms: 80.0, call_price: 0.01 }),
+        max_units: 4.0,
+        settles_units: true,
         limits: Limits {
             max_attempts: 3,
-            cancel: true,
+            cancellation: true,
             retry_after: true,
             max_retry_after_ms: 2000.0,
             ..Limits::default()
         },
         rules: Rules {
-            answer_slack_ms: 8.0,
-            cold_from: 0.25,
-            warm_up_ms: 10_000.0,
+            response_slack_ms: 8.0,
+            slow_start_min_capacity: 0.25,
+            slow_start_ms: 10_000.0,
             drain_grace_ms: 1000.0,
-            fall_multiple: 3.0,
-            fall_ms: 1000.0,
-            ask_within_ms: 10_000.0,
+            overload_multiple: 3.0,
+            overload_window_ms: 1000.0,
+            max_poll_interval_ms: 10_000.0,
         },
         ..Settings::default()
     }
 }
 
-pub fn listed(id: u32, zone: u32, state: State) -> Listed {
-    Listed { id, key: id.into(), zone, kind: 0, cell: 0, state, size: 1.0, started: 0.0 }
+pub fn listed(id: u32, zone: u32, state: EndpointState) -> Endpoint {
+    Endpoint { id, hash_key: id.into(), zone, kind: 0, cell: 0, state, weight: 1.0, started_at: 0.0 }
 }
 
 impl Rig {
     /// A gateway with three backends, 1 and 2 in zone 0, 3 in zone 1.
     pub fn new(settings: Settings) -> Rig {
         let mut rig = Rig { gateway: Gateway::new(settings, 1, 1000.0), now: 1000.0 };
-        let entries = [(1, 0), (2, 0), (3, 1)].map(|(id, zone)| listed(id, zone, State::Ready)).to_vec();
-        rig.event(Event::List { full: true, entries });
+        let entries =
+            [(1, 0), (2, 0), (3, 1)].map(|(id, zone)| listed(id, zone, EndpointState::Ready)).to_vec();
+        rig.event(Event::EndpointUpdate { complete: true, endpoints: entries });
         rig
     }
 
@@ -65,28 +78,28 @@
             plan: 0,
             class,
             units,
-            budget_ms: 2000.0,
-            spread: 2.0,
-            repeat: false,
+            timeout_ms: 2000.0,
+            gateway_set_size: 2.0,
+            is_retry: false,
         }))
     }
 
-    pub fn counted(&mut self, name: u64, result: Result, total: f64) -> Vec<Action> {
-        self.event(Event::Counted { name, result, total, took_ms: 2.0 })
+    pub fn counted(&mut self, name: u64, result: Outcome, total: f64) -> Vec<Action> {
+        self.event(Event::CounterReply { key: name, outcome: result, total, elapsed_ms: 2.0 })
     }
 
     pub fn outcome(
-        &mut self, id: u64, attempt: u8, backend: u32, result: Result, units: Option<f64>,
+        &mut self, id: u64, attempt: u8, backend: u32, result: Outcome, units: Option<f64>,
     ) -> Vec<Action> {
-        let (ended, load) = (result == Result::Ok, Load::default());
-        self.event(Event::Outcome(Outcome {
+        let (ended, load) = (result == Outcome::Success, LoadReport::default());
+        self.event(Event::AttemptEnded(AttemptEnd {
             id,
             attempt,
-            backend,
-            result,
-            ended,
-            units,
-            took_ms: 50.0,
+            endpoint: backend,
+            outcome: result,
+            request_answered: ended,
+            actual_units: units,
+            elapsed_ms: 50.0,
             load,
         }))
     }
@@ -94,21 +107,21 @@
 
 pub fn count(actions: &[Action]) -> Option<(u64, f64)> {
     actions.iter().find_map(|a| match a {
-        Action::Count { name, amount, .. } => Some((*name, *amount)),
+        Action::AddToCounter { key: name, amount, .. } => Some((*name, *amount)),
         _ => None,
     })
 }
 
 pub fn sent(actions: &[Action]) -> Option<u32> {
     actions.iter().find_map(|a| match a {
-        Action::Send { backend, .. } => Some(*backend),
+        Action::SendAttempt { endpoint: backend, .. } => Some(*backend),
         _ => None,
     })
 }
 
 pub fn refused(actions: &[Action]) -> Option<f64> {
     actions.iter().find_map(|a| match a {
-        Action::Refuse { retry_after_ms, .. } => Some(*retry_after_ms),
+        Action::Reject { retry_after_ms, .. } => Some(*retry_after_ms),
         _ => None,
     })
 }
@@ -119,7 +132,16 @@
 
 /// A first request of one unit.
 pub fn request(id: u64, customer: u64) -> Request {
-    Request { id, customer, plan: 0, class: 0, units: 1.0, budget_ms: 2000.0, spread: 2.0, repeat: false }
+    Request {
+        id,
+        customer,
+        plan: 0,
+        class: 0,
+        units: 1.0,
+        timeout_ms: 2000.0,
+        gateway_set_size: 2.0,
+        is_retry: false,
+    }
 }
 
 /// A counter that gateways share.
@@ -131,10 +153,10 @@
     pub fn answer(&mut self, rig: &mut Rig, mut actions: Vec<Action>) -> Vec<Action> {
         let mut done = 0;
         while done < actions.len() {
-            if let Action::Count { name, amount, .. } = actions[done] {
+            if let Action::AddToCounter { key: name, amount, .. } = actions[done] {
                 let total = self.0.entry(name).or_default();
                 *total += amount;
-                actions.extend(rig.counted(name, Result::Ok, *total));
+                actions.extend(rig.counted(name, Outcome::Success, *total));
             }
             done += 1;
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 fn instance(settings: &Settings, number: u32, now: f64) -> Rig {
-    let settings = Settings { position: number, ..settings.clone() };
+    let settings = Settings { gateway_index: number, ..settings.clone() };
     Rig { gateway: Gateway::new(settings, u64::from(number) * 7919 + 1, now), now }
 }
 
@@ -39,8 +39,8 @@
     seed: u64,
     /// Requests a second over all gateways; one gateway in ten sees four times what the others see.
     rate: f64,
-    fall_multiple: f64,
-    fall_ms: f64,
+    overload_multiple: f64,
+    overload_window_ms: f64,
     /// Backends that stay; as many go, and as many come cold in their place.
     stay: u32,
 }
@@ -51,20 +51,21 @@
     /// ramp, one attempt in twenty ends as an error, and clients come again.
     fn play(&self) -> (usize, f64, usize) {
         let mut s = settings();
-        (s.counter, s.plans[0].rate, s.gateways) = (None, 0.0, self.gateways);
-        (s.rules.fall_multiple, s.rules.fall_ms) = (self.fall_multiple, self.fall_ms);
-        (s.rules.cold_from, s.rules.warm_up_ms) = (COLD_FROM, WARM_UP_MS);
+        (s.counter, s.plans[0].rate, s.gateway_count) = (None, 0.0, self.gateways);
+        (s.rules.overload_multiple, s.rules.overload_window_ms) =
+            (self.overload_multiple, self.overload_window_ms);
+        (s.rules.slow_start_min_capacity, s.rules.slow_start_ms) = (COLD_FROM, WARM_UP_MS);
         let (start, born) = (1000.0, 9000.0);
         let share = |at: f64| COLD_FROM + (1.0 - COLD_FROM) * ((at - born) / WARM_UP_MS).clamp(0.0, 1.0);
-        let warm: Vec<_> = (1..=2 * self.stay).map(|id| listed(id, 0, State::Ready)).collect();
-        let gone = (self.stay + 1..=2 * self.stay).map(|id| listed(id, 0, State::Gone));
+        let warm: Vec<_> = (1..=2 * self.stay).map(|id| listed(id, 0, EndpointState::Ready)).collect();
+        let gone = (self.stay + 1..=2 * self.stay).map(|id| listed(id, 0, EndpointState::Removed));
         let cold = (2 * self.stay + 1..=3 * self.stay)
-            .map(|id| Listed { started: born, ..listed(id, 0, State::Ready) });
+            .map(|id| Endpoint { started_at: born, ..listed(id, 0, EndpointState::Ready) });
         let change: Vec<_> = gone.chain(cold.clone()).collect();
         let after: Vec<_> = warm[..self.stay as usize].iter().cloned().chain(cold).collect();
         let mut rigs: Vec<_> = (0..self.gateways).map(|number| instance(&s, number, start)).collect();
         for rig in &mut rigs {
-            rig.event(Event::List { full: true, entries: warm.clone() });
+            rig.event(Event::EndpointUpdate { complete: true, endpoints: warm.clone() });
         }
         let mut rng = fastrand::Rng::with_seed(self.seed);
         let mut free_at = vec![start; (3 * self.stay + 1) as usize];
@@ -81,12 +82,12 @@
             if now >= born + 1000.0 && !std::mem::replace(&mut told, true) {
                 for rig in &mut rigs {
                     rig.now = now;
-                    rig.event(Event::List { full: false, entries: change.clone() });
+                    rig.event(Event::EndpointUpdate { complete: false, endpoints: change.clone() });
                 }
             }
             if now >= born + 4000.0 && !std::mem::replace(&mut restarted, true) {
                 rigs[0] = instance(&s, 0, now);
-                rigs[0].event(Event::List { full: true, entries: after.clone() });
+                rigs[0].event(Event::EndpointUpdate { complete: true, endpoints: after.clone() });
             }
             let mut later = |ms: f64, step: Step| {
                 next += 1;
@@ -110,16 +111,19 @@
                 Step::Again { id } => {
                     let number = rng.usize(..rigs.len());
                     rigs[number].now = now;
-                    (number, rigs[number].event(Event::Request(Request { repeat: true, ..request(id, id) })))
+                    (
+                        number,
+                        rigs[number].event(Event::Request(Request { is_retry: true, ..request(id, id) })),
+                    )
                 }
                 Step::Outcome { number, outcome } => {
                     rigs[number].now = now;
-                    (number, rigs[number].event(Event::Outcome(outcome)))
+                    (number, rigs[number].event(Event::AttemptEnded(outcome)))
                 }
             };
             for action in actions {
                 match action {
-                    Action::Send { id, backend, .. } => {
+                    Action::SendAttempt { id, endpoint: backend, .. } => {
                         let cold = backend > 2 * self.stay;
                         if cold {
                             sends[(backend - 2 * self.stay) as usize].push(now);
@@ -127,29 +131,32 @@
                         let bears = BEARS * if cold { share(now) } else { 1.0 };
                         let free = &mut free_at[backend as usize];
                         let waits = (*free - now).max(0.0);
-                        let (result, took_ms) = if waits > LINE_MS {
-                            (Result::Full, 1.0)
+                        let (result, elapsed_ms) = if waits > LINE_MS {
+                            (Outcome::Rejected, 1.0)
                         } else {
                             *free = now + waits + 1000.0 / bears;
                             let spoilt = rng.f64() < 0.05;
-                            (if spoilt { Result::Error } else { Result::Ok }, waits + 1000.0 / bears)
+                            (
+                                if spoilt { Outcome::ErrorResponse } else { Outcome::Success },
+                                waits + 1000.0 / bears,
+                            )
                         };
                         let attempt = attempts.entry(id).or_insert(0u8);
-                        let (ended, load) = (result == Result::Ok, Load::default());
-                        let outcome = Outcome {
+                        let (ended, load) = (result == Outcome::Success, LoadReport::default());
+                        let outcome = AttemptEnd {
                             id,
                             attempt: *attempt,
-                            backend,
-                            result,
-                            ended,
-                            units: None,
-                            took_ms,
+                            endpoint: backend,
+                            outcome: result,
+                            request_answered: ended,
+                            actual_units: None,
+                            elapsed_ms,
                             load,
                         };
                         *attempt += 1;
-                        later(took_ms, Step::Outcome { number, outcome });
+                        later(elapsed_ms, Step::Outcome { number, outcome });
                     }
-                    Action::Refuse { id, .. } if id < 1 << 40 => {
+                    Action::Reject { id, .. } if id < 1 << 40 => {
                         later(400.0, Step::Again { id: id | 1 << 40 })
                     }
                     _ => {}
@@ -158,8 +165,8 @@
         }
         let mut worst_of_all = (0, 1.0);
         for sends in &sends[1..] {
-            let (sent, allowed) = worst(sends, self.fall_ms, |at| {
-                let n = self.fall_multiple * share(at) * BEARS * self.fall_ms / 1000.0;
+            let (sent, allowed) = worst(sends, self.overload_window_ms, |at| {
+                let n = self.overload_multiple * share(at) * BEARS * self.overload_window_ms / 1000.0;
                 n + 2.0 * n.sqrt() + 2.0
             });
             if sent as f64 / allowed > worst_of_all.0 as f64 / worst_of_all.1 {
@@ -173,15 +180,24 @@
 enum Step {
     Arrival,
     Again { id: u64 },
-    Outcome { number: usize, outcome: Outcome },
+    Outcome { number: usize, outcome: AttemptEnd },
 }
 
 /// Quiet and crowded: half of what the warm backends bear before the release, and nearly all of it.
 fn no_cold_backend_is_pushed_over_by(gateways: u32, stay: u32) {
     for busy in [0.5, 0.92] {
-        for (seed, (fall_multiple, fall_ms)) in [(4.0, 1500.0), (2.0, 2000.0)].into_iter().enumerate() {
+        for (seed, (overload_multiple, overload_window_ms)) in
+            [(4.0, 1500.0), (2.0, 2000.0)].into_iter().enumerate()
+        {
             let rate = busy * BEARS * f64::from(2 * stay);
-            let release = Release { gateways, seed: seed as u64 + 5, rate, fall_multiple, fall_ms, stay };
+            let release = Release {
+                gateways,
+                seed: seed as u64 + 5,
+                rate,
+                overload_multiple,
+                overload_window_ms,
+                stay,
+            };
             let (sent, allowed, all) = release.play();
             assert!(sent as f64 <= allowed, "{rate} a second: {sent} sent where {allowed} are allowed");
             assert!(all > 500, "cold backends are used: {all}");
@@ -195,7 +211,14 @@
 fn gateways_that_keep_to_a_subset_push_no_cold_backend_over() {
     let play = |busy: f64, gateways| {
         let rate = busy * BEARS * 260.0;
-        let release = Release { gateways, seed: 9, rate, fall_multiple: 2.0, fall_ms: 2000.0, stay: 130 };
+        let release = Release {
+            gateways,
+            seed: 9,
+            rate,
+            overload_multiple: 2.0,
+            overload_window_ms: 2000.0,
+            stay: 130,
+        };
         let (sent, allowed, all) = release.play();
         assert!(sent as f64 <= allowed, "{rate} a second: {sent} sent where {allowed} are allowed");
         assert!(all > 500, "cold backends are used: {all}");
@@ -237,12 +260,12 @@
 #[test]
 fn quotas_hold_over_the_fleet_on_a_quiet_day() {
     let mut s = settings();
-    (s.gateways, s.plans[0].rate, s.plans[0].burst) = (40, 4.0, 12.0);
+    (s.gateway_count, s.plans[0].rate, s.plans[0].burst) = (40, 4.0, 12.0);
     let start = 100_000.0;
-    let mut rigs: Vec<_> = (0..s.gateways).map(|number| instance(&s, number, start)).collect();
-    let backends: Vec<_> = (1..=40).map(|id| listed(id, 0, State::Ready)).collect();
+    let mut rigs: Vec<_> = (0..s.gateway_count).map(|number| instance(&s, number, start)).collect();
+    let backends: Vec<_> = (1..=40).map(|id| listed(id, 0, EndpointState::Ready)).collect();
     for rig in &mut rigs {
-        rig.event(Event::List { full: true, entries: backends.clone() });
+        rig.event(Event::EndpointUpdate { complete: true, endpoints: backends.clone() });
     }
     let customers = 60;
     // The truth: each customer's store, as the quota has it.
@@ -261,7 +284,7 @@
             let rig = &mut rigs[(customer * 3 + rng.usize(..4)) % 40];
             rig.now = now;
             let number = id * customers as u64 + customer as u64;
-            let asked = Request { spread: 4.0, ..request(number, customer as u64) };
+            let asked = Request { gateway_set_size: 4.0, ..request(number, customer as u64) };
             let actions = rig.event(Event::Request(asked));
             let actions = shared.answer(rig, actions);
             *store = (*store + (now - *at) / 1000.0 * 4.0).min(12.0);
@@ -276,7 +299,7 @@
                     } else {
                         beyond += 1;
                     }
-                    rig.outcome(number, 0, backend, Result::Ok, Some(1.0));
+                    rig.outcome(number, 0, backend, Outcome::Success, Some(1.0));
                 }
                 None => refused += u32::from(fits && !heavy),
             }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -11,14 +11,14 @@
     let (name, amount) = count(&actions).expect("a charge");
     assert!(amount > 0.0);
     assert_eq!(sent(&actions), None, "held until the counter answers");
-    assert!(sent(&rig.counted(name, Result::Ok, amount)).is_some());
+    assert!(sent(&rig.counted(name, Outcome::Success, amount)).is_some());
 }
 
 #[test]
 fn past_the_limit_it_is_refused_with_advice_and_carried_back() {
     let mut rig = Rig::new(settings());
     let (name, amount) = count(&rig.request(1, 0, 3.0)).unwrap();
-    let actions = rig.counted(name, Result::Ok, amount / 3.0 * 14.0);
+    let actions = rig.counted(name, Outcome::Success, amount / 3.0 * 14.0);
     let wait = refused(&actions).expect("others used 11 of the 10 and a quarter more");
     assert!(wait > 200.0 && wait <= 1000.0, "about 1.5 units short at 2 units a second: {wait}");
     // Others see the room that is there: the refused charge goes back at once while the counter is well.
@@ -52,8 +52,8 @@
 fn true_units_settle_on_the_next_charge() {
     let mut rig = Rig::new(settings());
     let (name, first) = count(&rig.request(1, 0, 3.0)).unwrap();
-    let backend = sent(&rig.counted(name, Result::Ok, first)).unwrap();
-    rig.outcome(1, 0, backend, Result::Ok, Some(5.0));
+    let backend = sent(&rig.counted(name, Outcome::Success, first)).unwrap();
+    rig.outcome(1, 0, backend, Outcome::Success, Some(5.0));
     let (_, amount) = count(&rig.request(2, 0, 1.0)).unwrap();
     assert!((amount / first - 1.0).abs() < 1e-6, "1 and the 2 that were missing");
 }
@@ -62,8 +62,8 @@
 fn what_rides_on_the_next_charge_fades_like_any_use() {
     let mut rig = Rig::new(settings());
     let (name, first) = count(&rig.request(1, 0, 1.0)).unwrap();
-    let backend = sent(&rig.counted(name, Result::Ok, first)).unwrap();
-    rig.outcome(1, 0, backend, Result::Ok, Some(5.0));
+    let backend = sent(&rig.counted(name, Outcome::Success, first)).unwrap();
+    rig.outcome(1, 0, backend, Outcome::Success, Some(5.0));
     rig.now += 40_000.0;
     let (_, with) = count(&rig.request(2, 0, 1.0)).unwrap();
     let mut fresh = Rig::new(settings());
@@ -78,7 +78,7 @@
     let mut let_in = 0;
     for id in 1..=10 {
         let mut actions = rig.request(id, 0, 2.0);
-        actions.extend(rig.event(Event::Timer { token: (1 << 60) | id }));
+        actions.extend(rig.event(Event::TimerFired { token: (1 << 60) | id }));
         let_in += usize::from(sent(&actions).is_some());
     }
     assert_eq!(let_in, 5, "10 units in the store, 2 a request");
@@ -89,9 +89,12 @@
     // Found at size: after each miss a gateway was back within two calls, and one call in five was turned away.
     let mut rigs: Vec<_> = (0..100u32)
         .map(|position| {
-            let settings = Settings { gateways: 100, position, ..settings() };
+            let settings = Settings { gateway_count: 100, gateway_index: position, ..settings() };
             let mut rig = Rig { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
-            rig.event(Event::List { full: true, entries: vec![listed(1, 0, State::Ready)] });
+            rig.event(Event::EndpointUpdate {
+                complete: true,
+                endpoints: vec![listed(1, 0, EndpointState::Ready)],
+            });
             rig
         })
         .collect();
@@ -108,11 +111,11 @@
             let full = room < 1.0;
             room -= if full { 0.0 } else { 1.0 };
             (calls, turned) = (calls + usize::from(id > 6000), turned + usize::from(full && id > 6000));
-            let result = if full { Result::Full } else { Result::Ok };
+            let result = if full { Outcome::Rejected } else { Outcome::Success };
             actions.extend(rig.counted(name, result, amount));
         }
         let backend = sent(&actions).expect("none is beyond its quota");
-        rig.outcome(id, 0, backend, Result::Ok, None);
+        rig.outcome(id, 0, backend, Outcome::Success, None);
     }
     assert!(calls > 5000, "they use what it bears: {calls}");
     assert!(turned * 100 < calls * 12, "{turned} of {calls} calls found no room");
@@ -122,7 +125,7 @@
 fn a_charge_that_was_turned_away_rides_on_the_next() {
     let mut rig = Rig::new(settings());
     let (name, first) = count(&rig.request(1, 0, 2.0)).unwrap();
-    assert!(sent(&rig.counted(name, Result::Full, 0.0)).is_some());
+    assert!(sent(&rig.counted(name, Outcome::Rejected, 0.0)).is_some());
     let (_, amount) = count(&rig.request(2, 0, 1.0)).unwrap();
     assert!((amount / first - 1.5).abs() < 1e-6);
 }
@@ -134,19 +137,19 @@
     for id in 1..=3 {
         let (name, amount) = count(&rig.request(id, 0, 3.0)).unwrap();
         total += amount;
-        let backend = sent(&rig.counted(name, Result::Ok, total)).unwrap();
-        rig.outcome(id, 0, backend, Result::Ok, Some(3.0));
+        let backend = sent(&rig.counted(name, Outcome::Success, total)).unwrap();
+        rig.outcome(id, 0, backend, Outcome::Success, Some(3.0));
     }
     // 9 of 10 used, then the count is back at nought: 3 more do not fit.
     assert!(refused(&rig.request(4, 0, 3.0)).is_some());
     rig.now += 1100.0;
     let (name, amount) = count(&rig.request(5, 0, 3.0)).unwrap();
-    assert!(sent(&rig.counted(name, Result::Ok, amount)).is_some());
+    assert!(sent(&rig.counted(name, Outcome::Success, amount)).is_some());
     assert!(refused(&rig.request(6, 0, 1.0)).is_some());
 }
 
 /// Requests of many customers in one second, each call answered alike; the calls that were made.
-fn calls_in_a_second(rig: &mut Rig, first: u64, result: Result) -> usize {
+fn calls_in_a_second(rig: &mut Rig, first: u64, result: Outcome) -> usize {
     let mut calls = 0;
     for id in first..first + 100 {
         rig.now += 10.0;
@@ -163,24 +166,24 @@
 fn a_crowded_counter_is_called_less_by_the_gateway_as_a_whole_and_trusted_again() {
     // Found at size: calls were spaced by customer, of whom each came once; nearly all went unanswered.
     let mut rig = Rig::new(settings());
-    let well = calls_in_a_second(&mut rig, 1, Result::Ok);
-    calls_in_a_second(&mut rig, 1000, Result::Full);
-    let crowded = calls_in_a_second(&mut rig, 2000, Result::Full);
+    let well = calls_in_a_second(&mut rig, 1, Outcome::Success);
+    calls_in_a_second(&mut rig, 1000, Outcome::Rejected);
+    let crowded = calls_in_a_second(&mut rig, 2000, Outcome::Rejected);
     assert!(crowded * 10 <= well, "{crowded} calls of {well}");
     assert!(crowded >= 1, "it is still tried");
     for k in 3..13 {
-        calls_in_a_second(&mut rig, k * 1000, Result::Ok);
+        calls_in_a_second(&mut rig, k * 1000, Outcome::Success);
     }
-    let again = calls_in_a_second(&mut rig, 20_000, Result::Ok);
+    let again = calls_in_a_second(&mut rig, 20_000, Outcome::Success);
     assert!(again * 2 >= well, "{again} calls of {well}");
 }
 
 /// One of two gateways, whose counter has no room.
 fn short(position: u32) -> Rig {
     let mut s = settings();
-    (s.position, s.limits.peers) = (position, true);
+    (s.gateway_index, s.limits.gossip) = (position, true);
     let mut rig = Rig::new(s);
-    calls_in_a_second(&mut rig, 1000, Result::Full);
+    calls_in_a_second(&mut rig, 1000, Outcome::Rejected);
     rig
 }
 
@@ -188,17 +191,17 @@
 fn uncounted(rig: &mut Rig, id: u64, units: f64) -> bool {
     let mut actions = rig.request(id, 0, units);
     while let Some((name, _)) = count(&actions) {
-        let further = rig.counted(name, Result::Full, 0.0);
-        actions.retain(|a| !matches!(a, Action::Count { .. }));
+        let further = rig.counted(name, Outcome::Rejected, 0.0);
+        actions.retain(|a| !matches!(a, Action::AddToCounter { .. }));
         actions.extend(further);
     }
     sent(&actions).is_some()
 }
 
 fn told(rig: &mut Rig) -> Vec<u8> {
-    let told = rig.event(Event::Timer { token: 1 << 61 }).into_iter();
+    let told = rig.event(Event::TimerFired { token: 1 << 61 }).into_iter();
     let mut told = told.filter_map(|a| match a {
-        Action::Tell { to: u32::MAX, body } => Some(body),
+        Action::Gossip { to: u32::MAX, body } => Some(body),
         _ => None,
     });
     told.next().expect("a message for all")
@@ -213,7 +216,7 @@
     assert!(!uncounted(&mut one, 5005, 1.0));
     let body = told(&mut one);
     assert!(body.len() <= 256);
-    two.event(Event::Message { from: 0, body });
+    two.event(Event::Gossip { from: 0, body });
     assert!(!uncounted(&mut two, 5000, 1.0), "the other gateway used them");
     two.now += 1000.0;
     assert!(uncounted(&mut two, 5001, 2.0), "2 were refilled since");
@@ -234,16 +237,16 @@
     for body in
         [vec![], body[..7].to_vec(), [body.clone(), vec![0; 400]].concat(), changed(0, 9), changed(7, 200)]
     {
-        assert!(two.event(Event::Message { from: 0, body }).is_empty());
+        assert!(two.event(Event::Gossip { from: 0, body }).is_empty());
     }
     for from in [1, 2] {
-        two.event(Event::Message { from, body: body.clone() });
+        two.event(Event::Gossip { from, body: body.clone() });
     }
     assert!(uncounted(&mut two, 5000, 3.0), "nothing of it was taken for a use");
 }
 
 /// Plays `rounds` requests, one a second, each backend answering as told; the backends asked first.
-fn play(rig: &mut Rig, rounds: u64, ends: impl Fn(u64, u32) -> Result) -> Vec<u32> {
+fn play(rig: &mut Rig, rounds: u64, ends: impl Fn(u64, u32) -> Outcome) -> Vec<u32> {
     let mut shared = Shared::default();
     let mut asked = Vec::new();
     for id in 1..=rounds {
@@ -259,10 +262,11 @@
 #[test]
 fn answers_spoilt_by_all_alike_put_no_backend_out_and_one_that_spoils_all_is() {
     let mut rig = Rig::new(settings());
-    let asked = play(&mut rig, 60, |id, _| if id % 3 == 0 { Result::Reset } else { Result::Ok });
+    let asked =
+        play(&mut rig, 60, |id, _| if id % 3 == 0 { Outcome::ConnectionReset } else { Outcome::Success });
     assert!((1..=3).all(|b| asked[30..].iter().filter(|a| **a == b).count() > 3), "{asked:?}");
     let mut rig = Rig::new(settings());
-    let asked = play(&mut rig, 90, |_, b| if b == 2 { Result::Reset } else { Result::Ok });
+    let asked = play(&mut rig, 90, |_, b| if b == 2 { Outcome::ConnectionReset } else { Outcome::Success });
     assert!(asked[45..].iter().filter(|a| **a == 2).count() < 6, "{asked:?}");
     assert!(asked[45..].iter().filter(|a| **a == 1).count() > 10, "{asked:?}");
 }
@@ -279,15 +283,15 @@
         if id % 2 == 0 {
             // The client leaves while the counter is asked.
             assert!(count(&actions).is_some() && sent(&actions).is_none(), "{id}: {actions:?}");
-            rig.event(Event::Gone { id });
+            rig.event(Event::ClientDisconnected { id });
             assert!(sent(&shared.answer(&mut rig, actions)).is_none(), "{id} is sent for nobody");
             continue;
         }
         // The attempt is dropped before its first byte.
         let actions = shared.answer(&mut rig, actions);
         let backend = sent(&actions).unwrap_or_else(|| panic!("{id}: {actions:?}"));
-        rig.event(Event::Gone { id });
-        rig.outcome(id, 0, backend, Result::Moot, None);
+        rig.event(Event::ClientDisconnected { id });
+        rig.outcome(id, 0, backend, Outcome::NotSent, None);
     }
     // The whole burst is there at last, and no more.
     let mut served = 0;
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -25,7 +25,7 @@
     settings: Settings,
     now: f64,
     asked: BTreeMap<u64, Asked>,
-    states: BTreeMap<u32, State>,
+    states: BTreeMap<u32, EndpointState>,
     counts: Vec<(u64, f64)>,
     timers: Vec<(f64, u64)>,
 }
@@ -41,19 +41,25 @@
 
     fn check(&mut self, action: Action) {
         match action {
-            Action::Send { id, backend, timeout_ms } => {
-                assert_eq!(self.states.get(&backend), Some(&State::Ready), "sent to a backend not ready");
+            Action::SendAttempt { id, endpoint: backend, timeout_ms } => {
+                assert_eq!(
+                    self.states.get(&backend),
+                    Some(&EndpointState::Ready),
+                    "sent to a backend not ready"
+                );
                 let asked = self.asked.get_mut(&id).expect("a known request");
                 assert!(!asked.answered, "sent after the final answer");
                 assert!(timeout_ms > 0.0 && self.now + timeout_ms <= asked.ends + 1e-6);
                 assert!((asked.attempts.len() as u32) < self.settings.limits.max_attempts);
-                let second = self.settings.limits.second_copies;
+                let second = self.settings.limits.hedging;
                 assert!(second || asked.attempts.iter().all(|a| !a.live), "two attempts out at once");
                 let earlier: Vec<_> = asked.attempts.iter().filter(|a| a.ran || a.live).collect();
-                match self.settings.classes[asked.class].effect {
-                    Effect::Safe => {}
-                    Effect::Unsafe => assert!(earlier.is_empty(), "an unsafe request may run twice"),
-                    Effect::Keyed { window_ms, .. } => {
+                match self.settings.classes[asked.class].idempotency {
+                    Idempotency::Idempotent => {}
+                    Idempotency::NotIdempotent => {
+                        assert!(earlier.is_empty(), "an unsafe request may run twice")
+                    }
+                    Idempotency::WithKey { window_ms, .. } => {
                         for a in earlier {
                             assert_eq!(a.backend % 2, backend % 2, "a keyed repeat outside its zone");
                             assert!(self.now - a.sent < window_ms, "a keyed repeat outside its window");
@@ -63,10 +69,10 @@
                 let ends = self.now + timeout_ms;
                 asked.attempts.push(Out { backend, sent: self.now, ends, live: true, ran: false });
             }
-            Action::Refuse { id, .. } => {
+            Action::Reject { id, .. } => {
                 let asked = self.asked.get_mut(&id).expect("a known request");
                 assert!(!std::mem::replace(&mut asked.answered, true), "answered twice");
-                let safe = self.settings.classes[asked.class].effect == Effect::Safe;
+                let safe = self.settings.classes[asked.class].idempotency == Idempotency::Idempotent;
                 assert!(
                     safe || asked.attempts.iter().all(|a| !a.live && !a.ran),
                     "refused what may have run"
@@ -76,22 +82,33 @@
                 let asked = self.asked.get_mut(&id).expect("a known request");
                 assert!(!std::mem::replace(&mut asked.answered, true), "answered twice");
             }
-            Action::Count { name, amount, .. } => self.counts.push((name, amount)),
-            Action::Timer { token, after_ms } => self.timers.push((self.now + after_ms, token)),
-            Action::Cancel { id, attempt } => assert!((attempt as usize) < self.asked[&id].attempts.len()),
+            Action::AddToCounter { key: name, amount, .. } => self.counts.push((name, amount)),
+            Action::SetTimer { token, after_ms } => self.timers.push((self.now + after_ms, token)),
+            Action::CancelAttempt { id, attempt } => {
+                assert!((attempt as usize) < self.asked[&id].attempts.len())
+            }
             _ => {}
         }
     }
 
-    fn outcome(&mut self, id: u64, attempt: usize, result: Result) {
+    fn outcome(&mut self, id: u64, attempt: usize, result: Outcome) {
         let asked = self.asked.get_mut(&id).unwrap();
         let out = &mut asked.attempts[attempt];
-        (out.live, out.ran) = (false, !result.never_ran());
-        let (backend, took_ms) = (out.backend, self.now - out.sent);
-        asked.answered |= result == Result::Ok;
-        let (ended, units, load) = (asked.answered, Some(2.0), Load::default());
+        (out.live, out.ran) = (false, !result.never_executed());
+        let (backend, elapsed_ms) = (out.backend, self.now - out.sent);
+        asked.answered |= result == Outcome::Success;
+        let (ended, units, load) = (asked.answered, Some(2.0), LoadReport::default());
         let attempt = attempt as u8;
-        self.event(Event::Outcome(Outcome { id, attempt, backend, result, ended, units, took_ms, load }));
+        self.event(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt,
+            endpoint: backend,
+            outcome: result,
+            request_answered: ended,
+            actual_units: units,
+            elapsed_ms,
+            load,
+        }));
     }
 
     /// Brings the clock on: timers ring, time-outs fall due.
@@ -102,14 +119,14 @@
         self.timers = later;
         let due: Vec<(f64, u64)> = due;
         for (_, token) in due {
-            self.event(Event::Timer { token });
+            self.event(Event::TimerFired { token });
         }
         let ids: Vec<_> = self.asked.keys().copied().collect();
         for id in ids {
             for attempt in 0..self.asked[&id].attempts.len() {
                 let out = &self.asked[&id].attempts[attempt];
                 if out.live && out.ends <= now {
-                    self.outcome(id, attempt, Result::Timeout);
+                    self.outcome(id, attempt, Outcome::Timeout);
                 }
             }
             let asked = &self.asked[&id];
@@ -120,49 +137,57 @@
     }
 }
 
-fn run(seed: u64, second_copies: bool) {
+fn run(seed: u64, hedging: bool) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut settings = settings();
-    settings.limits.second_copies = second_copies;
-    settings.plans[0].max_out = 8;
-    settings.limits.peers = true;
+    settings.limits.hedging = hedging;
+    settings.plans[0].max_concurrency = 8;
+    settings.limits.gossip = true;
     let mut w = World {
         gateway: Gateway::new(settings.clone(), seed, 0.0),
         settings,
         now: 0.0,
         asked: BTreeMap::new(),
-        states: (1..=6).map(|id| (id, State::Ready)).collect(),
+        states: (1..=6).map(|id| (id, EndpointState::Ready)).collect(),
         counts: Vec::new(),
         timers: Vec::new(),
     };
-    let entry = |id: u32, state, started| Listed {
+    let entry = |id: u32, state, started| Endpoint {
         id,
-        key: id.into(),
+        hash_key: id.into(),
         zone: id % 2,
         kind: 0,
         cell: id,
         state,
-        size: 1.0,
-        started,
+        weight: 1.0,
+        started_at: started,
     };
-    w.event(Event::List { full: true, entries: (1..=6).map(|id| entry(id, State::Ready, 0.0)).collect() });
+    w.event(Event::EndpointUpdate {
+        complete: true,
+        endpoints: (1..=6).map(|id| entry(id, EndpointState::Ready, 0.0)).collect(),
+    });
     for id in 1..4000 {
         w.pass(rng.f64() * 8.0);
         let odd = [-1.0, f64::NAN, f64::INFINITY, 1e300, 3.0][rng.usize(0..5)];
         match rng.u32(0..20) {
             0 => {
-                let load = Load { queue: Some(odd), service_ms: Some(odd), ..Load::default() };
-                let result = [Result::Ok, Result::Timeout, Result::ConnectFailed][rng.usize(0..3)];
-                w.event(Event::Probed { backend: rng.u32(0..9), result, took_ms: odd, load });
+                let load = LoadReport { queued: Some(odd), service_ms: Some(odd), ..LoadReport::default() };
+                let result = [Outcome::Success, Outcome::Timeout, Outcome::ConnectFailed][rng.usize(0..3)];
+                w.event(Event::HealthCheckEnded {
+                    endpoint: rng.u32(0..9),
+                    outcome: result,
+                    elapsed_ms: odd,
+                    load,
+                });
             }
             1 => {
                 let body = (0..rng.usize(0..30)).map(|_| rng.u8(0..3)).collect();
-                w.event(Event::Message { from: rng.u32(0..4), body });
+                w.event(Event::Gossip { from: rng.u32(0..4), body });
             }
             2 => {
                 let (customer, units) = (rng.u64(0..20).to_le_bytes(), rng.i16(-300..900).to_le_bytes());
                 let body = [&[2, rng.u8(0..2)], &customer[..5], &[rng.u8(0..3)], &units].concat();
-                w.event(Event::Message { from: rng.u32(0..4), body });
+                w.event(Event::Gossip { from: rng.u32(0..4), body });
             }
             _ => {}
         }
@@ -177,9 +202,9 @@
                     plan: 0,
                     class: class as u32,
                     units: rng.f64() * 3.0,
-                    budget_ms,
-                    spread: 2.0,
-                    repeat: rng.bool(),
+                    timeout_ms: budget_ms,
+                    gateway_set_size: 2.0,
+                    is_retry: rng.bool(),
                 }));
             }
             4..=7 => {
@@ -190,31 +215,45 @@
                 if !live.is_empty() {
                     let (id, attempt) = live[rng.usize(0..live.len())];
                     let all = [
-                        Result::Ok,
-                        Result::Ok,
-                        Result::Ok,
-                        Result::Error,
-                        Result::Full,
-                        Result::ConnectFailed,
-                        Result::Reset,
-                        Result::Cancelled,
+                        Outcome::Success,
+                        Outcome::Success,
+                        Outcome::Success,
+                        Outcome::ErrorResponse,
+                        Outcome::Rejected,
+                        Outcome::ConnectFailed,
+                        Outcome::ConnectionReset,
+                        Outcome::Cancelled,
                     ];
                     w.outcome(id, attempt, all[rng.usize(0..all.len())]);
                 }
             }
             8 => {
                 while let Some((name, amount)) = (!w.counts.is_empty()).then(|| w.counts.remove(0)) {
-                    let result = [Result::Ok, Result::Ok, Result::Timeout, Result::Full][rng.usize(0..4)];
+                    let result = [Outcome::Success, Outcome::Success, Outcome::Timeout, Outcome::Rejected]
+                        [rng.usize(0..4)];
                     let total = amount + rng.f64() * 12.0;
-                    w.event(Event::Counted { name, result, total, took_ms: rng.f64() * 60.0 });
+                    w.event(Event::CounterReply {
+                        key: name,
+                        outcome: result,
+                        total,
+                        elapsed_ms: rng.f64() * 60.0,
+                    });
                 }
             }
             _ => {
                 let id = rng.u32(1..=6);
-                let state = [State::Ready, State::Ready, State::Draining, State::Gone][rng.usize(0..4)];
+                let state = [
+                    EndpointState::Ready,
+                    EndpointState::Ready,
+                    EndpointState::Draining,
+                    EndpointState::Removed,
+                ][rng.usize(0..4)];
                 let started = if rng.bool() { w.now } else { 0.0 };
                 w.states.insert(id, state);
-                w.event(Event::List { full: false, entries: vec![entry(id, state, started)] });
+                w.event(Event::EndpointUpdate {
+                    complete: false,
+                    endpoints: vec![entry(id, state, started)],
+                });
             }
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -19,9 +19,9 @@
     let mut rig = Rig::new(open_settings());
     let backend = sent(&rig.request(1, 2, 1.0)).unwrap();
     rig.now += LATEST;
-    let actions = rig.outcome(1, 0, backend, Result::Timeout, None);
+    let actions = rig.outcome(1, 0, backend, Outcome::Timeout, None);
     assert!(failed(&actions), "an unsafe request that may have run is failed, not refused: {actions:?}");
-    let actions = rig.outcome(1, 0, backend, Result::Ok, None);
+    let actions = rig.outcome(1, 0, backend, Outcome::Success, None);
     assert!(actions.is_empty(), "nothing follows a final answer: {actions:?}");
 }
 
@@ -30,18 +30,20 @@
     let mut rig = Rig::new(settings());
     let actions = rig.request(1, 0, 1.0);
     let wait = actions.iter().find_map(|a| match a {
-        Action::Timer { token, after_ms } if *token != 0 => Some((*token, *after_ms)),
+        Action::SetTimer { token, after_ms } if *token != 0 => Some((*token, *after_ms)),
         _ => None,
     });
     let (token, after_ms) = wait.expect("a bounded wait");
     assert!(after_ms <= 50.0);
     rig.now += after_ms;
-    assert!(sent(&rig.event(Event::Timer { token })).is_some());
+    assert!(sent(&rig.event(Event::TimerFired { token })).is_some());
 }
 
 #[test]
 fn an_unsafe_request_goes_out_again_only_if_it_never_ran() {
-    for (result, again) in [(Result::Full, true), (Result::ConnectFailed, true), (Result::Reset, false)] {
+    for (result, again) in
+        [(Outcome::Rejected, true), (Outcome::ConnectFailed, true), (Outcome::ConnectionReset, false)]
+    {
         let mut rig = Rig::new(open_settings());
         let backend = sent(&rig.request(1, 2, 1.0)).unwrap();
         let actions = rig.outcome(1, 0, backend, result, None);
@@ -56,7 +58,7 @@
         let mut rig = Rig::new(open_settings());
         let first = sent(&rig.request(1, 1, 1.0)).unwrap();
         rig.now += after;
-        let actions = rig.outcome(1, 0, first, Result::Reset, None);
+        let actions = rig.outcome(1, 0, first, Outcome::ConnectionReset, None);
         let zone = |id| if id == 3 { 1 } else { 0 };
         assert_eq!(sent(&actions).map(zone), again.then_some(zone(first)));
         assert!(again || failed(&actions), "a refusal would promise too much: {actions:?}");
@@ -66,13 +68,13 @@
 #[test]
 fn nothing_goes_to_a_draining_or_gone_backend() {
     let mut rig = Rig::new(open_settings());
-    let entries = vec![listed(1, 0, State::Draining), listed(2, 0, State::Gone)];
-    rig.event(Event::List { full: false, entries });
+    let entries = vec![listed(1, 0, EndpointState::Draining), listed(2, 0, EndpointState::Removed)];
+    rig.event(Event::EndpointUpdate { complete: false, endpoints: entries });
     for id in 1..20 {
         let backend = sent(&rig.request(id, 0, 1.0));
         assert!(backend.is_none() || backend == Some(3));
     }
-    rig.event(Event::List { full: true, entries: vec![] });
+    rig.event(Event::EndpointUpdate { complete: true, endpoints: vec![] });
     assert!(refused(&rig.request(99, 0, 1.0)).is_some(), "no backend is left");
 }
 
@@ -80,16 +82,16 @@
 fn a_cold_backend_gets_no_more_than_is_surely_warm() {
     let mut rig = Rig::new(open_settings());
     rig.now += 60_000.0;
-    let mut fresh = listed(4, 0, State::Ready);
-    fresh.started = rig.now;
-    rig.event(Event::List { full: false, entries: vec![fresh] });
+    let mut fresh = listed(4, 0, EndpointState::Ready);
+    fresh.started_at = rig.now;
+    rig.event(Event::EndpointUpdate { complete: false, endpoints: vec![fresh] });
     let mut to_cold = 0;
     // 100 requests a second for one second, each answered at once; a warm backend gets about 25.
     for id in 1..=100 {
         rig.now += 10.0;
         if let Some(backend) = sent(&rig.request(id, 0, 1.0)) {
             to_cold += usize::from(backend == 4);
-            rig.outcome(id, 0, backend, Result::Ok, None);
+            rig.outcome(id, 0, backend, Outcome::Success, None);
         }
     }
     assert!(to_cold <= 9, "{to_cold} of 100 to a backend at a quarter of its capacity");
@@ -110,7 +112,7 @@
         rig.now += 10.0;
         if let Some(backend) = sent(&rig.request(id, 0, 2.0)) {
             units += 2.0;
-            rig.outcome(id, 0, backend, Result::Ok, None);
+            rig.outcome(id, 0, backend, Outcome::Success, None);
         }
     }
     units
@@ -131,7 +133,7 @@
 #[test]
 fn what_others_tell_does_not_lift_the_share_of_a_ceiling() {
     let mut s = ceiling_settings();
-    (s.gateways, s.limits.peers) = (10, true);
+    (s.gateway_count, s.limits.gossip) = (10, true);
     let mut rig = Rig::new(s);
     rig.now += 60_000.0;
     let none = [vec![2, 0], 7u64.to_le_bytes()[..5].to_vec(), vec![0; 3]].concat();
@@ -140,7 +142,7 @@
     for id in (1..1000).step_by(2) {
         units += press(&mut rig, id..id + 1);
         rig.now += 10.0;
-        rig.event(Event::Message { from: 3, body: none.clone() });
+        rig.event(Event::Gossip { from: 3, body: none.clone() });
     }
     assert!(units <= 42.0, "half of 40 units and of 4 a second for 10 s: {units}");
 }
@@ -154,17 +156,17 @@
         let actions = rig.request(id, 0, 1.0);
         let backend = sent(&actions).unwrap_or_else(|| panic!("request {id} is refused: {actions:?}"));
         rig.now += 1900.0;
-        let slow = Outcome {
+        let slow = AttemptEnd {
             id,
             attempt: 0,
-            backend,
-            result: Result::Ok,
-            ended: true,
-            units: None,
-            took_ms: 1900.0,
-            load: Load::default(),
+            endpoint: backend,
+            outcome: Outcome::Success,
+            request_answered: true,
+            actual_units: None,
+            elapsed_ms: 1900.0,
+            load: LoadReport::default(),
         };
-        rig.event(Event::Outcome(slow));
+        rig.event(Event::AttemptEnded(slow));
     }
     for id in 300..305 {
         sent(&rig.request(id, 0, 1.0)).expect("the least work is let in");
@@ -175,11 +177,11 @@
 #[test]
 fn one_attempt_that_hangs_does_not_make_a_quiet_gateway_refuse() {
     // Found at size: with two requests a second an average over time is moved most by the one that hangs.
-    let mut rig = Rig::new(Settings { gateways: 200, ..open_settings() });
+    let mut rig = Rig::new(Settings { gateway_count: 200, ..open_settings() });
     for id in 1..=20 {
         let backend = sent(&rig.request(id, 0, 1.0)).unwrap();
         rig.now += 50.0;
-        rig.outcome(id, 0, backend, Result::Ok, None);
+        rig.outcome(id, 0, backend, Outcome::Success, None);
         rig.now += 350.0;
     }
     sent(&rig.request(21, 0, 1.0)).unwrap();
@@ -191,17 +193,17 @@
 fn a_slow_attempt_is_neither_copied_nor_withdrawn() {
     // Found at size: a backend met once in tens of seconds has answered nothing since, so all slow ones
     // looked stuck, and copies filled a pressed fleet.
-    for second_copies in [false, true] {
+    for hedging in [false, true] {
         let mut s = open_settings();
-        s.limits.second_copies = second_copies;
+        s.limits.hedging = hedging;
         let mut rig = Rig::new(s);
         let actions = rig.request(1, 0, 1.0);
         for action in actions {
-            if let Action::Timer { token, after_ms } = action {
+            if let Action::SetTimer { token, after_ms } = action {
                 rig.now += after_ms;
-                let after = rig.event(Event::Timer { token });
+                let after = rig.event(Event::TimerFired { token });
                 assert!(sent(&after).is_none());
-                assert!(!after.iter().any(|a| matches!(a, Action::Cancel { .. })));
+                assert!(!after.iter().any(|a| matches!(a, Action::CancelAttempt { .. })));
             }
         }
     }
@@ -213,14 +215,17 @@
     let mut s = open_settings();
     s.plans.push(s.plans[0]);
     let mut rig = Rig::new(s);
-    rig.event(Event::List { full: false, entries: vec![listed(3, 1, State::Gone)] });
+    rig.event(Event::EndpointUpdate {
+        complete: false,
+        endpoints: vec![listed(3, 1, EndpointState::Removed)],
+    });
     let ask = |rig: &mut Rig, id, plan| {
         sent(&rig.event(Event::Request(Request { plan, ..request(id, id) }))).expect("sent")
     };
     let shut = ask(&mut rig, 1, 0);
-    let other = sent(&rig.outcome(1, 0, shut, Result::Full, None)).expect("tried elsewhere");
+    let other = sent(&rig.outcome(1, 0, shut, Outcome::Rejected, None)).expect("tried elsewhere");
     assert_ne!(shut, other);
-    rig.outcome(1, 1, other, Result::Ok, None);
+    rig.outcome(1, 1, other, Outcome::Success, None);
     let mut seen = Vec::new();
     for id in 2..=12 {
         rig.now += 400.0;
@@ -228,7 +233,7 @@
         assert_eq!(backends[0], other, "plan 0 went back");
         seen.push(backends[1]);
         for (plan, backend) in backends.into_iter().enumerate() {
-            rig.outcome(id * 10 + plan as u64, 0, backend, Result::Ok, None);
+            rig.outcome(id * 10 + plan as u64, 0, backend, Outcome::Success, None);
         }
     }
     assert!(seen.contains(&shut), "it has room for plan 1");
@@ -239,19 +244,19 @@
 fn hundred_gateways(cold: usize) -> Vec<usize> {
     let mut to = vec![0; 41];
     for position in 0..100u32 {
-        let settings = Settings { gateways: 100, position, ..open_settings() };
+        let settings = Settings { gateway_count: 100, gateway_index: position, ..open_settings() };
         let mut rig = Rig { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
-        let mut entries: Vec<_> = (1..=40).map(|id| listed(id, id % 2, State::Ready)).collect();
-        rig.event(Event::List { full: true, entries: entries.clone() });
+        let mut entries: Vec<_> = (1..=40).map(|id| listed(id, id % 2, EndpointState::Ready)).collect();
+        rig.event(Event::EndpointUpdate { complete: true, endpoints: entries.clone() });
         for id in 0..50 {
             rig.now += 500.0;
             if id == 20 {
-                entries[..cold].iter_mut().for_each(|e| e.started = rig.now);
-                rig.event(Event::List { full: false, entries: entries[..cold].to_vec() });
+                entries[..cold].iter_mut().for_each(|e| e.started_at = rig.now);
+                rig.event(Event::EndpointUpdate { complete: false, endpoints: entries[..cold].to_vec() });
             }
             let backend = sent(&rig.event(Event::Request(request(id, id)))).expect("sent");
             to[backend as usize] += usize::from(id >= 20);
-            rig.outcome(id, 0, backend, Result::Ok, None);
+            rig.outcome(id, 0, backend, Outcome::Success, None);
         }
     }
     to
@@ -290,12 +295,12 @@
     let mut to = vec![0; 41];
     let mut opened = 0;
     for position in 0..100u32 {
-        let mut settings = Settings { gateways: 100, position, ..open_settings() };
+        let mut settings = Settings { gateway_count: 100, gateway_index: position, ..open_settings() };
         settings.prices.handshake = 0.08;
-        (settings.limits.idle_close_ms, settings.limits.per_connection) = (30_000.0, 1);
+        (settings.limits.idle_timeout_ms, settings.limits.requests_per_connection) = (30_000.0, 1);
         let mut rig = Rig { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
-        let entries: Vec<_> = (1..=40).map(|id| listed(id, id % 2, State::Ready)).collect();
-        rig.event(Event::List { full: true, entries });
+        let entries: Vec<_> = (1..=40).map(|id| listed(id, id % 2, EndpointState::Ready)).collect();
+        rig.event(Event::EndpointUpdate { complete: true, endpoints: entries });
         let mut known = std::collections::BTreeSet::new();
         // Two requests at a time, four a second.
         for id in (0..100).step_by(2) {
@@ -306,7 +311,7 @@
             for (id, backend) in pair {
                 to[backend as usize] += 1;
                 opened += usize::from(known.insert(backend));
-                rig.outcome(id, 0, backend, Result::Ok, None);
+                rig.outcome(id, 0, backend, Outcome::Success, None);
             }
         }
     }
@@ -317,7 +322,7 @@
 #[test]
 fn attempts_out_are_capped() {
     let mut s = open_settings();
-    s.plans[0].max_out = 2;
+    s.plans[0].max_concurrency = 2;
     let mut rig = Rig::new(s);
     assert!(sent(&rig.request(1, 0, 1.0)).is_some());
     assert!(sent(&rig.request(2, 0, 1.0)).is_some());
@@ -327,13 +332,16 @@
 #[test]
 fn odd_events_change_nothing() {
     let mut rig = Rig::new(settings());
-    assert!(rig.outcome(9, 3, 77, Result::Ok, Some(2.0)).is_empty());
-    assert!(rig.counted(12345, Result::Ok, f64::NAN).is_empty());
-    assert!(rig.event(Event::Gone { id: 4 }).is_empty());
-    rig.event(Event::List { full: false, entries: vec![listed(500, 3, State::Gone)] });
-    rig.event(Event::Timer { token: u64::MAX });
+    assert!(rig.outcome(9, 3, 77, Outcome::Success, Some(2.0)).is_empty());
+    assert!(rig.counted(12345, Outcome::Success, f64::NAN).is_empty());
+    assert!(rig.event(Event::ClientDisconnected { id: 4 }).is_empty());
+    rig.event(Event::EndpointUpdate {
+        complete: false,
+        endpoints: vec![listed(500, 3, EndpointState::Removed)],
+    });
+    rig.event(Event::TimerFired { token: u64::MAX });
     let (name, _) = count(&rig.request(1, 0, 0.0)).unwrap();
-    assert!(sent(&rig.counted(name, Result::Ok, 0.0)).is_some(), "zero units are fine");
+    assert!(sent(&rig.counted(name, Outcome::Success, 0.0)).is_some(), "zero units are fine");
     assert!(refused(&rig.request(2, 9, 1.0)).is_some(), "an unknown class is refused, not a crash");
     let actions = rig.request(3, 0, f64::NAN);
     assert!(count(&actions).is_none_or(|(_, amount)| amount.is_finite()));
@@ -342,11 +350,11 @@
 #[test]
 fn contradictory_settings_never_stall_a_request() {
     let cases: [fn(&mut Settings); 5] = [
-        |s| (s.position, s.limits.peers) = (50, true),
+        |s| (s.gateway_index, s.limits.gossip) = (50, true),
         |s| s.plans[0].burst = 1.0,
         |s| s.plans[0].rate = 0.0,
-        |s| s.classes[0].aim_ms = 9000.0,
-        |s| s.gateways = 0,
+        |s| s.classes[0].latency_objective_ms = 9000.0,
+        |s| s.gateway_count = 0,
     ];
     for (case, change) in cases.iter().enumerate() {
         let mut s = settings();
@@ -354,7 +362,7 @@
         let mut rig = Rig::new(s);
         let mut actions = rig.request(1, 0, 3.0);
         if let Some((name, amount)) = count(&actions) {
-            actions.extend(rig.counted(name, Result::Ok, amount));
+            actions.extend(rig.counted(name, Outcome::Success, amount));
         }
         assert!(sent(&actions).is_some() || refused(&actions).is_some(), "case {case}: {actions:?}");
     }
@@ -364,10 +372,10 @@
 fn a_fleet_of_one_backend_or_none_and_an_absurd_spread_are_fine() {
     for left in [1, 0] {
         let mut rig = Rig::new(open_settings());
-        let entries = [listed(1, 0, State::Ready)];
-        rig.event(Event::List { full: true, entries: entries[..left].to_vec() });
+        let entries = [listed(1, 0, EndpointState::Ready)];
+        rig.event(Event::EndpointUpdate { complete: true, endpoints: entries[..left].to_vec() });
         for (id, spread) in [(1, 1e12), (2, 0.0), (3, f64::NAN)] {
-            let actions = rig.event(Event::Request(Request { spread, ..request(id, id) }));
+            let actions = rig.event(Event::Request(Request { gateway_set_size: spread, ..request(id, id) }));
             assert_eq!(sent(&actions), (left == 1).then_some(1));
             assert_eq!(refused(&actions).is_some(), left == 0);
         }
@@ -377,21 +385,21 @@
 #[test]
 fn backends_that_leave_in_waves_get_nothing_once_it_is_told() {
     let mut rig = Rig::new(open_settings());
-    let entries: Vec<_> = (1..=9).map(|id| listed(id, id % 2, State::Ready)).collect();
-    rig.event(Event::List { full: true, entries });
+    let entries: Vec<_> = (1..=9).map(|id| listed(id, id % 2, EndpointState::Ready)).collect();
+    rig.event(Event::EndpointUpdate { complete: true, endpoints: entries });
     let mut id = 0;
     for wave in 0..4u32 {
         let gone = [wave * 2 + 1, wave * 2 + 2];
-        rig.event(Event::List {
-            full: false,
-            entries: gone.map(|id| listed(id, id % 2, State::Draining)).into(),
+        rig.event(Event::EndpointUpdate {
+            complete: false,
+            endpoints: gone.map(|id| listed(id, id % 2, EndpointState::Draining)).into(),
         });
         for _ in 0..30 {
             id += 1;
             rig.now += 20.0;
             let backend = sent(&rig.request(id, 0, 1.0)).expect("others are left");
             assert!(backend > gone[1], "{backend} is leaving");
-            rig.outcome(id, 0, backend, Result::Ok, None);
+            rig.outcome(id, 0, backend, Outcome::Success, None);
         }
     }
 }
@@ -403,18 +411,18 @@
     let mut rig = Rig::new(settings());
     let mut shared = Shared::default();
     let (name, amount) = count(&rig.event(Event::Request(request(1, 1)))).unwrap();
-    let backend = sent(&rig.counted(name, Result::Ok, amount)).unwrap();
+    let backend = sent(&rig.counted(name, Outcome::Success, amount)).unwrap();
     for id in 2..100_000 {
         rig.now += 0.1;
         let actions = rig.event(Event::Request(request(id, id)));
         let actions = shared.answer(&mut rig, actions);
         if let Some(backend) = sent(&actions) {
-            rig.outcome(id, 0, backend, Result::Ok, None);
+            rig.outcome(id, 0, backend, Outcome::Success, None);
         }
-        assert!(rig.gateway.customers() <= 16_384);
+        assert!(rig.gateway.customer_count() <= 16_384);
     }
-    assert!(rig.gateway.customers() > 1000, "but most are remembered");
-    rig.outcome(1, 0, backend, Result::Ok, Some(4.0));
+    assert!(rig.gateway.customer_count() > 1000, "but most are remembered");
+    rig.outcome(1, 0, backend, Outcome::Success, Some(4.0));
     // The three units beyond the guess ride on the customer's next charge.
     rig.now += 1000.0;
     let (_, again) = count(&rig.event(Event::Request(request(100_000, 1)))).expect("a charge");
