--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -11,27 +11,27 @@
 const ZONES: u32 = 8;
 
 /// Keys as a hash of names has them.
-fn entry(id: u32, state: State) -> Listed {
-    Listed { key: u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15), ..listed(id, id % ZONES, state) }
+fn entry(id: u32, state: EndpointState) -> Endpoint {
+    Endpoint { hash_key: u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15), ..listed(id, id % ZONES, state) }
 }
 
 fn many(settings: &Settings, backends: u32) -> Vec<Rig> {
     let rig = |position| {
-        let settings = Settings { position, ..settings.clone() };
+        let settings = Settings { gateway_index: position, ..settings.clone() };
         let mut rig = Rig { gateway: Gateway::new(settings, u64::from(position) + 1, 1000.0), now: 1000.0 };
-        let entries = (1..=backends).map(|id| entry(id, State::Ready)).collect();
-        rig.event(Event::List { full: true, entries });
+        let entries = (1..=backends).map(|id| entry(id, EndpointState::Ready)).collect();
+        rig.event(Event::EndpointUpdate { complete: true, endpoints: entries });
         rig
     };
-    (0..settings.gateways).map(rig).collect()
+    (0..settings.gateway_count).map(rig).collect()
 }
 
 fn fleet(backends: u32) -> Vec<Rig> {
-    many(&Settings { gateways: GATEWAYS, counter: None, ..settings() }, backends)
+    many(&Settings { gateway_count: GATEWAYS, counter: None, ..settings() }, backends)
 }
 
 fn members(rig: &mut Rig) -> BTreeSet<u32> {
-    rig.gateway.members().iter().copied().collect()
+    rig.gateway.subset().iter().copied().collect()
 }
 
 /// Gateways that keep to each backend: least, mean and most over those from 1 to `backends` that somebody may use.
@@ -74,9 +74,11 @@
 fn few_members_move_when_a_backend_comes_or_goes() {
     let mut rigs = fleet(BACKENDS);
     let before: Vec<_> = rigs.iter_mut().map(members).collect();
-    for (id, state) in [(7, State::Draining), (BACKENDS + 1, State::Ready), (7, State::Ready)] {
+    for (id, state) in
+        [(7, EndpointState::Draining), (BACKENDS + 1, EndpointState::Ready), (7, EndpointState::Ready)]
+    {
         for rig in &mut rigs {
-            rig.event(Event::List { full: false, entries: vec![entry(id, state)] });
+            rig.event(Event::EndpointUpdate { complete: false, endpoints: vec![entry(id, state)] });
         }
     }
     let mut owners = 0;
@@ -97,17 +99,18 @@
     let lost = |id: &u32| id % ZONES < 2;
     let change = |rigs: &mut Vec<Rig>, state| {
         let entries: Vec<_> = (1..=BACKENDS).filter(lost).map(|id| entry(id, state)).collect();
-        rigs.iter_mut()
-            .for_each(|rig| drop(rig.event(Event::List { full: false, entries: entries.clone() })));
+        rigs.iter_mut().for_each(|rig| {
+            drop(rig.event(Event::EndpointUpdate { complete: false, endpoints: entries.clone() }))
+        });
     };
-    change(&mut rigs, State::Gone);
+    change(&mut rigs, EndpointState::Removed);
     let (least, mean, most) = owners(&mut rigs, |id| !lost(&id));
     assert!(least as f64 >= mean - 1.5 && most as f64 <= mean + 1.5, "{least} to {most}, {mean} in the mean");
     for rig in &mut rigs {
         let members = members(rig);
         assert!(members.iter().all(|id| !lost(id)) && members.len() >= 200, "{}", members.len());
     }
-    change(&mut rigs, State::Ready);
+    change(&mut rigs, EndpointState::Ready);
     assert_eq!(rigs.iter_mut().map(members).collect::<Vec<_>>(), before);
 }
 
@@ -123,12 +126,12 @@
             let mut actions = rig.event(Event::Request(request(id, id)));
             let mut attempt = 0;
             while let Some(backend) = sent(&actions) {
-                let result = if bad(backend) { Result::ConnectFailed } else { Result::Ok };
+                let result = if bad(backend) { Outcome::ConnectFailed } else { Outcome::Success };
                 actions = rig.outcome(id, attempt, backend, result, None);
                 attempt += 1;
             }
             if id % 200 == 0 {
-                rig.event(Event::Timer { token: 0 });
+                rig.event(Event::TimerFired { token: 0 });
             }
         }
     };
@@ -146,18 +149,18 @@
 #[test]
 fn requests_spread_over_the_members() {
     for (gap_ms, ticks, least, most) in [(8.0, 100, 200, 320), (4000.0, 1, 1, 130)] {
-        let mut s = Settings { gateways: GATEWAYS, counter: None, ..settings() };
+        let mut s = Settings { gateway_count: GATEWAYS, counter: None, ..settings() };
         s.prices.handshake = 0.01;
-        (s.limits.idle_close_ms, s.limits.per_connection) = (30_000.0, 1);
+        (s.limits.idle_timeout_ms, s.limits.requests_per_connection) = (30_000.0, 1);
         let mut rig = many(&s, BACKENDS).remove(5);
         let kept = members(&mut rig);
         let mut used = std::collections::BTreeMap::<u32, u32>::new();
         for id in 1..=6000 {
             rig.now += gap_ms;
             let backend = sent(&rig.event(Event::Request(request(id, id)))).expect("it is sent");
-            rig.outcome(id, 0, backend, Result::Ok, None);
+            rig.outcome(id, 0, backend, Outcome::Success, None);
             if id % ticks == 0 {
-                rig.event(Event::Timer { token: 0 });
+                rig.event(Event::TimerFired { token: 0 });
             }
             if id > 5000 {
                 *used.entry(backend).or_default() += 1;
@@ -176,10 +179,10 @@
         rig.now += 20.0;
         let asked = Request { class: 1, ..request(id, id) };
         let first = sent(&rig.event(Event::Request(asked))).expect("it is sent");
-        if let Some(second) = sent(&rig.outcome(id, 0, first, Result::Error, None)) {
+        if let Some(second) = sent(&rig.outcome(id, 0, first, Outcome::ErrorResponse, None)) {
             assert_eq!(second % ZONES, first % ZONES);
             assert_ne!(second, first);
-            rig.outcome(id, 1, second, Result::Ok, None);
+            rig.outcome(id, 1, second, Outcome::Success, None);
         }
     }
 }
@@ -189,8 +192,8 @@
 fn nothing_goes_to_what_drains() {
     let mut rig = fleet(BACKENDS).remove(2);
     let drains = |id: &u32| id % 3 != 0;
-    let entries = (1..=BACKENDS).filter(drains).map(|id| entry(id, State::Draining)).collect();
-    rig.event(Event::List { full: false, entries });
+    let entries = (1..=BACKENDS).filter(drains).map(|id| entry(id, EndpointState::Draining)).collect();
+    rig.event(Event::EndpointUpdate { complete: false, endpoints: entries });
     let mut used = BTreeSet::new();
     for id in 1..=3000 {
         rig.now += 8.0;
@@ -198,10 +201,10 @@
         assert!(!drains(&backend), "{backend} drains");
         used.insert(backend);
         // One in ten turns the request away, and it goes to another one.
-        let result = if id % 10 == 0 { Result::Full } else { Result::Ok };
+        let result = if id % 10 == 0 { Outcome::Rejected } else { Outcome::Success };
         if let Some(backend) = sent(&rig.outcome(id, 0, backend, result, None)) {
             assert!(!drains(&backend), "{backend} drains");
-            rig.outcome(id, 1, backend, Result::Ok, None);
+            rig.outcome(id, 1, backend, Outcome::Success, None);
         }
     }
     assert!(used.len() > 150, "{}", used.len());
