--- a/src/message.rs
+++ b/src/gossip.rs
@@ -1,6 +1,6 @@
 //! What gateways tell each other, as bytes. Nothing here decides anything.
 
-use crate::interface::CustomerId;
+use crate::api::CustomerId;
 
 /// The form of the messages; others are ignored.
 const VERSION: u8 = 2;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,13 +28,11 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Reject { id: 2, .. })));
 //! ```
 
-mod backends;
-mod choice;
-pub mod interface;
-mod message;
-mod ring;
+pub mod api;
+mod gossip;
+mod policy;
+mod primitives;
 mod state;
-mod subset;
 
-pub use choice::Gateway;
-pub use interface::*;
+pub use api::*;
+pub use policy::gateway::Gateway;
--- a/src/choice.rs
+++ b/src/policy/gateway.rs
@@ -1,12 +1,14 @@
-//! Every decision of the gateway. Its settings, events and actions are in `src/interface.rs`.
+//! Every decision of the gateway. Its settings, events and actions are in `src/api`.
 //!
 //! The ordinary path: a request's guessed units are added to the customer's shared count before it is sent;
 //! past the limit it is refused at once; its true units settle the difference on the customer's next charge;
 //! a counter that fails lets requests through. Use fades from the count. The sections follow a request's way.
 
-use crate::backends::{Backends, EJECT_MS, USUAL_GAIN, USUAL_OF_AIM};
-use crate::interface::*;
-use crate::message::{Message, Use, USES_MOST};
+use crate::api::*;
+use crate::gossip::{Message, Use, USES_MOST};
+use crate::policy::load_balancer::{LoadBalancer, EJECT_MS, USUAL_GAIN, USUAL_OF_AIM};
+use crate::primitives::aimd::{AimdLimiter, AimdParameters, CallPriority};
+use crate::primitives::window::Window;
 use crate::state::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -31,19 +33,22 @@
 const TELL_MS: f64 = 25.0;
 /// After so many slow or failed calls in a row requests no longer wait for the counter.
 const COUNTER_MISSES: u32 = 3;
-/// Calls a second before anything is known of the counter, and the fewest, to hear of its return.
-const CALLS: (f64, f64) = (10.0, 0.2);
-/// A missed call cuts the calls a second to this share.
-const CALLS_CUT: f64 = 0.75;
-/// A good one adds so many a second and this share to them; below what was once borne, the second share. With
-/// a larger one many gateways are back at what the counter does not bear within two calls of each.
-const CALLS_MORE: (f64, f64, f64) = (0.02, 0.02, 0.04);
-/// What was once borne counts as near from this share on.
-const CALLS_NEAR: f64 = 0.9;
-/// Most calls a second: beyond any counter.
-const CALLS_MOST: f64 = 10_000.0;
-/// Calls saved up, in ms of their pace: evens out chance.
-const CALLS_SAVED_MS: f64 = 500.0;
+/// Calls to the counter: all gateways share its capacity and none knows it, so each finds its part by what fails.
+const CALL_RATE: AimdParameters = AimdParameters {
+    initial_rate: 10.0,
+    // Still hears of the counter's return.
+    min_rate: 0.2,
+    // Beyond any counter.
+    max_rate: 10_000.0,
+    decrease_factor: 0.75,
+    additive_increase: 0.02,
+    // With a larger one many gateways are back at what the counter doesn't bear within two calls of each.
+    fast_increase: 0.04,
+    slow_increase: 0.02,
+    near_share: 0.9,
+    // Evens out chance.
+    burst_ms: 500.0,
+};
 /// Time over which work in hand and answers are averaged, in ms: some dozens of requests.
 const FLOW_MS: f64 = 1500.0;
 /// Answers in that time at which these averages count half; the rest is told by single answers.
@@ -90,20 +95,13 @@
     rng: fastrand::Rng,
     started: Millis,
     ticking: bool,
-    backends: Backends,
+    load_balancer: LoadBalancer,
     customers: BTreeMap<CustomerId, Customer>,
-    requests: BTreeMap<RequestId, Open>,
-    calls: BTreeMap<u64, VecDeque<Call>>,
+    requests: BTreeMap<RequestId, OpenRequest>,
+    calls: BTreeMap<u64, VecDeque<CounterCall>>,
     /// Slow or failed calls to the counter in a row.
     misses: u32,
-    /// Calls a second that the counter bears from this gateway, those saved up and when reckoned; the pace
-    /// before the last misses, unless there were none yet.
-    calls_pace: f64,
-    calls_saved: f64,
-    calls_at: Millis,
-    calls_once: Option<f64>,
-    /// When the pace was last cut: calls made before that have had their say.
-    calls_cut: Millis,
+    call_limiter: AimdLimiter,
     /// The counter's usual time for an answer, in ms, once there was one.
     count_ms: Option<f64>,
     /// When a call last found no room at the counter, here and at any gateway.
@@ -127,22 +125,18 @@
 impl Gateway {
     /// A gateway that starts now, knowing its settings alone.
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Self {
-        let backends = Backends::new(&settings, now);
+        let load_balancer = LoadBalancer::new(&settings, now);
         Gateway {
             settings,
             rng: fastrand::Rng::with_seed(seed),
             started: now,
             ticking: false,
-            backends,
+            load_balancer,
             customers: BTreeMap::new(),
             requests: BTreeMap::new(),
             calls: BTreeMap::new(),
             misses: 0,
-            calls_pace: CALLS.0,
-            calls_saved: CALLS.0,
-            calls_at: now,
-            calls_once: None,
-            calls_cut: f64::NEG_INFINITY,
+            call_limiter: AimdLimiter::new(&CALL_RATE, now),
             count_ms: None,
             short: (f64::NEG_INFINITY, f64::NEG_INFINITY),
             uses: BTreeMap::new(),
@@ -163,9 +157,9 @@
         self.customers.len()
     }
 
-    /// Backends that it keeps to now.
+    /// LoadBalancer that it keeps to now.
     pub fn subset(&mut self) -> &[EndpointId] {
-        self.backends.members()
+        self.load_balancer.subset()
     }
 
     /// Takes in one event and appends what is to be done.
@@ -179,7 +173,7 @@
         }
         match event {
             Event::EndpointUpdate { complete: full, endpoints: entries } => {
-                self.backends.list(now, &self.settings, full, entries, &mut self.rng);
+                self.load_balancer.update_endpoints(now, &self.settings, full, entries, &mut self.rng);
             }
             Event::EndpointPollFailed => self.list_retry = Some(now + EJECT_MS * (1.0 + self.rng.f64())),
             Event::Request(request) => self.request(now, request, actions),
@@ -191,7 +185,7 @@
             Event::AttemptEnded(outcome) => self.outcome(now, outcome, actions),
             Event::ClientDisconnected { id } => {
                 // What it was charged while it waited rides back on the customer's next charge.
-                if let Some(open) = self.requests.get(&id).filter(|open| open.held) {
+                if let Some(open) = self.requests.get(&id).filter(|open| open.awaiting_counter) {
                     let Request { customer, plan, units, .. } = open.request;
                     if let Some(c) = self.customers.get_mut(&customer) {
                         c.owe(now, -units, &self.settings.plans[plan as usize]);
@@ -223,8 +217,8 @@
         let fades = fades.map(|p| p.burst / p.rate * FADE * IDLE_FADES * 1000.0);
         let longest = longest.chain(fades).fold(TICK_MS, f64::max);
         self.flow(now, 0.0, 0.0);
-        self.backends.tick(now, &self.settings, self.out_mean);
-        self.customers.retain(|_, c| c.calls > 0 || c.out > 0 || c.waiting > 0.0 || now - c.last < longest);
+        self.load_balancer.tick(now, &self.settings, self.out_mean);
+        self.customers.retain(|_, c| !c.is_idle() || now - c.last_seen_at < longest);
     }
 
     fn request(&mut self, now: Millis, mut request: Request, actions: &mut Vec<Action>) {
@@ -235,8 +229,8 @@
         let sane = |x: f64| if x.is_finite() { x.max(0.0) } else { 0.0 };
         (request.units, request.timeout_ms) = (sane(request.units), sane(request.timeout_ms));
         let (class, plan_no) = (request.class as usize, request.plan as usize);
-        let (classes, plans) = (self.settings.classes.len(), self.settings.plans.len());
-        if classes <= class || plans <= plan_no || request.timeout_ms <= 0.0 {
+        let Settings { classes, plans, .. } = &self.settings;
+        if classes.len() <= class || plans.len() <= plan_no || request.timeout_ms <= 0.0 {
             actions.push(Action::Reject { id, retry_after_ms: 0.0 });
             return;
         }
@@ -244,32 +238,33 @@
         self.units += (units - self.units) * USUAL_GAIN;
         let aim = self.settings.classes[class].latency_objective_ms.min(request.timeout_ms);
         self.customer(now, customer, plan_no, request.gateway_set_size);
-        let open = Open::new(request, now + timeout_ms, now + aim);
+        let open = OpenRequest::new(request, now + timeout_ms, now + aim);
         self.requests.insert(id, open);
         // Seen past the limit: refused without a call until there is room; others can only have used more.
         let c = &self.customers[&customer];
         let plan = &self.settings.plans[plan_no].clone();
         // Attempts-out caps: own attempts are counted, the others' reckoned from their use and time in hand.
-        let theirs = c.others / self.units.max(0.1) * self.backends.usual(class) / 1000.0;
-        let out = f64::from(c.out + c.calls) + theirs.round();
+        let theirs =
+            c.remote_rate / self.units.max(0.1) * self.load_balancer.baseline_latency(class) / 1000.0;
+        let out = f64::from(c.in_flight + c.pending_calls) + theirs.round();
         let capped = plan.max_concurrency > 0 && out >= f64::from(plan.max_concurrency);
-        let store = if self.shared(now) { c.shared } else { c.store.min(plan.burst) };
-        if capped || plan.rate > 0.0 && store - c.waiting < units {
+        let store = if self.shared(now) { c.gossip_level } else { c.level.min(plan.burst) };
+        if capped || plan.rate > 0.0 && store - c.reserved_units < units {
             // A look at the count now and then keeps the view fresh while the counter is well.
-            let look = now - c.called > LOOK_MS && self.settings.counter.is_some() && plan.rate > 0.0;
-            if look && self.may_call(now, true) {
+            let look = now - c.last_call_at > LOOK_MS && self.settings.counter.is_some() && plan.rate > 0.0;
+            if look && self.call_limiter.try_acquire(now, CallPriority::Optional) {
                 self.charge(now, customer, plan_no, 0.0, id, actions);
             }
             return self.beyond(now, id, actions);
         }
         if self.expected(now, id) > EARLY_OF_AIM * aim.max(0.0) {
-            return self.finish(id, self.backends.usual(class), actions);
+            return self.finish(id, self.load_balancer.baseline_latency(class), actions);
         }
         if self.settings.counter.is_none() || plan.rate <= 0.0 {
             return self.grant(now, id, actions);
         }
         let trusted = self.misses < COUNTER_MISSES;
-        let called = self.may_call(now, false);
+        let called = self.call_limiter.try_acquire(now, CallPriority::Required);
         // A silent or crowded counter is still tried, by fewer calls; what else comes rides on the next.
         if !called {
             self.short = (now, now);
@@ -279,25 +274,14 @@
         }
         self.charge(now, customer, plan_no, units, id, actions);
         if trusted {
-            self.customers.get_mut(&customer).expect("just entered").waiting += units;
-            self.requests.get_mut(&id).expect("just entered").held = true;
+            self.customers.get_mut(&customer).expect("just entered").reserved_units += units;
+            self.requests.get_mut(&id).expect("just entered").awaiting_counter = true;
             actions.push(Action::SetTimer { token: TOKEN_WAIT | id, after_ms: self.wait(aim) });
         } else {
             self.grant(now, id, actions);
         }
     }
 
-    /// Whether the counter bears a call of this gateway now. All gateways share its capacity and none knows
-    /// it: each finds its part by what is missed. A call that can be spared leaves half of what is saved.
-    fn may_call(&mut self, now: Millis, spare: bool) -> bool {
-        let most = (self.calls_pace * CALLS_SAVED_MS / 1000.0).max(1.0);
-        let more = (now - self.calls_at).max(0.0) / 1000.0 * self.calls_pace;
-        (self.calls_saved, self.calls_at) = ((self.calls_saved + more).min(most), now);
-        let may = self.calls_saved >= if spare { 1.0 + most / 2.0 } else { 1.0 };
-        self.calls_saved -= f64::from(u8::from(may));
-        may
-    }
-
     /// Longest wait for the counter where this is the aim.
     fn wait(&self, aim: Millis) -> Millis {
         let usual = self.count_ms.unwrap_or(0.0) * WAIT_USUAL.0;
@@ -311,25 +295,25 @@
     ) {
         let plan = &self.settings.plans[plan_no];
         let Some(c) = self.customers.get_mut(&customer) else { return };
-        let (window, name, left) = window(now, customer, plan);
-        if c.window != window {
+        let Window { number, start, remaining_ms: left } = window(now, customer, plan);
+        let name = counter_key(customer, number);
+        if c.window != number {
             // The end of the old window went unseen: the others are taken to have gone on as before.
-            let start = window_start(now, customer, plan);
-            let gap = (start - c.seen_at).clamp(0.0, OTHERS_MS);
-            if let Some(seen) = &mut c.seen {
-                c.store -= c.others * gap / 1000.0;
-                *seen = *seen * fade(start - c.seen_at, plan) + c.others * gap / 1000.0;
-                (c.before, c.seen_at) = (*seen, start);
+            let gap = (start - c.last_total_at).clamp(0.0, OTHERS_MS);
+            if let Some(seen) = &mut c.last_total {
+                c.level -= c.remote_rate * gap / 1000.0;
+                *seen = *seen * fade(start - c.last_total_at, plan) + c.remote_rate * gap / 1000.0;
+                (c.carried_over, c.last_total_at) = (*seen, start);
             }
-            (c.window, c.own) = (window, 0.0);
+            (c.window, c.local_contribution) = (number, 0.0);
         }
-        let amount = (units + c.owed * fade(now - c.owed_at, plan)) * fade(left, plan);
-        c.owed = 0.0;
-        c.calls += 1;
-        c.called = now;
+        let amount = (units + c.unsettled_units * fade(now - c.unsettled_at, plan)) * fade(left, plan);
+        c.unsettled_units = 0.0;
+        c.pending_calls += 1;
+        c.last_call_at = now;
         let lifetime_ms = (left + NAME_LIFE_MS - WINDOW_MOST_MS).min(NAME_LIFE_MS);
         actions.push(Action::AddToCounter { key: name, amount, ttl_ms: lifetime_ms });
-        let call = Call { customer, request, plan: plan_no, amount, units };
+        let call = CounterCall { customer, request, plan: plan_no, amount, units };
         self.calls.entry(name).or_default().push_back(call);
     }
 
@@ -343,8 +327,8 @@
         &mut self, now: Millis, customer: CustomerId, plan: usize, units: f64, actions: &mut Vec<Action>,
     ) {
         if let Some(c) = self.customers.get_mut(&customer) {
-            c.store -= units;
-            c.shared -= units;
+            c.level -= units;
+            c.gossip_level -= units;
         }
         if self.shared(now) {
             let plan = plan as u8;
@@ -386,23 +370,23 @@
             // Spread unknown: the least share of a ceiling, as nothing is sent from here.
             self.customer(now, customer, plan, f64::INFINITY);
             let c = self.customers.get_mut(&customer).expect("just entered");
-            if c.shared >= units {
-                c.shared = (c.shared - units).min(self.settings.plans[plan].burst);
+            if c.gossip_level >= units {
+                c.gossip_level = (c.gossip_level - units).min(self.settings.plans[plan].burst);
             }
         }
     }
 
     /// Makes room for one more customer.
     fn forget_idle(&mut self) {
-        let idle = |c: &Customer| c.calls == 0 && c.out == 0 && c.waiting <= 0.0;
-        let mut lasts: Vec<_> = self.customers.values().filter(|c| idle(c)).map(|c| c.last).collect();
+        let mut lasts: Vec<_> =
+            self.customers.values().filter(|c| c.is_idle()).map(|c| c.last_seen_at).collect();
         if lasts.is_empty() {
             return;
         }
         let half = lasts.len() / 2;
         let (_, middle, _) = lasts.select_nth_unstable_by(half, f64::total_cmp);
         let middle = *middle;
-        self.customers.retain(|_, c| !idle(c) || c.last > middle);
+        self.customers.retain(|_, c| !c.is_idle() || c.last_seen_at > middle);
     }
 
     /// Brings the customer's stores up to now.
@@ -414,28 +398,29 @@
         let share = 1.0 / spread.clamp(1.0, f64::from(self.settings.gateway_count.max(1)));
         let up = (now - self.started).max(0.0) / 1000.0;
         let c = self.customers.entry(customer).or_insert_with(|| Customer {
-            store: plan.burst,
-            shared: plan.burst,
-            at: now,
-            seen_at: now,
-            called: f64::NEG_INFINITY,
+            level: plan.burst,
+            gossip_level: plan.burst,
+            updated_at: now,
+            last_total_at: now,
+            last_call_at: f64::NEG_INFINITY,
             // A gateway that starts again can't know what it sent: its share of a ceiling starts at nought.
             ceiling: (up * plan.ceiling_rate * share).min(plan.ceiling_burst * share),
             ..Customer::default()
         });
-        let passed = (now - c.at).max(0.0) / 1000.0;
+        let passed = (now - c.updated_at).max(0.0) / 1000.0;
         // Not capped before the next total is known: use in the gap may have come before the refill.
-        c.store += passed * plan.rate;
-        c.shared = (c.shared + passed * plan.rate).min(plan.burst);
-        if self.calls_saved < 1.0 && c.seen.is_some() {
+        c.level += passed * plan.rate;
+        c.gossip_level = (c.gossip_level + passed * plan.rate).min(plan.burst);
+        if self.call_limiter.is_exhausted() && c.last_total.is_some() {
             // Calls are few: the others are taken to go on as before for a while. The next total corrects it.
-            let unseen = (now.min(c.seen_at + PROJECT_MS) - c.at.max(c.seen_at)).max(0.0) / 1000.0;
-            c.store -= unseen * c.others;
-            c.projected += unseen * c.others;
-            c.store = c.store.min(plan.burst);
+            let unseen =
+                (now.min(c.last_total_at + PROJECT_MS) - c.updated_at.max(c.last_total_at)).max(0.0) / 1000.0;
+            c.level -= unseen * c.remote_rate;
+            c.projected_units += unseen * c.remote_rate;
+            c.level = c.level.min(plan.burst);
         }
         c.ceiling = (c.ceiling + passed * plan.ceiling_rate * share).min(plan.ceiling_burst * share);
-        (c.at, c.last) = (now, now);
+        (c.updated_at, c.last_seen_at) = (now, now);
     }
 
     fn counted(
@@ -455,42 +440,31 @@
             *usual += (took.min(*usual * WAIT_USUAL.0) - *usual) * COUNT_GAIN;
         }
         if good {
-            // Back from silence it gets half the former calls at once.
-            if let Some(once) = self.calls_once.filter(|_| self.misses >= COUNTER_MISSES) {
-                self.calls_pace = self.calls_pace.max(once / 2.0);
-            }
+            self.call_limiter.on_success(self.misses >= COUNTER_MISSES);
             self.misses = 0;
-            let near = self.calls_once.is_some_and(|once| self.calls_pace > once * CALLS_NEAR);
-            let share = if near { CALLS_MORE.1 } else { CALLS_MORE.2 };
-            self.calls_pace = (self.calls_pace * (1.0 + share) + CALLS_MORE.0).min(CALLS_MOST);
         } else if !matches!(result, Outcome::ErrorResponse | Outcome::ConnectionReset) {
             // A spoilt answer, or the end of its connection, tells nothing of what the counter bears.
             self.short = (now, now);
-            if self.misses == 0 {
-                self.calls_once = Some(self.calls_pace);
-            }
+            self.call_limiter.on_failure(now, now - took, self.misses == 0);
             self.misses = self.misses.saturating_add(1);
-            // Calls that were in line together are slow together: one cut for all of them.
-            if now - took >= self.calls_cut {
-                self.calls_pace = (self.calls_pace * CALLS_CUT).max(CALLS.1);
-                self.calls_cut = now;
-            }
         }
         self.reckon(now, name, &call, ok.then_some(total), result);
         let (customer, plan) = (call.customer, call.plan);
         // A refused charge left standing would keep the other gateways from room that is there. While the
         // counter is well it goes back at once; otherwise it rides on the next charge.
-        if !self.decide(now, call.request, actions) && self.may_call(now, true) {
+        if !self.decide(now, call.request, actions)
+            && self.call_limiter.try_acquire(now, CallPriority::Optional)
+        {
             self.charge(now, customer, plan, 0.0, call.request, actions);
         }
     }
 
     /// Rebuilds the store from a total: what it rose by beyond this gateway's own charge, others used.
-    fn reckon(&mut self, now: Millis, name: u64, call: &Call, total: Option<f64>, result: Outcome) {
+    fn reckon(&mut self, now: Millis, name: u64, call: &CounterCall, total: Option<f64>, result: Outcome) {
         let shared = self.shared(now);
         let plan = &self.settings.plans[call.plan];
         let Some(c) = self.customers.get_mut(&call.customer) else { return };
-        c.calls = c.calls.saturating_sub(1);
+        c.pending_calls = c.pending_calls.saturating_sub(1);
         let Some(total) = total else {
             // Proven not added: it rides on the next charge. A timed-out add may have counted and is left.
             if result.never_executed() {
@@ -498,59 +472,59 @@
             }
             return;
         };
-        let up = (now - c.at).max(0.0) / 1000.0;
-        (c.store, c.at) = (c.store + up * plan.rate, now);
-        c.shared = (c.shared + up * plan.rate).min(plan.burst);
-        if window(now, call.customer, plan).1 != name {
+        let up = (now - c.updated_at).max(0.0) / 1000.0;
+        (c.level, c.updated_at) = (c.level + up * plan.rate, now);
+        c.gossip_level = (c.gossip_level + up * plan.rate).min(plan.burst);
+        let Window { number, start, .. } = window(now, call.customer, plan);
+        if counter_key(call.customer, number) != name {
             return;
         }
-        let start = window_start(now, call.customer, plan);
         let grown = fade(window_ms(plan) - (now - start), plan);
-        c.own += call.amount;
-        let used = total / grown + c.before * fade(now - start, plan);
+        c.local_contribution += call.amount;
+        let used = total / grown + c.carried_over * fade(now - start, plan);
         // The count alone, as a gateway sees it that has not looked for long.
         let alone = plan.burst * FADE - (used - call.units);
-        let passed = (now - c.seen_at).max(1.0);
-        match c.seen {
-            None => c.store = alone,
+        let passed = (now - c.last_total_at).max(1.0);
+        match c.last_total {
+            None => c.level = alone,
             // Count lost: a total below what this gateway added. Only rises are read, so nothing needs
             // putting back.
-            Some(_) if total < c.own * 0.99 => c.own = call.amount,
+            Some(_) if total < c.local_contribution * 0.99 => c.local_contribution = call.amount,
             Some(seen) => {
                 let keep = fade(passed, plan);
                 // What the others added, spread evenly since the last look.
                 let others = used - seen * keep - call.amount / grown;
                 let others =
                     others * (1.0 - keep).recip() * passed * plan.rate / (FADE * plan.burst * 1000.0);
-                c.store += std::mem::take(&mut c.projected) - others;
+                c.level += std::mem::take(&mut c.projected_units) - others;
                 // The longer ago the last look, the more the count alone tells.
                 let strict = plan.burst - (used - call.units);
                 let old = (1.0 - keep).powi(2);
-                c.store = (1.0 - old) * c.store.max(strict) + old * alone;
+                c.level = (1.0 - old) * c.level.max(strict) + old * alone;
                 let keep = (-passed / OTHERS_MS).exp();
-                c.others = c.others * keep + (others.max(0.0) * 1000.0 / passed) * (1.0 - keep);
+                c.remote_rate = c.remote_rate * keep + (others.max(0.0) * 1000.0 / passed) * (1.0 - keep);
             }
         }
-        c.store = c.store.max(-self.settings.max_units.max(plan.burst / 4.0));
-        c.store = c.store.min(plan.burst);
-        (c.seen, c.seen_at) = (Some(used), now);
+        c.level = c.level.max(-self.settings.max_units.max(plan.burst / 4.0));
+        c.level = c.level.min(plan.burst);
+        (c.last_total, c.last_total_at) = (Some(used), now);
         // The count alone tells while all use is on it.
         if !shared {
-            c.shared = c.store;
+            c.gossip_level = c.level;
         }
     }
 
     /// Decides on a request that waited; with no answer own sends are a lower bound on use, the rest is let
     /// in. True if it was inside the quota.
     fn decide(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) -> bool {
-        let Some(open) = self.requests.get(&id).filter(|open| open.held) else { return true };
+        let Some(open) = self.requests.get(&id).filter(|open| open.awaiting_counter) else { return true };
         let request = open.request.clone();
         self.release(id);
         self.customer(now, request.customer, request.plan as usize, request.gateway_set_size);
         let shared = self.shared(now);
         let plan = &self.settings.plans[request.plan as usize];
         let c = self.customers.get_mut(&request.customer).expect("just entered");
-        let inside = if shared { c.store.min(c.shared) } else { c.store } >= request.units;
+        let inside = if shared { c.level.min(c.gossip_level) } else { c.level } >= request.units;
         if inside {
             self.grant(now, id, actions);
         } else {
@@ -562,9 +536,9 @@
 
     fn release(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        if std::mem::take(&mut open.held) {
+        if std::mem::take(&mut open.awaiting_counter) {
             if let Some(c) = self.customers.get_mut(&open.request.customer) {
-                c.waiting = (c.waiting - open.request.units).max(0.0);
+                c.reserved_units = (c.reserved_units - open.request.units).max(0.0);
             }
         }
     }
@@ -586,11 +560,11 @@
         let plan = &self.settings.plans[open.request.plan as usize];
         let aim = self.settings.classes[open.request.class as usize].latency_objective_ms;
         if plan.over_quota_weight > plan.over_quota_cost && expected < ROOM_OF_AIM * aim {
-            open.inside = false;
+            open.within_quota = false;
             return self.send(now, id, actions);
         }
         let c = &self.customers[&open.request.customer];
-        let short = open.request.units.min(plan.burst) - c.store;
+        let short = open.request.units.min(plan.burst) - c.level;
         let wait = if plan.rate > 0.0 { (short / plan.rate * 500.0).max(0.0) } else { aim };
         self.finish(id, wait, actions);
     }
@@ -600,13 +574,13 @@
     fn expected(&mut self, now: Millis, id: RequestId) -> f64 {
         self.flow(now, 0.0, 0.0);
         let Some(open) = self.requests.get(&id) else { return f64::INFINITY };
-        let usual = self.backends.usual(open.request.class as usize);
+        let usual = self.load_balancer.baseline_latency(open.request.class as usize);
         let aim = self.settings.classes[open.request.class as usize].latency_objective_ms;
-        if self.backends.ready() == 0 {
+        if self.load_balancer.ready_count() == 0 {
             return f64::INFINITY;
         }
         // A few hung attempts must not lock the gateway: its part of the least work is always let in.
-        let ready = self.backends.ready() as f64;
+        let ready = self.load_balancer.ready_count() as f64;
         if self.out < (ready * ALWAYS / f64::from(self.settings.gateway_count.max(1))).max(1.0) {
             return 0.0;
         }
@@ -631,22 +605,24 @@
 
     fn send(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let picked = self.backends.pick(now, &self.settings, open, &mut self.rng);
+        let picked = self.load_balancer.choose(now, &self.settings, open, &mut self.rng);
         let request = &open.request;
         let first = open.attempts.is_empty();
         let class = &self.settings.classes[request.class as usize];
         let plan = &self.settings.plans[request.plan as usize];
-        let left = open.ends - now;
+        let left = open.deadline - now;
         let mut may = picked.is_some() && left > 0.0;
         may &= (open.attempts.len() as u32) < self.settings.limits.max_attempts.max(1);
-        if let (Some((since, _)), Idempotency::WithKey { window_ms, .. }) = (open.ran, class.idempotency) {
-            may &= now - since < window_ms;
+        if let (Some(first), Idempotency::WithKey { window_ms, .. }) =
+            (open.first_execution, class.idempotency)
+        {
+            may &= now - first.started_at < window_ms;
         }
         if first && plan.ceiling_rate > 0.0 {
             may &= self.customers.get(&request.customer).is_some_and(|c| c.ceiling >= request.units);
         }
         let Some(backend) = picked.filter(|_| may) else {
-            let (wait, live) = (class.latency_objective_ms / 2.0, open.attempts.iter().any(|a| a.live));
+            let (wait, live) = (class.latency_objective_ms / 2.0, open.attempts.iter().any(|a| a.in_flight));
             if first {
                 self.give_back(now, id, actions);
             }
@@ -655,19 +631,25 @@
             }
             return;
         };
-        let depth = self.backends.sent(now, &self.settings, backend, first);
+        let depth = self.load_balancer.attempt_started(now, &self.settings, backend, first);
         if let Some(c) = self.customers.get_mut(&request.customer) {
-            c.out += 1;
+            c.in_flight += 1;
             if first {
                 c.ceiling -= request.units;
             }
         }
-        open.attempts.push(Attempt { backend, sent: now, depth, live: true });
+        open.attempts.push(Attempt {
+            endpoint: backend,
+            started_at: now,
+            endpoint_in_flight: depth,
+            in_flight: true,
+        });
         // Past its aim an answer may earn nothing: the attempt ends before. It frees a place but wastes
         // work that backends finish all the same: only where waste is priced below late failure.
         let prices = &self.settings.prices;
         let cuts = class.late_weight <= 0.0 && prices.waste < prices.late_failure;
-        let cut = if cuts { open.aim_ends - now - CUT_MS - 2.0 * self.settings.tick_ms } else { left };
+        let cut =
+            if cuts { open.objective_deadline - now - CUT_MS - 2.0 * self.settings.tick_ms } else { left };
         actions.push(Action::SendAttempt { id, endpoint: backend, timeout_ms: left.min(cut.max(1.0)) });
         self.flow(now, 1.0, 0.0);
         if first {
@@ -678,7 +660,7 @@
     /// Never sent, so it took nothing.
     fn give_back(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        if !std::mem::take(&mut open.inside) {
+        if !std::mem::take(&mut open.within_quota) {
             return;
         }
         let Request { customer, plan, units, .. } = open.request;
@@ -691,28 +673,30 @@
     fn outcome(&mut self, now: Millis, o: AttemptEnd, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&o.id) else { return };
         let Some(attempt) = open.attempts.get_mut(o.attempt as usize) else { return };
-        if !std::mem::take(&mut attempt.live) {
+        if !std::mem::take(&mut attempt.in_flight) {
             return;
         }
-        let (sent, depth, backend) = (attempt.sent, attempt.depth, attempt.backend);
+        let (sent, depth, backend) = (attempt.started_at, attempt.endpoint_in_flight, attempt.endpoint);
         let (class, plan) = (open.request.class as usize, open.request.plan as usize);
         let mut settled = None;
         if let Some(c) = self.customers.get_mut(&open.request.customer) {
-            c.out = c.out.saturating_sub(1);
+            c.in_flight = c.in_flight.saturating_sub(1);
             // The settlement: the true units' difference rides on the customer's next charge.
-            if let (true, true, Some(units)) = (self.settings.settles_units, open.inside, o.actual_units) {
+            if let (true, true, Some(units)) =
+                (self.settings.settles_units, open.within_quota, o.actual_units)
+            {
                 if units.is_finite() {
                     c.owe(now, units - open.request.units, &self.settings.plans[plan]);
                     settled = Some((open.request.customer, units - open.request.units));
-                    open.inside = false;
+                    open.within_quota = false;
                 }
             }
         }
-        if !o.outcome.never_executed() && open.ran.is_none() {
-            open.ran = Some((sent, backend));
+        if !o.outcome.never_executed() && open.first_execution.is_none() {
+            open.first_execution = Some(FirstExecution { started_at: sent, endpoint: backend });
         }
-        open.sent |= o.outcome != Outcome::NotSent;
-        let unsent = !open.sent && !open.attempts.iter().any(|a| a.live);
+        open.forwarded |= o.outcome != Outcome::NotSent;
+        let unsent = !open.forwarded && !open.attempts.iter().any(|a| a.in_flight);
         if let Some((customer, units)) = settled {
             self.used(now, customer, plan, units, actions);
         }
@@ -725,19 +709,20 @@
             self.late += (share.min(1.0) - self.late) * LATE_GAIN;
         }
         let open = &self.requests[&o.id];
-        self.backends.learn(now, &self.settings, &open.request, &o, depth, &mut self.rng);
+        self.load_balancer.attempt_ended(now, &self.settings, &open.request, &o, depth, &mut self.rng);
         if o.request_answered || open.closed {
             return self.close(o.id, actions);
         }
-        if open.attempts.iter().any(|a| a.live) {
+        if open.attempts.iter().any(|a| a.in_flight) {
             return;
         }
         let class = &self.settings.classes[class];
-        let worth =
-            class.late_weight > 0.0 || now + self.backends.usual(open.request.class as usize) < open.aim_ends;
+        let worth = class.late_weight > 0.0
+            || now + self.load_balancer.baseline_latency(open.request.class as usize)
+                < open.objective_deadline;
         let repeatable = class.idempotency != Idempotency::NotIdempotent && self.retries >= 1.0;
         let again = worth && (o.outcome.never_executed() || repeatable);
-        if again && o.outcome != Outcome::NotSent && open.ends > now && !open.streaming {
+        if again && o.outcome != Outcome::NotSent && open.deadline > now && !open.streaming {
             if !o.outcome.never_executed() && o.outcome != Outcome::Cancelled {
                 self.retries -= 1.0;
             }
@@ -751,7 +736,7 @@
         let Some(open) = self.requests.get(&id) else { return };
         let harmless = match self.settings.classes[open.request.class as usize].idempotency {
             Idempotency::Idempotent | Idempotency::WithKey { scope: KeyScope::All, .. } => true,
-            _ => open.ran.is_none() && !open.attempts.iter().any(|a| a.live),
+            _ => open.first_execution.is_none() && !open.attempts.iter().any(|a| a.in_flight),
         };
         if harmless {
             let limits = &self.settings.limits;
@@ -769,11 +754,11 @@
         self.release(id);
         let Some(open) = self.requests.get_mut(&id) else { return };
         if !std::mem::replace(&mut open.closed, true) && self.settings.limits.cancellation {
-            for (number, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.live) {
+            for (number, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.in_flight) {
                 actions.push(Action::CancelAttempt { id, attempt: number as u8 });
             }
         }
-        if !open.attempts.iter().any(|a| a.live) {
+        if !open.attempts.iter().any(|a| a.in_flight) {
             self.requests.remove(&id);
         }
     }
@@ -782,8 +767,8 @@
 impl Customer {
     /// Units for the next charge; they fade like any use.
     fn owe(&mut self, now: Millis, units: f64, plan: &Plan) {
-        self.owed = self.owed * fade(now - self.owed_at, plan) + units;
-        self.owed_at = now;
+        self.unsettled_units = self.unsettled_units * fade(now - self.unsettled_at, plan) + units;
+        self.unsettled_at = now;
     }
 }
 
@@ -796,16 +781,7 @@
     (WINDOW_FADES * FADE * plan.burst / plan.rate * 1000.0).clamp(100.0, WINDOW_MOST_MS)
 }
 
-/// The customer's window now: its number, its count's name and what is left of it in ms. The roll is offset
-/// for each customer, so that windows do not all roll at once.
-fn window(now: Millis, customer: CustomerId, plan: &Plan) -> (u64, u64, f64) {
-    let length = window_ms(plan);
-    let offset = (customer.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 40) as f64 / (1u64 << 24) as f64;
-    let place = now / length + offset;
-    let number = place.max(0.0) as u64;
-    (number, customer << 30 | number & 0x3fff_ffff, (place.floor() + 1.0 - place) * length)
-}
-
-fn window_start(now: Millis, customer: CustomerId, plan: &Plan) -> Millis {
-    now - window_ms(plan) + window(now, customer, plan).2
+/// The window that the customer's use is counted in now.
+fn window(now: Millis, customer: CustomerId, plan: &Plan) -> Window {
+    Window::at(now, customer, window_ms(plan))
 }
--- a/src/subset.rs
+++ b/src/policy/subset.rs
@@ -1,8 +1,8 @@
 //! Which backends a gateway keeps to where there are too many to keep to all: an arc of the ring. Gateways begin at even
 //! distances, so each backend has as many of them as any other, and one that comes or goes concerns only its own.
 
-use crate::interface::{EndpointId, Settings};
-use crate::ring::{begin, turn, Ring};
+use crate::api::{EndpointId, Settings};
+use crate::primitives::ring::{begin, turn, Ring};
 
 /// Up to so many backends a gateway looks at all of them: that takes it some 10 us a request.
 const ALL: usize = 256;
--- /dev/null
+++ b/src/primitives/mod.rs
@@ -0,0 +1,5 @@
+//! General building blocks that know nothing of settings, customers or endpoints.
+
+pub(crate) mod aimd;
+pub(crate) mod ring;
+pub(crate) mod window;
--- a/src/ring.rs
+++ b/src/primitives/ring.rs
@@ -1,7 +1,7 @@
 //! Backends on a ring for each zone, by a key that all gateways see alike, and arcs of it. A data structure: nothing
 //! here decides anything.
 
-use crate::interface::EndpointId;
+use crate::api::EndpointId;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Part of a whole turn between two gateways that follow each other in number.
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -111,11 +111,3 @@
     complains(&provision(&SETUP.replace("refill=2", "refill=many")), "setting tiers-of-service.0.refill");
     complains(&provision(&SETUP.replace("read_like", "maybe")), "setting categories.0.effect");
 }
-
-#[test]
-fn the_decision_module_stays_readable_aloud() {
-    let text = include_str!("../src/choice.rs");
-    assert!(text.lines().filter(|line| !line.trim().is_empty()).count() <= 1200);
-    assert!(text.lines().all(|line| line.chars().count() <= 110));
-    assert!(text.lines().take(3).any(|line| line.contains("src/interface.rs")));
-}
--- /dev/null
+++ b/tests/policy_files.rs
@@ -0,0 +1,50 @@
+//! The operators run no decision module of more than 1,200 lines: the deploy file names all files that decide.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// Non-blank lines that all policy files together may have, as the operators set it.
+const MAX_POLICY_LINES: usize = 1200;
+/// Longest line of a policy file, in characters.
+const MAX_LINE_LENGTH: usize = 110;
+
+fn root() -> &'static Path {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+}
+
+/// The files that the deploy file names under `policy`.
+fn named_policy_files() -> BTreeSet<PathBuf> {
+    let deploy =
+        fs::read_to_string(root().join("deploy/balancer.toml")).expect("the deploy file can be read");
+    let line = deploy.lines().find(|line| line.starts_with("policy")).expect("a policy key");
+    line.split('"').skip(1).step_by(2).map(|name| root().join(name)).collect()
+}
+
+/// The files below `src/policy`.
+fn policy_files() -> BTreeSet<PathBuf> {
+    let entries = fs::read_dir(root().join("src/policy")).expect("src/policy is a folder");
+    entries.map(|entry| entry.expect("an entry of src/policy").path()).collect()
+}
+
+#[test]
+fn the_deploy_file_names_every_policy_file() {
+    assert_eq!(named_policy_files(), policy_files());
+}
+
+#[test]
+fn the_policy_files_stay_within_their_limits() {
+    let texts: Vec<_> =
+        policy_files().iter().map(|path| fs::read_to_string(path).expect("a policy file is text")).collect();
+    let lines = texts.iter().flat_map(|text| text.lines());
+    let count = lines.clone().filter(|line| !line.trim().is_empty()).count();
+    assert!(count <= MAX_POLICY_LINES, "{count} lines");
+    assert!(lines.clone().all(|line| line.chars().count() <= MAX_LINE_LENGTH));
+    assert!(texts.iter().all(|text| text.starts_with("//! ")), "each file says what it is for");
+}
+
+#[test]
+fn the_entry_point_says_where_its_types_are() {
+    let text = fs::read_to_string(root().join("src/policy/gateway.rs")).expect("gateway.rs can be read");
+    assert!(text.lines().take(3).any(|line| line.contains("src/api")));
+}
