--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,31 +1,62 @@
-//! The decisions of a gateway that holds customers to their quotas before a shared back end.
+//! The decisions of a gateway that enforces customer quotas in front of a shared fleet of servers.
 //!
-//! The library does no input or output. A gateway feeds it what it hears as [`Event`]s, with its own clock,
-//! and carries out the [`Action`]s it gets back. The same events yield the same actions.
+//! The library does no input or output. The program that hosts a [`Gateway`] reports what happens as [`Event`]s,
+//! together with its own clock, and carries out the [`Action`]s that it gets back. The same settings, seed and
+//! events always lead to the same actions.
 //!
 //! ```
-//! use quota_gateway::{Action, Class, Endpoint, EndpointState, Event, Gateway, Idempotency, Limits, Plan, Request, Settings};
+//! use quota_gateway::{
+//!     Action, Class, Endpoint, EndpointState, Event, Gateway, Idempotency, Limits, Plan, Request, Settings,
+//! };
 //!
+//! let class = Class {
+//!     latency_objective_ms: 500.0,
+//!     deadline_ms: 2000.0,
+//!     priority_weight: 1.0,
+//!     idempotency: Idempotency::Idempotent,
+//!     ..Class::default()
+//! };
 //! let settings = Settings {
 //!     gateway_count: 1,
-//!     classes: vec![Class { latency_objective_ms: 500.0, deadline_ms: 2000.0, priority_weight: 1.0,
-//!         idempotency: Idempotency::Idempotent, ..Class::default() }],
+//!     classes: vec![class],
 //!     plans: vec![Plan { rate: 2.0, burst: 4.0, weight_multiplier: 1.0, ..Plan::default() }],
 //!     limits: Limits { max_attempts: 3, ..Limits::default() },
 //!     ..Settings::default()
 //! };
 //! let mut gateway = Gateway::new(settings, 7, 0.0);
 //! let mut actions = Vec::new();
-//! let endpoints = vec![Endpoint { id: 11, hash_key: 11, zone: 0, kind: 0, cell: 0,
-//!     state: EndpointState::Ready, weight: 1.0, started_at: 0.0 }];
-//! gateway.handle(0.0, Event::EndpointUpdate { complete: true, endpoints }, &mut actions);
-//! let request = |id| Event::Request(Request { id, customer: 5, plan: 0, class: 0, units: 3.0,
-//!     timeout_ms: 2000.0, gateway_set_size: 1.0, is_retry: false });
+//!
+//! let endpoint = Endpoint {
+//!     id: 11,
+//!     hash_key: 11,
+//!     zone: 0,
+//!     kind: 0,
+//!     cell: 0,
+//!     state: EndpointState::Ready,
+//!     weight: 1.0,
+//!     started_at: 0.0,
+//! };
+//! let update = Event::EndpointUpdate { complete: true, endpoints: vec![endpoint] };
+//! gateway.handle(0.0, update, &mut actions);
+//!
+//! let request = |id| {
+//!     Event::Request(Request {
+//!         id,
+//!         customer: 5,
+//!         plan: 0,
+//!         class: 0,
+//!         units: 3.0,
+//!         timeout_ms: 2000.0,
+//!         gateway_set_size: 1.0,
+//!         is_retry: false,
+//!     })
+//! };
 //! gateway.handle(1.0, request(1), &mut actions);
-//! assert!(actions.iter().any(|a| matches!(a, Action::SendAttempt { id: 1, endpoint: 11, .. })));
-//! // The store held 4 units and 1 is left: a second request of 3 units is refused at once.
+//! assert!(actions.iter().any(|action| matches!(action, Action::SendAttempt { id: 1, endpoint: 11, .. })));
+//!
+//! // The quota held 4 units and 1 is left: a second request of 3 units is rejected at once.
 //! gateway.handle(2.0, request(2), &mut actions);
-//! assert!(actions.iter().any(|a| matches!(a, Action::Reject { id: 2, .. })));
+//! assert!(actions.iter().any(|action| matches!(action, Action::Reject { id: 2, .. })));
 //! ```
 
 pub mod api;
