--- a/emulator/src/simulation/actions.rs
+++ b/emulator/src/simulation/actions.rs
@@ -16,14 +16,14 @@
         while let Some(event) = events.pop_front() {
             self.gateways[gateway as usize].library.handle(now_ms, event, &mut actions);
             for action in actions.drain(..) {
-                events.extend(self.carry_out(gateway, action));
+                events.extend(self.carry_out(gateway, &action));
             }
         }
     }
 
     /// Carries out an action. Returns an event that follows from it at once.
-    fn carry_out(&mut self, gateway: u32, action: Action) -> Option<GatewayEvent> {
-        match action {
+    fn carry_out(&mut self, gateway: u32, action: &Action) -> Option<GatewayEvent> {
+        match *action {
             Action::SendAttempt { id, endpoint, timeout_ms } => {
                 return self.send_attempt(gateway, id, endpoint, timeout_ms);
             }
--- a/emulator/src/simulation/attempts.rs
+++ b/emulator/src/simulation/attempts.rs
@@ -300,7 +300,7 @@
     }
 
     /// Updates the request of an attempt that has ended, and notifies its gateway.
-    fn request_attempt_ended(&mut self, end: AttemptEnd, process: GatewayProcess, sent_at: Micros) {
+    fn request_attempt_ended(&mut self, mut end: AttemptEnd, process: GatewayProcess, sent_at: Micros) {
         let request = end.id;
         let zone = self.servers[end.endpoint as usize].zone;
         let Some(open) = self.open_requests.get_mut(&request) else { return };
@@ -311,8 +311,7 @@
         if end.outcome == Outcome::Success {
             self.answer_successfully(request);
         }
-        let request_answered = self.open_requests.get(&request).is_none_or(|open| open.answered);
-        let end = AttemptEnd { request_answered, ..end };
+        end.request_answered = self.open_requests.get(&request).is_none_or(|open| open.answered);
         self.notify_gateway(process.index, GatewayEvent::AttemptEnded(end));
         self.drop_if_ended(request);
     }
--- a/emulator/src/simulation/counter_calls.rs
+++ b/emulator/src/simulation/counter_calls.rs
@@ -44,16 +44,13 @@
             return;
         }
         let Some(delay) = self.network.delay(counter.zone, gateway_zone) else { return };
-        match counter.add(now, *key, amount, ttl) {
-            Some(served) => {
-                let reply = Event::CounterCallEnds { call, outcome: Outcome::Success, total: served.total };
-                self.queue.schedule(served.at + delay, reply);
-            }
-            None => {
-                let reply = Event::CounterCallEnds { call, outcome: Outcome::Rejected, total: 0.0 };
-                self.queue.schedule_in(delay, reply);
-            }
-        }
+        let Some(served) = counter.add(now, *key, amount, ttl) else {
+            let reply = Event::CounterCallEnds { call, outcome: Outcome::Rejected, total: 0.0 };
+            self.queue.schedule_in(delay, reply);
+            return;
+        };
+        let reply = Event::CounterCallEnds { call, outcome: Outcome::Success, total: served.total };
+        self.queue.schedule(served.at + delay, reply);
     }
 
     /// A call has ended for its gateway.
