--- a/src/bin/quota-gateway/counter/mod.rs
+++ b/src/bin/quota-gateway/counter/mod.rs
@@ -43,10 +43,12 @@
 /// A call to add an amount to a named number.
 #[derive(Clone)]
 pub struct CounterCall {
-    pub name: u64,
+    /// The counter's key.
+    pub key: u64,
     pub amount: f64,
-    pub lifetime_ms: f64,
-    pub at: Instant,
+    /// A new key expires at the counter after this.
+    pub ttl_ms: f64,
+    pub started_at: Instant,
 }
 
 /// Where calls go in.
@@ -63,7 +65,7 @@
 
     /// Hands a call on; false if its line is full.
     pub fn call(&self, call: CounterCall) -> bool {
-        let lane = (call.name ^ call.name >> 30) as usize % self.0.len();
+        let lane = (call.key ^ call.key >> 30) as usize % self.0.len();
         self.0[lane].try_send(call).is_ok()
     }
 }
@@ -89,7 +91,12 @@
 
 impl Teller {
     fn tell(&self, call: &CounterCall, ended: Outcome, total: f64) {
-        self.driver.clone().counter_reply(call.name, ended, total, call.at.elapsed().as_secs_f64() * 1000.0);
+        self.driver.clone().counter_reply(
+            call.key,
+            ended,
+            total,
+            call.started_at.elapsed().as_secs_f64() * 1000.0,
+        );
     }
 }
 
@@ -164,8 +171,8 @@
         for (number, part) in parts.iter().enumerate() {
             let text = format!(
                 "POST /counters/{:016x}?by={part}&expire_ms={} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n",
-                call.name,
-                call.lifetime_ms.max(1.0) as u64,
+                call.key,
+                call.ttl_ms.max(1.0) as u64,
                 self.host
             );
             self.out.extend_from_slice(text.as_bytes());
@@ -195,8 +202,8 @@
             };
             let patience = self.teller.patience;
             // The next call to be given up; with none, the wait for late answers or for new calls.
-            let due = self.waiting.iter().find(|p| !p.dropped).map(|p| p.call.at + patience);
-            let silent = self.waiting.front().map(|p| p.call.at.max(self.heard) + 2 * patience);
+            let due = self.waiting.iter().find(|p| !p.dropped).map(|p| p.call.started_at + patience);
+            let silent = self.waiting.front().map(|p| p.call.started_at.max(self.heard) + 2 * patience);
             let wake = due.into_iter().chain(silent).min().unwrap_or(self.heard + IDLE);
             tokio::select! {
                 call = next => match call {
@@ -228,7 +235,7 @@
                 () = sleep_until(wake) => {
                     let now = Instant::now();
                     for pending in self.waiting.iter_mut().filter(|p| !p.dropped) {
-                        if pending.call.at + patience > now {
+                        if pending.call.started_at + patience > now {
                             break;
                         }
                         pending.dropped = true;
--- a/src/bin/quota-gateway/discovery/list.rs
+++ b/src/bin/quota-gateway/discovery/list.rs
@@ -1,68 +1,39 @@
-//! The endpoint list as discovery and the configuration write it.
+//! The endpoint list as discovery and the configuration file write it in JSON.
 
 use serde::de::{Error, IgnoredAny, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use std::fmt::Formatter;
 use std::net::SocketAddr;
 
-/// Most entries of a list: twice and a half the fleet of 8,200 that the operators name as the next size. What a
-/// list takes up is bounded by this alone, some 12 MB in the whole program, whatever a peer claims to send.
-pub const ENTRIES_MOST: usize = 20_480;
+/// Most entries in a list: two and a half times the 8,200 endpoints that the operators name as the next fleet size.
+/// This bound alone limits the memory for a list, about 12 MB in the whole program, whatever a peer sends.
+pub const MAX_ENTRIES: usize = 20_480;
 
-/// The list of backends, or the entries that changed.
+/// An endpoint list, or an update to one.
 #[derive(Debug, Deserialize)]
 pub struct EndpointList {
+    /// Grows with each change at one discovery service.
     pub version: u64,
-    pub full: bool,
-    pub servers: EndpointEntries,
+    /// True if endpoints that are not listed are gone; false for an update that names only what changed.
+    #[serde(rename = "full")]
+    pub complete: bool,
+    #[serde(rename = "servers")]
+    pub endpoints: EndpointEntries,
 }
 
-/// The entries of a list. One that can't be read is counted and passed over: the others hold all the same.
+/// The entries of a list. An invalid entry is counted and skipped; the others still apply.
 #[derive(Debug, Default)]
 pub struct EndpointEntries {
-    pub good: Vec<EndpointEntry>,
-    pub bad: usize,
+    pub valid: Vec<EndpointEntry>,
+    /// Number of entries that could not be read.
+    pub invalid: usize,
 }
 
-impl<'de> Deserialize<'de> for EndpointEntries {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        #[derive(Deserialize)]
-        #[serde(untagged)]
-        enum Entry {
-            Good(EndpointEntry),
-            Bad(IgnoredAny),
-        }
-        struct Visit;
-        impl<'de> Visitor<'de> for Visit {
-            type Value = EndpointEntries;
-
-            fn expecting(&self, f: &mut Formatter) -> std::fmt::Result {
-                write!(f, "a list of servers")
-            }
-
-            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<EndpointEntries, A::Error> {
-                let mut entries = EndpointEntries::default();
-                while let Some(entry) = seq.next_element()? {
-                    match entry {
-                        Entry::Good(server) => entries.good.push(server),
-                        Entry::Bad(IgnoredAny) => entries.bad += 1,
-                    }
-                    if entries.good.len() + entries.bad > ENTRIES_MOST {
-                        return Err(A::Error::custom(format!("over {ENTRIES_MOST} entries")));
-                    }
-                }
-                Ok(entries)
-            }
-        }
-        deserializer.deserialize_seq(Visit)
-    }
-}
-
-/// One entry of the list.
+/// One endpoint.
 #[derive(Debug, Deserialize)]
 pub struct EndpointEntry {
     pub id: String,
-    /// Needed for all but those that are gone.
+    /// Required unless the endpoint is gone.
     pub addr: Option<SocketAddr>,
     #[serde(default)]
     pub zone: String,
@@ -71,19 +42,61 @@
     #[serde(default)]
     pub cell: u32,
     pub state: EntryState,
-    #[serde(default = "one")]
+    #[serde(default = "default_weight")]
     pub weight: f64,
+    /// Unix time at which the endpoint started, in ms.
     #[serde(default)]
     pub started_ms: f64,
 }
 
+/// An endpoint's state, with the names that discovery uses.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 pub enum EntryState {
+    /// Takes requests.
     Ready,
+    /// Is draining.
     Terminating,
+    /// Was removed.
     Gone,
 }
 
-fn one() -> f64 {
+fn default_weight() -> f64 {
     1.0
 }
+
+impl<'de> Deserialize<'de> for EndpointEntries {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_seq(EntriesVisitor)
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum WireEntry {
+    Valid(EndpointEntry),
+    Invalid(IgnoredAny),
+}
+
+struct EntriesVisitor;
+
+impl<'de> Visitor<'de> for EntriesVisitor {
+    type Value = EndpointEntries;
+
+    fn expecting(&self, formatter: &mut Formatter) -> std::fmt::Result {
+        write!(formatter, "a list of servers")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<EndpointEntries, A::Error> {
+        let mut entries = EndpointEntries::default();
+        while let Some(entry) = sequence.next_element()? {
+            match entry {
+                WireEntry::Valid(entry) => entries.valid.push(entry),
+                WireEntry::Invalid(IgnoredAny) => entries.invalid += 1,
+            }
+            if entries.valid.len() + entries.invalid > MAX_ENTRIES {
+                return Err(A::Error::custom(format!("over {MAX_ENTRIES} entries")));
+            }
+        }
+        Ok(entries)
+    }
+}
--- a/src/bin/quota-gateway/discovery/mod.rs
+++ b/src/bin/quota-gateway/discovery/mod.rs
@@ -3,7 +3,7 @@
 pub mod list;
 pub mod schedule;
 
-use crate::discovery::list::{EndpointList, ENTRIES_MOST};
+use crate::discovery::list::{EndpointList, MAX_ENTRIES};
 use crate::discovery::schedule::{Backoff, Cadence};
 use crate::http::{Head, Reader};
 use crate::rate_limited_warning::RateLimitedWarning;
@@ -53,7 +53,7 @@
 /// turn serves a call given up all the same: with short waits alone it would work for callers that have gone.
 const CALLS_MOST: usize = 2;
 /// Longest line or list: the most entries, and bytes of each where a list comes indented.
-const LIST_MOST: usize = ENTRIES_MOST * 512;
+const LIST_MOST: usize = MAX_ENTRIES * 512;
 
 /// Waits of one call: for the connection, and for the whole list or a watch's head.
 #[derive(Clone, Copy)]
@@ -284,7 +284,7 @@
 
 /// Takes in one object.
 fn take(registry: EndpointList, held: &mut Held, driver: &Rc<dyn EndpointListHandler>) -> io::Result<()> {
-    if !registry.full && registry.version < held.version {
+    if !registry.complete && registry.version < held.version {
         held.whole = true;
         return Err(bad("a change older than the list"));
     }
--- a/src/bin/quota-gateway/driver/mod.rs
+++ b/src/bin/quota-gateway/driver/mod.rs
@@ -412,7 +412,12 @@
             Action::CheckHealth { endpoint: backend } => self.probe(backend),
             Action::AddToCounter { key: name, amount, ttl_ms: lifetime_ms } => {
                 if let Some(lanes) = &self.lanes {
-                    if !lanes.call(CounterCall { name, amount, lifetime_ms, at: Instant::now() }) {
+                    if !lanes.call(CounterCall {
+                        key: name,
+                        amount,
+                        ttl_ms: lifetime_ms,
+                        started_at: Instant::now(),
+                    }) {
                         let (result, total, elapsed_ms) = (Outcome::Rejected, 0.0, 0.0);
                         events.push_back(Event::CounterReply {
                             key: name,
@@ -524,11 +529,11 @@
 impl EndpointListHandler for Driver {
     fn endpoint_list_changed(self: Rc<Self>, registry: EndpointList) {
         let inner = &mut *self.inner.borrow_mut();
-        let mut entries = Vec::with_capacity(registry.servers.good.len());
-        if registry.servers.bad > 0 {
+        let mut entries = Vec::with_capacity(registry.endpoints.valid.len());
+        if registry.endpoints.invalid > 0 {
             self.warning.warn("discovery", "an entry of the list can't be read and is passed over");
         }
-        for server in registry.servers.good {
+        for server in registry.endpoints.valid {
             let state = match server.state {
                 EntryState::Ready => EndpointState::Ready,
                 EntryState::Terminating => EndpointState::Draining,
@@ -560,7 +565,7 @@
                 }
             }
         }
-        if registry.full {
+        if registry.complete {
             let listed: HashSet<_> = entries.iter().map(|e| e.id).collect();
             inner.numbers.mark(&listed);
             inner.fleet.retain(|id, _| {
@@ -571,7 +576,7 @@
                 stays
             });
         }
-        self.handle(inner, Event::EndpointUpdate { complete: registry.full, endpoints: entries });
+        self.handle(inner, Event::EndpointUpdate { complete: registry.complete, endpoints: entries });
     }
 
     fn discovery_synced(&self) {
