--- /dev/null
+++ b/src/bin/quota-gateway/config/error.rs
@@ -0,0 +1,49 @@
+//! What can be wrong with a configuration.
+
+use std::io;
+use thiserror::Error;
+
+/// Why a configuration can't be used; printed as one line that names the field.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    #[error("RELAY_CONFIG is not set")]
+    VariableMissing,
+    #[error("RELAY_CONFIG {path}: {source}")]
+    FileUnreadable { path: String, source: io::Error },
+    /// Not JSON, or a field is missing or has the wrong type.
+    #[error("configuration: {field}: {source}")]
+    Syntax { field: String, source: serde_json::Error },
+    #[error("configuration: {field}: {problem}")]
+    InvalidField { field: String, problem: FieldProblem },
+}
+
+impl ConfigError {
+    pub fn invalid(field: impl Into<String>, problem: FieldProblem) -> Self {
+        ConfigError::InvalidField { field: field.into(), problem }
+    }
+}
+
+/// What is wrong with a field that has the right type.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum FieldProblem {
+    #[error("out of range")]
+    OutOfRange,
+    #[error("at least {minimum} are needed")]
+    TooFewSockets { minimum: usize },
+    #[error("not below settings.balancers")]
+    NotBelowGatewayCount,
+    #[error("not a place in settings.zones")]
+    NotAZoneIndex,
+    #[error("empty")]
+    Empty,
+    #[error("missing for a keyed class")]
+    MissingForKeyedClass,
+    #[error("a refill needs a store above 0, and neither is below")]
+    RefillWithoutStore,
+    #[error("missing, though settings.domain.may-count is true")]
+    MissingCounter,
+    #[error("one address for each gateway and peer_listen are needed")]
+    IncompletePeers,
+    #[error("not a hex number")]
+    NotHexadecimal,
+}
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -47,7 +47,7 @@
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).without_time().init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let run = |runtime: tokio::runtime::Runtime| {
-        let config = config::load()?;
+        let config = config::load().map_err(|e| e.to_string())?;
         tokio::task::LocalSet::new().block_on(&runtime, run(config))
     };
     match runtime.map_err(|e| e.to_string()).and_then(run) {
@@ -63,22 +63,22 @@
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let listener = listen(&config).map_err(|e| format!("listen {}: {e}", config.listen))?;
-    let peers = match config.peer_listen.filter(|_| config.settings.limits.gossip) {
+    let peers = match config.gossip.listen.filter(|_| config.settings.limits.gossip) {
         Some(at) => {
-            let peers = gossip::GossipSocket::bind(at, config.peers, config.peers_all).await;
+            let peers = gossip::GossipSocket::bind(at, config.gossip.peers, config.gossip.broadcast).await;
             Some(Rc::new(peers.map_err(|e| format!("peer_listen {at}: {e}"))?))
         }
         None => None,
     };
     // Clients hold a third of the descriptors at most for requests, and each takes one connection onward.
-    let free = config.sockets.saturating_sub(RESERVED);
+    let free = config.max_sockets.saturating_sub(RESERVED);
     let onward = free * 2 / 5;
     let places = free - onward;
-    let backends = ConnectionPool::new(onward, config.connect_ms, config.idle_ms);
+    let backends = ConnectionPool::new(onward, config.connect_timeout_ms, config.idle_timeout_ms);
     let (move_discovery, discovery) = watch::channel(config.discovery);
     let counter = config.settings.counter.and_then(|c| Some((c.timeout_ms, watch::channel(config.counter?))));
     let (lanes, ends) = counter::CounterClient::new();
-    let names = TopologyNames { zones: config.zones, kinds: config.kinds };
+    let names = TopologyNames { zones: config.zone_names, kinds: config.kind_names };
     let mut settings = config.settings;
     settings.limits.max_connections = onward.try_into().unwrap_or(u32::MAX);
     let lanes = counter.as_ref().map(|_| lanes);
@@ -88,13 +88,13 @@
         counter::spawn(ends, addr, *timeout_ms, &replies);
     }
     let manner = WatchPolicy::new(&settings, config.seed);
-    let version = config.known.as_ref().map_or(0, |known| known.version);
-    if let Some(known) = config.known {
+    let version = config.known_endpoints.as_ref().map_or(0, |known| known.version);
+    if let Some(known) = config.known_endpoints {
         driver.clone().endpoint_list_changed(known);
     }
     tokio::task::spawn_local(discovery::run(discovery, version, manner, driver.clone()));
     if let Some(peers) = peers {
-        tokio::task::spawn_local(gossip::run(peers, config.peer_intake, driver.clone()));
+        tokio::task::spawn_local(gossip::run(peers, config.gossip.max_messages_per_second, driver.clone()));
     }
     let sweeper = driver.clone();
     tokio::task::spawn_local(async move {
@@ -104,7 +104,7 @@
         }
     });
     let free = Arc::new(Semaphore::new(places));
-    let server = Server::new(driver.clone(), &settings, config.classes, config.plans, free.clone());
+    let server = Server::new(driver.clone(), &settings, config.class_names, config.plan_names, free.clone());
     let (close, closing) = watch::channel(false);
     tracing::info!("listening on {}", listener.local_addr().map_err(|e| e.to_string())?);
     let accept = tokio::task::spawn_local(server.clone().accept(listener, closing));
