--- /dev/null
+++ b/src/bin/quota-gateway/discovery/call.rs
@@ -0,0 +1,61 @@
+//! One call to discovery: the request for a watch and the response up to its first event.
+
+use super::error::DiscoveryError;
+use super::list::{EndpointList, MAX_LIST_BYTES};
+use super::policy::CallTimeouts;
+use super::watch::Watch;
+use crate::http::{Head, Reader};
+use std::net::SocketAddr;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Asks for a watch on the changes after a version.
+#[derive(Clone, Copy)]
+pub struct WatchRequest {
+    pub addr: SocketAddr,
+    /// Version of the list in hand.
+    pub version: u64,
+    /// Whether to fetch the complete list first, and to watch from its version.
+    pub fetch_complete_list: bool,
+}
+
+impl WatchRequest {
+    /// Makes the call; list and watch come over the same connection.
+    pub async fn send(self, timeouts: CallTimeouts) -> Result<Watch, DiscoveryError> {
+        let stream = timeout(timeouts.connect, TcpStream::connect(self.addr)).await??;
+        let mut reader = Reader::new(stream);
+        let mut complete_list = None;
+        if self.fetch_complete_list {
+            complete_list = Some(self.fetch_list(&mut reader, timeouts).await?);
+        }
+        let version = complete_list.as_ref().map_or(self.version, |list| list.version);
+        self.write_request(&mut reader, &format!("/registry/instances?stream=1&index={version}")).await?;
+        check_status(&timeout(timeouts.response, reader.head()).await??)?;
+        Ok(Watch { reader, complete_list })
+    }
+
+    async fn fetch_list(
+        &self, reader: &mut Reader<TcpStream>, timeouts: CallTimeouts,
+    ) -> Result<EndpointList, DiscoveryError> {
+        self.write_request(reader, "/registry/instances").await?;
+        let (head, body) = timeout(timeouts.response, reader.answer(MAX_LIST_BYTES)).await??;
+        check_status(&head)?;
+        Ok(serde_json::from_slice(&body)?)
+    }
+
+    async fn write_request(
+        &self, reader: &mut Reader<TcpStream>, target: &str,
+    ) -> Result<(), DiscoveryError> {
+        let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr);
+        reader.io.write_all(request.as_bytes()).await?;
+        Ok(())
+    }
+}
+
+fn check_status(head: &Head) -> Result<(), DiscoveryError> {
+    match head.status {
+        200 => Ok(()),
+        status => Err(DiscoveryError::Status(status)),
+    }
+}
--- a/src/bin/quota-gateway/discovery/list.rs
+++ b/src/bin/quota-gateway/discovery/list.rs
@@ -8,6 +8,8 @@
 /// Most entries in a list: two and a half times the 8,200 endpoints that the operators name as the next fleet size.
 /// This bound alone limits the memory for a list, about 12 MB in the whole program, whatever a peer sends.
 pub const MAX_ENTRIES: usize = 20_480;
+/// Longest text of a list: the most entries, with the bytes of each in an indented list.
+pub const MAX_LIST_BYTES: usize = MAX_ENTRIES * 512;
 
 /// An endpoint list, or an update to one.
 #[derive(Debug, Deserialize)]
--- /dev/null
+++ b/src/bin/quota-gateway/discovery/open/tests.rs
@@ -0,0 +1,85 @@
+use super::super::policy::{self, PROPAGATION_LIMIT};
+use super::*;
+use std::cell::RefCell;
+use std::io::{self, ErrorKind};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// What an unavailable discovery does with a call.
+#[derive(Clone, Copy, Debug)]
+enum Outage {
+    RefusesConnections,
+    Hangs,
+    Rejects,
+}
+
+/// What the gateways saw of the return of discovery, as times since then.
+struct Recovery {
+    /// When each gateway had its watch.
+    watches_open: Vec<Duration>,
+    /// When each call arrived that came after the return.
+    calls: Vec<Duration>,
+}
+
+/// Gateways whose discovery is down for some time and then answers each call after a second. On the paused clock.
+async fn recover(gateway_count: u32, outage: Outage, outage_ms: u64) -> Recovery {
+    let returns_at = Instant::now() + Duration::from_millis(outage_ms);
+    let calls = Rc::new(RefCell::new(Vec::new()));
+    let mut gateways = JoinSet::new();
+    for seed in 0..gateway_count {
+        let calls = calls.clone();
+        let mut policy = policy::tests::policy(gateway_count, true, seed.into());
+        gateways.spawn_local(async move {
+            let call = |timeouts: CallTimeouts| {
+                let calls = calls.clone();
+                async move {
+                    let is_down = Instant::now() < returns_at;
+                    match outage {
+                        _ if !is_down => {
+                            calls.borrow_mut().push(Instant::now() - returns_at);
+                            sleep(Duration::from_secs(1)).await;
+                            return Ok(());
+                        }
+                        Outage::RefusesConnections => {}
+                        // A call that came while discovery hung is never answered.
+                        Outage::Hangs => sleep(timeouts.response).await,
+                        Outage::Rejects => sleep(Duration::from_secs(1)).await,
+                    }
+                    Err(io::Error::from(ErrorKind::ConnectionRefused).into())
+                }
+            };
+            open_watch(&mut policy, call, |_| {}).await;
+            Instant::now().saturating_duration_since(returns_at)
+        });
+    }
+    let watches_open = gateways.join_all().await;
+    let calls = calls.borrow().clone();
+    Recovery { watches_open, calls }
+}
+
+/// With a shared service: however calls failed during the outage, each gateway has its watch within 6 s of the
+/// return, and their calls come spread out.
+#[tokio::test(start_paused = true)]
+async fn all_gateways_reopen_their_watches_in_time_after_an_outage_of_a_shared_service() {
+    let set = tokio::task::LocalSet::new();
+    set.run_until(async {
+        for outage in [Outage::RefusesConnections, Outage::Hangs, Outage::Rejects] {
+            for (gateway_count, outage_ms) in [(3, 8000), (30, 8000), (300, 3900), (300, 8000), (720, 31_000)]
+            {
+                let recovery = recover(gateway_count, outage, outage_ms).await;
+                let latest = recovery.watches_open.iter().max().unwrap();
+                assert!(*latest <= PROPAGATION_LIMIT, "{gateway_count}, {outage:?} {outage_ms}: {latest:?}");
+                let mut per_second = [0.0; 8];
+                recovery.calls.iter().for_each(|at| per_second[at.as_secs() as usize] += 1.0);
+                let even = f64::from(gateway_count) / (f64::from(gateway_count) / 10.0).min(4.0);
+                let most = 4.0 / 3.0 * even + 4.0 * even.sqrt();
+                assert!(
+                    per_second.iter().all(|n| *n <= most),
+                    "{gateway_count}, {outage:?} {outage_ms}: {per_second:?}"
+                );
+            }
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/src/bin/quota-gateway/discovery/policy.rs
@@ -0,0 +1,143 @@
+//! Timeouts and retry times of the calls to discovery.
+
+use super::schedule::{Backoff, Cadence};
+use quota_gateway::Settings;
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[cfg(test)]
+pub mod tests;
+
+/// A gateway must know a change this long after discovery had it and could be reached, whatever failed before.
+pub const PROPAGATION_LIMIT: Duration = Duration::from_secs(6);
+/// The part of that limit which is left for the response: a crowded discovery rejects calls that have waited longer
+/// in its queue.
+pub const RESPONSE_ALLOWANCE: Duration = Duration::from_secs(2);
+/// Most unanswered calls at a time. The older call is kept beside its successor: a discovery that answers calls in
+/// turn serves abandoned ones all the same, and with short timeouts alone it would work for callers that have gone.
+pub const MAX_CONCURRENT_CALLS: usize = 2;
+/// Timeout for a connection to a shared service, and the longest timeout of a call to the agent.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// A call to the agent may take this share of the time in which a draining endpoint may still get requests. A call
+/// written while discovery is down may never be answered, and the next one has to fit in as well.
+const AGENT_CALL_SHARE_OF_DRAIN_GRACE: f64 = 0.2;
+/// The pause between two calls to the agent, which answers from memory at no cost to anyone.
+const AGENT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// A watch on a shared service that ended after it had been open is reopened within this time: at once, all gateways
+/// would call together, and later would exceed the propagation limit.
+const MAX_REOPEN_PAUSE: Duration = Duration::from_secs(2);
+/// Longest drain grace that the timeouts take into account.
+const MAX_DRAIN_GRACE_MS: f64 = 60_000.0;
+
+/// Timeouts of one call.
+#[derive(Clone, Copy)]
+pub struct CallTimeouts {
+    pub connect: Duration,
+    /// For a complete list, and for the head of a watch.
+    pub response: Duration,
+}
+
+/// Who answers the calls.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// An agent on this machine, which no other gateway calls.
+    LocalAgent,
+    /// A service that all gateways call.
+    SharedService,
+}
+
+/// When to call discovery, and how long to wait for it.
+pub struct WatchPolicy {
+    source: Source,
+    timeouts: CallTimeouts,
+    /// Longest time from the start of an unanswered call to that of the next one.
+    max_call_interval: Duration,
+    cadence: Cadence,
+    invalid_response_backoff: Backoff,
+    rng: fastrand::Rng,
+}
+
+impl WatchPolicy {
+    /// The policy for these settings; the seed sets this gateway apart from the others.
+    pub fn new(settings: &Settings, seed: u64) -> Self {
+        let source = if settings.endpoints_polled { Source::SharedService } else { Source::LocalAgent };
+        let agent_timeout = agent_call_timeout(settings.rules.drain_grace_ms);
+        let service_interval = PROPAGATION_LIMIT - RESPONSE_ALLOWANCE;
+        let timeouts = match source {
+            Source::LocalAgent => CallTimeouts { connect: agent_timeout, response: agent_timeout },
+            Source::SharedService => CallTimeouts {
+                connect: CONNECT_TIMEOUT,
+                response: service_interval * MAX_CONCURRENT_CALLS as u32,
+            },
+        };
+        WatchPolicy {
+            source,
+            timeouts,
+            max_call_interval: match source {
+                Source::LocalAgent => agent_timeout + AGENT_RETRY_PAUSE,
+                Source::SharedService => service_interval,
+            },
+            cadence: Cadence::new(settings.gateway_count, service_interval, seed),
+            invalid_response_backoff: Backoff::new(AGENT_RETRY_PAUSE, service_interval, seed.rotate_left(16)),
+            rng: fastrand::Rng::with_seed(seed.rotate_left(32)),
+        }
+    }
+
+    pub fn timeouts(&self) -> CallTimeouts {
+        self.timeouts
+    }
+
+    /// From the start of a call to that of the next one beside it, if it stays unanswered; `only_one` if no other
+    /// call is in flight.
+    #[must_use]
+    pub fn unanswered_interval(&mut self, only_one: bool) -> Duration {
+        match self.source {
+            Source::LocalAgent => self.max_call_interval,
+            Source::SharedService => self.cadence.unanswered_interval(only_one),
+        }
+    }
+
+    /// When the next call is due after one that has just failed. Invalid responses are not requested in a loop.
+    #[must_use]
+    pub fn next_call_after_failure(&mut self, started_at: Instant, invalid_response: bool) -> Instant {
+        let now = Instant::now();
+        let pause = match self.source {
+            Source::LocalAgent => AGENT_RETRY_PAUSE,
+            Source::SharedService => self.cadence.pause_after_failure(now - started_at),
+        };
+        now + self.back_off_if(invalid_response, pause)
+    }
+
+    /// The pause after a watch that was open for this long. Invalid events are not requested in a loop.
+    #[must_use]
+    pub fn pause_after_watch(&mut self, was_open_for: Duration, invalid_response: bool) -> Duration {
+        self.cadence.reset();
+        let pause = match self.source {
+            Source::LocalAgent => AGENT_RETRY_PAUSE,
+            Source::SharedService => MAX_REOPEN_PAUSE.mul_f64(self.rng.f64()),
+        };
+        if was_open_for >= self.max_call_interval {
+            self.invalid_response_backoff.reset();
+        }
+        self.back_off_if(invalid_response, pause)
+    }
+
+    /// Discovery has moved to another address.
+    pub fn address_changed(&mut self) {
+        self.cadence.reset();
+    }
+
+    fn back_off_if(&mut self, invalid_response: bool, pause: Duration) -> Duration {
+        if invalid_response {
+            pause.max(self.invalid_response_backoff.next_pause())
+        } else {
+            pause
+        }
+    }
+}
+
+fn agent_call_timeout(drain_grace_ms: f64) -> Duration {
+    let drain_grace_s = drain_grace_ms.clamp(0.0, MAX_DRAIN_GRACE_MS) / 1000.0;
+    let timeout = Duration::from_secs_f64(drain_grace_s * AGENT_CALL_SHARE_OF_DRAIN_GRACE);
+    timeout.max(AGENT_RETRY_PAUSE).min(CONNECT_TIMEOUT)
+}
--- /dev/null
+++ b/src/bin/quota-gateway/discovery/policy/tests.rs
@@ -0,0 +1,52 @@
+use super::super::watch::IDLE_TIMEOUT;
+use super::*;
+
+/// The policy of one of several gateways.
+pub fn policy(gateway_count: u32, endpoints_polled: bool, seed: u64) -> WatchPolicy {
+    let mut settings = Settings { gateway_count, endpoints_polled, ..Settings::default() };
+    settings.rules.drain_grace_ms = 2000.0;
+    WatchPolicy::new(&settings, seed)
+}
+
+/// From the return of discovery to the list in hand, with a call that was just written and stays unanswered.
+#[test]
+fn an_agent_is_called_again_well_within_the_drain_grace() {
+    let policy = policy(300, false, 1);
+    let calls = policy.max_call_interval + policy.timeouts.response;
+    assert!(
+        policy.max_call_interval >= policy.timeouts.response && calls < Duration::from_millis(1500),
+        "{calls:?}"
+    );
+}
+
+/// Invalid responses to calls and within watches: no loop, and all the same retried in time.
+#[test]
+fn invalid_responses_are_not_requested_in_a_loop() {
+    for (endpoints_polled, watches) in [(false, false), (false, true), (true, true)] {
+        let mut policy = policy(1, endpoints_polled, 1);
+        let pauses: Vec<_> = (0..20)
+            .map(|_| match watches {
+                true => policy.pause_after_watch(Duration::ZERO, true),
+                false => policy.next_call_after_failure(Instant::now(), true) - Instant::now(),
+            })
+            .collect();
+        let longest = PROPAGATION_LIMIT - RESPONSE_ALLOWANCE;
+        assert!(pauses.iter().all(|pause| *pause <= longest), "{pauses:?}");
+        assert!(pauses[8..].iter().sum::<Duration>() > 12 * longest / 4, "{pauses:?}");
+        let _ = policy.pause_after_watch(PROPAGATION_LIMIT, false);
+        let usual = if endpoints_polled { MAX_REOPEN_PAUSE } else { AGENT_RETRY_PAUSE };
+        assert!(policy.pause_after_watch(PROPAGATION_LIMIT, false) <= usual);
+    }
+}
+
+/// Three hundred gateways whose watches fall silent at once: spread, but all in time.
+#[test]
+fn watches_on_a_shared_service_that_end_together_are_reopened_spread_out() {
+    let mut reopened = [0; 20];
+    for seed in 0..300 {
+        let pause = policy(300, true, seed).pause_after_watch(Duration::from_secs(60), false);
+        assert!(IDLE_TIMEOUT + pause < Duration::from_secs(5));
+        reopened[(pause.as_millis() / 100) as usize] += 1;
+    }
+    assert!(reopened.iter().all(|n| *n <= 30), "{reopened:?}");
+}
--- /dev/null
+++ b/src/bin/quota-gateway/discovery/schedule/tests.rs
@@ -0,0 +1,63 @@
+use super::*;
+
+const MAX_INTERVAL: Duration = Duration::from_secs(4);
+
+/// When each gateway calls a service that fails all of them at the same time, in the first 20 s.
+fn attempt_times(gateway_count: u32) -> Vec<Vec<Duration>> {
+    let attempts = |seed| {
+        let mut cadence = Cadence::new(gateway_count, MAX_INTERVAL, seed);
+        let next = |at: &Duration| Some(*at + cadence.pause_after_failure(Duration::ZERO));
+        std::iter::successors(Some(Duration::ZERO), next).take_while(|at| *at < 5 * MAX_INTERVAL).collect()
+    };
+    (0..gateway_count.into()).map(attempts).collect()
+}
+
+#[test]
+fn gateways_that_fail_together_do_not_retry_together() {
+    // Found at size: each retried every 200 ms, 430 calls per second in all, and discovery, which serves eight or
+    // nine, served none of them for as long as that lasted.
+    for gateway_count in [40, 100, 300, 720] {
+        let mut per_second = [0.0; 20];
+        for at in attempt_times(gateway_count).concat() {
+            per_second[at.as_secs() as usize] += 1.0;
+        }
+        let even = f64::from(gateway_count) / MAX_INTERVAL.as_secs_f64();
+        let most = even + 4.0 * even.sqrt();
+        assert!(
+            per_second[1..].iter().all(|n| *n <= most),
+            "{gateway_count}: {per_second:?}, {even} would be even"
+        );
+    }
+}
+
+/// Whenever the service is back, each gateway calls it within the time that is left for that.
+#[test]
+fn no_gateway_waits_longer_than_the_longest_interval() {
+    for gateway_count in [1, 3, 40, 300, 720] {
+        for attempts in attempt_times(gateway_count) {
+            assert!(
+                attempts.windows(2).all(|pair| pair[1] - pair[0] <= MAX_INTERVAL),
+                "{gateway_count}: {attempts:?}"
+            );
+            assert!(attempts.last().unwrap() >= &(4 * MAX_INTERVAL), "they go on");
+        }
+    }
+}
+
+#[test]
+fn a_few_gateways_retry_often() {
+    let attempts = attempt_times(3).concat();
+    assert!((180..=330).contains(&attempts.len()), "{}", attempts.len());
+}
+
+#[test]
+fn backoff_grows_up_to_its_maximum_and_a_success_resets_it() {
+    let initial = Duration::from_millis(50);
+    let mut backoff = Backoff::new(initial, MAX_INTERVAL, 1);
+    let pauses: Vec<_> = (0..50).map(|_| backoff.next_pause()).collect();
+    assert!(pauses.iter().all(|pause| *pause >= initial / 2 && *pause <= MAX_INTERVAL), "{pauses:?}");
+    assert!(pauses.iter().any(|pause| *pause > MAX_INTERVAL / 2), "{pauses:?}");
+    assert!(pauses.iter().sum::<Duration>() > 20 * MAX_INTERVAL / 2, "{pauses:?}");
+    backoff.reset();
+    assert!(backoff.next_pause() <= initial);
+}
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -87,12 +87,12 @@
         let replies: Rc<dyn CounterReplyHandler> = driver.clone();
         counter::spawn(ends, addr, *timeout_ms, &replies);
     }
-    let manner = WatchPolicy::new(&settings, config.seed);
+    let watch_policy = WatchPolicy::new(&settings, config.seed);
     let version = config.known_endpoints.as_ref().map_or(0, |known| known.version);
     if let Some(known) = config.known_endpoints {
         driver.clone().endpoint_list_changed(known);
     }
-    tokio::task::spawn_local(discovery::run(discovery, version, manner, driver.clone()));
+    tokio::task::spawn_local(discovery::run(discovery, version, watch_policy, driver.clone()));
     if let Some(peers) = peers {
         tokio::task::spawn_local(gossip::run(peers, config.gossip.max_messages_per_second, driver.clone()));
     }
