--- /dev/null
+++ b/src/bin/quota-gateway/counter/codec.rs
@@ -0,0 +1,65 @@
+//! The text of a call to the counter, and the meaning of its response.
+
+use super::client::CounterCall;
+use quota_gateway::Outcome;
+use std::net::SocketAddr;
+
+#[cfg(test)]
+mod tests;
+
+/// The counter keeps amounts multiplied by this. It writes totals with three decimals, and the amounts of the decision
+/// library start at a billionth of a unit at the beginning of a window: unscaled they came back as 0, and each
+/// window began unchecked.
+const SCALE: f64 = 1e7;
+/// Largest amount that the counter takes.
+const MAX_AMOUNT: f64 = 1e9;
+/// Largest number of full parts that one amount is split into: more would be beyond any use.
+const MAX_FULL_PARTS: f64 = 16.0;
+
+/// What a response says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CounterReply {
+    pub outcome: Outcome,
+    /// The total after the call; 0 unless it succeeded.
+    pub total: f64,
+}
+
+/// The requests that together add the amount of a call.
+pub fn encode(call: &CounterCall, addr: SocketAddr) -> Vec<String> {
+    let parts = split_amount(call.amount * SCALE);
+    parts.into_iter().map(|part| request(call, part, addr)).collect()
+}
+
+fn request(call: &CounterCall, part: f64, addr: SocketAddr) -> String {
+    let key = call.key;
+    let expire_ms = call.ttl_ms.max(1.0) as u64;
+    format!(
+        "POST /counters/{key:016x}?by={part}&expire_ms={expire_ms} HTTP/1.1\r\n\
+         Host: {addr}\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+/// Splits a scaled amount into parts that the counter takes. If it were clamped, the rest of a customer's use would
+/// never be counted.
+fn split_amount(amount: f64) -> Vec<f64> {
+    let full_parts = (amount.abs() / MAX_AMOUNT).min(MAX_FULL_PARTS) as usize;
+    let mut parts = vec![MAX_AMOUNT.copysign(amount); full_parts];
+    let remainder = amount - parts.iter().sum::<f64>();
+    parts.push(remainder.clamp(-MAX_AMOUNT, MAX_AMOUNT));
+    parts
+}
+
+/// Reads a response. Without a total that is a number the amount may or may not have been added.
+pub fn decode(status: u16, body: &[u8]) -> CounterReply {
+    match (status, parse_total(body)) {
+        (200, Some(total)) => CounterReply { outcome: Outcome::Success, total: total / SCALE },
+        (503 | 400 | 404, _) => CounterReply { outcome: Outcome::Rejected, total: 0.0 },
+        _ => CounterReply { outcome: Outcome::ErrorResponse, total: 0.0 },
+    }
+}
+
+fn parse_total(body: &[u8]) -> Option<f64> {
+    let text = std::str::from_utf8(body).ok()?;
+    let total: f64 = text.trim().parse().ok()?;
+    total.is_finite().then_some(total)
+}
--- /dev/null
+++ b/src/bin/quota-gateway/counter/report.rs
@@ -0,0 +1,27 @@
+//! Reports how calls ended.
+
+use super::client::CounterCall;
+use quota_gateway::Outcome;
+use std::rc::Rc;
+
+/// Receives the results of calls to the counter.
+pub trait CounterReplyHandler {
+    /// A call for this key has ended; `total` is 0 unless it succeeded.
+    fn counter_reply(self: Rc<Self>, key: u64, outcome: Outcome, total: f64, elapsed_ms: f64);
+}
+
+/// Reports the end of each call, with the time that it took.
+pub struct CallReporter {
+    handler: Rc<dyn CounterReplyHandler>,
+}
+
+impl CallReporter {
+    pub fn new(handler: Rc<dyn CounterReplyHandler>) -> Self {
+        CallReporter { handler }
+    }
+
+    pub fn report(&self, call: &CounterCall, outcome: Outcome, total: f64) {
+        let elapsed_ms = call.started_at.elapsed().as_secs_f64() * 1000.0;
+        self.handler.clone().counter_reply(call.key, outcome, total, elapsed_ms);
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/counter/worker.rs
@@ -0,0 +1,43 @@
+//! Serves one queue of calls: connects when a call is waiting and the former connection has ended.
+
+use super::client::CounterCall;
+use super::connection::{Connection, ConnectionContext};
+use quota_gateway::Outcome;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::Receiver;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Runs until the sender of the queue is dropped. A new address is used at once.
+pub async fn run(
+    mut addr: watch::Receiver<SocketAddr>, mut queue: Receiver<CounterCall>, context: Rc<ConnectionContext>,
+) {
+    while let Some(first_call) = queue.recv().await {
+        let current_addr = *addr.borrow_and_update();
+        let connecting = TcpStream::connect(current_addr);
+        let Ok(Ok(stream)) = timeout(context.call_timeout, connecting).await else {
+            fail_waiting_calls(&first_call, &mut queue, &context);
+            continue;
+        };
+        let mut connection = Connection::new(stream, current_addr, context.clone());
+        connection.enqueue(first_call);
+        tokio::select! {
+            () = connection.serve(Some(&mut queue)) => connection.close(),
+            // Calls in flight still get their responses from the old address; new calls don't wait for them. The
+            // connection's task ends by itself, at the latest when the old address has been silent for too long.
+            Ok(()) = addr.changed() => drop(tokio::task::spawn_local(connection.finish())),
+        }
+    }
+}
+
+/// Without a connection nothing was added for any of the calls.
+fn fail_waiting_calls(
+    first_call: &CounterCall, queue: &mut Receiver<CounterCall>, context: &ConnectionContext,
+) {
+    context.reporter.report(first_call, Outcome::ConnectFailed, 0.0);
+    while let Ok(call) = queue.try_recv() {
+        context.reporter.report(&call, Outcome::ConnectFailed, 0.0);
+    }
+}
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -85,7 +85,7 @@
     let driver = Driver::new(settings.clone(), config.seed, names, backends, lanes, peers.clone());
     if let Some((timeout_ms, (_, addr))) = &counter {
         let replies: Rc<dyn CounterReplyHandler> = driver.clone();
-        counter::spawn(ends, addr, *timeout_ms, &replies);
+        counter::spawn(ends, addr, *timeout_ms, replies);
     }
     let watch_policy = WatchPolicy::new(&settings, config.seed);
     let version = config.known_endpoints.as_ref().map_or(0, |known| known.version);
