--- /dev/null
+++ b/src/bin/quota-gateway/error.rs
@@ -0,0 +1,23 @@
+//! Why the program can't start.
+
+use crate::config::ConfigError;
+use std::io;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// A failed start; printed as one line.
+#[derive(Debug, Error)]
+pub enum StartupError {
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    #[error("{0}")]
+    Runtime(io::Error),
+    #[error("{signal}: {source}")]
+    SignalHandler { signal: &'static str, source: io::Error },
+    #[error("listen {addr}: {source}")]
+    Listen { addr: SocketAddr, source: io::Error },
+    #[error("peer_listen {addr}: {source}")]
+    GossipListen { addr: SocketAddr, source: io::Error },
+    #[error("{0}")]
+    LocalAddress(io::Error),
+}
--- /dev/null
+++ b/src/bin/quota-gateway/reload.rs
@@ -0,0 +1,41 @@
+//! Reloading the configuration on SIGHUP: the addresses of discovery and of the counter may change, all else needs a
+//! restart.
+
+use crate::config::{self, Config};
+use std::net::SocketAddr;
+use tokio::sync::watch;
+
+/// The addresses that a reload changes. Their users subscribe to them.
+pub struct ReloadableAddresses {
+    pub discovery: watch::Sender<SocketAddr>,
+    /// Absent if the counter is not used.
+    pub counter: Option<watch::Sender<SocketAddr>>,
+}
+
+impl ReloadableAddresses {
+    pub fn new(discovery: SocketAddr, counter: Option<SocketAddr>) -> Self {
+        ReloadableAddresses {
+            discovery: watch::Sender::new(discovery),
+            counter: counter.map(watch::Sender::new),
+        }
+    }
+
+    /// Reads the configuration again. A file with an error changes nothing.
+    pub fn reload(&self) {
+        match config::load() {
+            Ok(config) => {
+                self.update(&config);
+                tracing::info!("SIGHUP: configuration reloaded");
+            }
+            Err(error) => tracing::warn!("SIGHUP: the old configuration stands: {error}"),
+        }
+    }
+
+    /// Subscribers reconnect even if an address is the same: another server may have taken it over.
+    fn update(&self, config: &Config) {
+        let _ = self.discovery.send(config.discovery);
+        if let (Some(sender), Some(addr)) = (&self.counter, config.counter) {
+            let _ = sender.send(addr);
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/shutdown.rs
@@ -0,0 +1,128 @@
+//! The planned end after SIGTERM. The gateway reports that it is not ready and still accepts clients for a time, then
+//! waits for the open requests and fails those that are left before SIGKILL would cut them off.
+
+use crate::driver::Driver;
+use crate::server::Server;
+use quota_gateway::Settings;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{watch, Semaphore};
+use tokio::task::{yield_now, JoinHandle};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+
+#[cfg(test)]
+mod tests;
+
+/// After SIGTERM new clients are accepted for this long: the load balancer in front may not have noticed yet.
+const ACCEPT_PERIOD: Duration = Duration::from_millis(600);
+/// From this time after SIGTERM only clients with an open request are waited for: others that connected in time have
+/// long sent their requests.
+const QUIET_PERIOD: Duration = Duration::from_millis(1000);
+/// SIGKILL comes no sooner after SIGTERM than the longest request deadline, which counts as this at most ...
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// ... plus this.
+const KILL_GRACE: Duration = Duration::from_millis(700);
+/// This long before SIGKILL the requests still open are failed, so that each gets a response.
+const FAILURE_RESERVE: Duration = Duration::from_millis(300);
+/// The last responses are written within this time.
+const FINAL_WRITE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Interval at which open requests are checked for.
+const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Guards the conversion of a deadline into a `Duration`.
+const MAX_DEADLINE_MS: f64 = 86_400_000.0;
+
+/// What the shutdown acts on.
+pub struct Shutdown {
+    pub server: Rc<Server>,
+    pub driver: Rc<Driver>,
+    pub acceptor: Acceptor,
+    pub client_slots: ClientSlots,
+    /// How long after SIGTERM requests may stay open.
+    pub open_request_limit: Duration,
+}
+
+impl Shutdown {
+    /// Returns when the process may exit.
+    pub async fn run(mut self) {
+        let started_at = Instant::now();
+        self.server.drain();
+        sleep(ACCEPT_PERIOD).await;
+        // Idle connections close now, the others after their responses. What has arrived is read first, also after
+        // the whole process was suspended; then nobody listens any more.
+        yield_now().await;
+        self.acceptor.stop().await;
+        self.wait_for_open_requests(started_at).await;
+        if self.server.busy() {
+            self.driver.fail_open_requests();
+            let _ = timeout(FINAL_WRITE_TIMEOUT, self.client_slots.all_free()).await;
+        }
+    }
+
+    /// Waits until the last connection has ended, or until no request is open and the quiet period is over: a
+    /// connection without a request need not end.
+    async fn wait_for_open_requests(&self, started_at: Instant) {
+        tokio::select! {
+            _ = timeout_at(started_at + self.open_request_limit, self.client_slots.all_free()) => {}
+            () = self.until_idle(started_at + QUIET_PERIOD) => {}
+        }
+    }
+
+    async fn until_idle(&self, not_before: Instant) {
+        sleep_until(not_before).await;
+        while self.server.busy() {
+            sleep(BUSY_CHECK_INTERVAL).await;
+        }
+    }
+}
+
+/// How long after SIGTERM requests may stay open.
+pub fn open_request_limit(settings: &Settings) -> Duration {
+    let longest_ms = settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
+    let longest = Duration::from_secs_f64(longest_ms.clamp(0.0, MAX_DEADLINE_MS) / 1000.0);
+    longest.min(MAX_COUNTED_DEADLINE) + KILL_GRACE - FAILURE_RESERVE
+}
+
+/// The task that accepts clients.
+pub struct Acceptor {
+    task: JoinHandle<()>,
+    close: watch::Sender<bool>,
+}
+
+impl Acceptor {
+    pub fn spawn(server: Rc<Server>, listener: TcpListener) -> Self {
+        let (close, closing) = watch::channel(false);
+        let task = tokio::task::spawn_local(server.accept(listener, closing));
+        Acceptor { task, close }
+    }
+
+    /// Asks the task to end, and aborts it if it takes too long.
+    async fn stop(&mut self) {
+        let _ = self.close.send(true);
+        if timeout(FINAL_WRITE_TIMEOUT, &mut self.task).await.is_err() {
+            self.task.abort();
+        }
+    }
+}
+
+/// The places for clients' connections.
+pub struct ClientSlots {
+    semaphore: Arc<Semaphore>,
+    total: u32,
+}
+
+impl ClientSlots {
+    pub fn new(total: u32) -> Self {
+        ClientSlots { semaphore: Arc::new(Semaphore::new(total as usize)), total }
+    }
+
+    pub fn semaphore(&self) -> Arc<Semaphore> {
+        self.semaphore.clone()
+    }
+
+    /// Returns when the last connection has ended.
+    async fn all_free(&self) {
+        let _ = self.semaphore.acquire_many(self.total).await;
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/startup.rs
@@ -0,0 +1,130 @@
+//! Starts the gateway: opens its sockets, builds its parts and spawns their tasks.
+
+use crate::config::{Config, GossipConfig};
+use crate::counter::{self, CounterClient};
+use crate::discovery::list::EndpointList;
+use crate::discovery::{self, EndpointListHandler, WatchPolicy};
+use crate::driver::{Driver, TopologyNames};
+use crate::error::StartupError;
+use crate::gossip::{self, GossipSocket};
+use crate::reload::ReloadableAddresses;
+use crate::server::Server;
+use crate::shutdown::{open_request_limit, Acceptor, ClientSlots, Shutdown};
+use crate::upstream::ConnectionPool;
+use quota_gateway::Settings;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::sleep;
+
+/// Descriptors kept for all but clients and endpoints: log, signals, counter, discovery, gossip, listener.
+const RESERVED_DESCRIPTORS: usize = 32;
+/// Clients that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1024;
+/// Interval of the periodic clean-up.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The handles by which the main task controls a running gateway.
+pub struct RunningGateway {
+    pub addresses: ReloadableAddresses,
+    pub shutdown: Shutdown,
+}
+
+/// Starts all tasks of the gateway on the current `LocalSet`.
+pub async fn start(config: Config) -> Result<RunningGateway, StartupError> {
+    let listener = listen(config.listen)?;
+    let max_gossip_per_second = config.gossip.max_messages_per_second;
+    let gossip_socket = bind_gossip(config.gossip, &config.settings).await?;
+    let budget = DescriptorBudget::new(config.max_sockets);
+    let pool = ConnectionPool::new(budget.endpoints, config.connect_timeout_ms, config.idle_timeout_ms);
+    let mut settings = config.settings;
+    settings.limits.max_connections = budget.endpoints.try_into().unwrap_or(u32::MAX);
+
+    let counter_addr = config.counter.filter(|_| settings.counter.is_some());
+    let addresses = ReloadableAddresses::new(config.discovery, counter_addr);
+    let (counter_client, counter_queues) = CounterClient::new();
+    let counter_client = counter_addr.map(|_| counter_client);
+    let names = TopologyNames { zones: config.zone_names, kinds: config.kind_names };
+    let driver =
+        Driver::new(settings.clone(), config.seed, names, pool, counter_client, gossip_socket.clone());
+
+    if let (Some(addr), Some(counter)) = (&addresses.counter, settings.counter) {
+        counter::spawn(counter_queues, &addr.subscribe(), counter.timeout_ms, driver.clone());
+    }
+    let watch_policy = WatchPolicy::new(&settings, config.seed);
+    spawn_discovery(&addresses, config.known_endpoints, watch_policy, &driver);
+    if let Some(socket) = gossip_socket {
+        tokio::task::spawn_local(gossip::run(socket, max_gossip_per_second, driver.clone()));
+    }
+    spawn_sweeper(driver.clone());
+
+    let client_slots = ClientSlots::new(budget.clients);
+    let slots = client_slots.semaphore();
+    let server = Server::new(driver.clone(), &settings, config.class_names, config.plan_names, slots);
+    tracing::info!("listening on {}", listener.local_addr().map_err(StartupError::LocalAddress)?);
+    let acceptor = Acceptor::spawn(server.clone(), listener);
+    let open_request_limit = open_request_limit(&settings);
+    let shutdown = Shutdown { server, driver, acceptor, client_slots, open_request_limit };
+    Ok(RunningGateway { addresses, shutdown })
+}
+
+fn listen(addr: SocketAddr) -> Result<TcpListener, StartupError> {
+    open_listener(addr).map_err(|source| StartupError::Listen { addr, source })
+}
+
+fn open_listener(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A restart finds the address free, though connections of the former process linger.
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
+async fn bind_gossip(
+    config: GossipConfig, settings: &Settings,
+) -> Result<Option<Rc<GossipSocket>>, StartupError> {
+    let Some(addr) = config.listen.filter(|_| settings.limits.gossip) else { return Ok(None) };
+    match GossipSocket::bind(addr, config.peers, config.broadcast).await {
+        Ok(socket) => Ok(Some(Rc::new(socket))),
+        Err(source) => Err(StartupError::GossipListen { addr, source }),
+    }
+}
+
+/// Clients may hold three fifths of the free descriptors, endpoints the rest.
+struct DescriptorBudget {
+    clients: u32,
+    endpoints: usize,
+}
+
+impl DescriptorBudget {
+    fn new(max_sockets: usize) -> Self {
+        let available = max_sockets.saturating_sub(RESERVED_DESCRIPTORS);
+        let endpoints = available * 2 / 5;
+        let clients = (available - endpoints) as u32;
+        DescriptorBudget { clients, endpoints }
+    }
+}
+
+/// Starts with the list that the configuration holds, if any.
+fn spawn_discovery(
+    addresses: &ReloadableAddresses, known_endpoints: Option<EndpointList>, policy: WatchPolicy,
+    driver: &Rc<Driver>,
+) {
+    let version = known_endpoints.as_ref().map_or(0, |list| list.version);
+    if let Some(list) = known_endpoints {
+        driver.clone().endpoint_list_changed(list);
+    }
+    let addr = addresses.discovery.subscribe();
+    tokio::task::spawn_local(discovery::run(addr, version, policy, driver.clone()));
+}
+
+fn spawn_sweeper(driver: Rc<Driver>) {
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(SWEEP_INTERVAL).await;
+            driver.sweep();
+        }
+    });
+}
