--- a/src/bin/quota-gateway/gossip.rs
+++ b/src/bin/quota-gateway/gossip.rs
@@ -1,59 +1,99 @@
-//! Short messages between gateways, as UDP datagrams.
+//! Gossip: short messages between gateways, as UDP datagrams. They may be lost.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
 /// Longest message.
-const MESSAGE_MOST: usize = 256;
+const MAX_MESSAGE_BYTES: usize = 256;
+/// The recipient that stands for all other gateways.
+const ALL_GATEWAYS: u32 = u32::MAX;
 
-/// Takes messages from other gateways.
+/// Receives messages from other gateways.
 pub trait GossipHandler {
     /// A message from the gateway with this index.
     fn gossip_received(self: Rc<Self>, from: u32, body: Vec<u8>);
 }
 
-/// The socket between gateways and the addresses of the others.
+/// The socket for gossip, and the addresses of the gateways.
 pub struct GossipSocket {
     socket: UdpSocket,
+    /// All gateways by index.
     peers: Vec<SocketAddr>,
-    all: Option<SocketAddr>,
+    broadcast: Option<SocketAddr>,
 }
 
 impl GossipSocket {
     pub async fn bind(
-        listen: SocketAddr, peers: Vec<SocketAddr>, all: Option<SocketAddr>,
-    ) -> std::io::Result<Self> {
-        Ok(GossipSocket { socket: UdpSocket::bind(listen).await?, peers, all })
+        listen: SocketAddr, peers: Vec<SocketAddr>, broadcast: Option<SocketAddr>,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(listen).await?;
+        Ok(GossipSocket { socket, peers, broadcast })
     }
 
-    /// Sends to one gateway, or to all with every bit of `to` set. Messages may be lost, so one that the
-    /// socket can't take now is.
+    /// Sends to the gateway with this index, or to all others for `u32::MAX`. A message that the socket can't take now
+    /// is dropped.
     pub fn send(&self, to: u32, body: &[u8]) {
-        let addr = if to == u32::MAX { self.all } else { self.peers.get(to as usize).copied() };
-        if let Some(addr) = addr.filter(|_| body.len() <= MESSAGE_MOST) {
+        if body.len() > MAX_MESSAGE_BYTES {
+            return;
+        }
+        if let Some(addr) = self.address(to) {
             let _ = self.socket.try_send_to(body, addr);
         }
     }
+
+    fn address(&self, to: u32) -> Option<SocketAddr> {
+        match to {
+            ALL_GATEWAYS => self.broadcast,
+            index => self.peers.get(index as usize).copied(),
+        }
+    }
+
+    fn index(&self, addr: SocketAddr) -> Option<usize> {
+        self.peers.iter().position(|peer| *peer == addr)
+    }
 }
 
-/// Takes in messages, `intake` a second at most.
-pub async fn run(peers: Rc<GossipSocket>, intake: f64, driver: Rc<dyn GossipHandler>) {
-    let mut buf = [0; MESSAGE_MOST + 1];
-    let (mut room, mut at) = (intake, Instant::now());
+/// Receives messages for as long as the program runs; drops those beyond the rate.
+pub async fn run(socket: Rc<GossipSocket>, max_messages_per_second: f64, handler: Rc<dyn GossipHandler>) {
+    // One byte more than the longest message, so that a longer one is noticed.
+    let mut buffer = [0; MAX_MESSAGE_BYTES + 1];
+    let mut limiter = RateLimiter::new(max_messages_per_second);
     loop {
-        let Ok((length, from)) = peers.socket.recv_from(&mut buf).await else { continue };
-        // Guards against strangers and against what no gateway may send.
-        let Some(from) = peers.peers.iter().position(|p| *p == from) else { continue };
-        if length > MESSAGE_MOST {
+        let Ok((length, addr)) = socket.socket.recv_from(&mut buffer).await else { continue };
+        // Strangers' messages, and those that no gateway may send, don't count towards the rate.
+        let Some(from) = socket.index(addr) else { continue };
+        if length > MAX_MESSAGE_BYTES {
             continue;
         }
-        room = (room + at.elapsed().as_secs_f64() * intake).min(intake);
-        at = Instant::now();
-        if room >= 1.0 {
-            room -= 1.0;
-            driver.clone().gossip_received(from as u32, buf[..length].to_vec());
+        if limiter.admit() {
+            handler.clone().gossip_received(from as u32, buffer[..length].to_vec());
+        }
+    }
+}
+
+/// A token bucket that holds the messages of one second.
+struct RateLimiter {
+    per_second: f64,
+    tokens: f64,
+    refilled_at: Instant,
+}
+
+impl RateLimiter {
+    fn new(per_second: f64) -> Self {
+        RateLimiter { per_second, tokens: per_second, refilled_at: Instant::now() }
+    }
+
+    fn admit(&mut self) -> bool {
+        let refill = self.refilled_at.elapsed().as_secs_f64() * self.per_second;
+        self.tokens = (self.tokens + refill).min(self.per_second);
+        self.refilled_at = Instant::now();
+        if self.tokens < 1.0 {
+            return false;
         }
+        self.tokens -= 1.0;
+        true
     }
 }
