--- a/tests/gateway/counter.rs
+++ b/tests/gateway/counter.rs
@@ -5,14 +5,14 @@
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 
-/// Totals come back with three decimals: an amount below that is lost and leaves a window unchecked.
+/// Totals have three decimals: a smaller amount would be lost and leave a window unchecked.
 #[test]
-fn charges_stay_above_what_the_counter_rounds_away() {
+fn amounts_are_large_enough_not_to_be_rounded_away_by_the_counter() {
     let (backend, _) = good();
     let amounts = Arc::new(Mutex::new(Vec::new()));
     let silent = serve(|_| Play::Hush(channel().0));
     let gateway = Gateway::new(&config(&[backend], counter(amounts.clone()), silent));
-    // Customers' windows roll at different times, so these stand anywhere in theirs.
+    // Customers' windows begin at different times, so these are at any point of theirs.
     let mut open = gateway.open();
     for customer in 0..8 {
         open.get_mut().write_all(look(customer * 0x1234_5671, 2, 3000).as_bytes()).unwrap();
@@ -24,12 +24,12 @@
 }
 
 #[test]
-fn requests_pass_while_the_counter_is_silent_broken_or_gone() {
+fn requests_are_served_while_the_counter_is_silent_invalid_or_unreachable() {
     let (backend, _) = good();
     let silent = serve(|_| Play::Hush(channel().0));
-    let nonsense = serve(|_| Play::Say(say(200, "", "many")));
-    let broken = serve(|_| Play::End("no HTTP\r\n\r\n".to_owned()));
-    for counter in [silent, nonsense, broken, nobody()] {
+    let invalid_total = serve(|_| Play::Say(say(200, "", "many")));
+    let invalid_http = serve(|_| Play::End("no HTTP\r\n\r\n".to_owned()));
+    for counter in [silent, invalid_total, invalid_http, nobody()] {
         let gateway = Gateway::new(&config(&[backend], counter, serve(|_| Play::Hush(channel().0))));
         for customer in 0..6 {
             assert_eq!(gateway.get(customer, 1).status(), 200);
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -1,4 +1,4 @@
-//! The list of backends.
+//! Discovery: watches, invalid and long endpoint lists, and outages.
 
 use crate::play::*;
 use std::io::Write;
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 #[test]
-fn a_drain_is_kept_and_broken_lists_change_nothing() {
+fn a_draining_endpoint_gets_no_requests_and_an_invalid_event_changes_nothing() {
     let ((one, got_one), (two, _)) = (good(), good());
     let discovery = Discovery::new();
     let gateway = Gateway::new(&config(&[one, two], counter(Arc::default()), discovery.addr));
@@ -16,7 +16,7 @@
     let change = serde_json::json!({"version": 8, "full": false, "servers": [entry(0, one, "Terminating")]});
     tell(&mut watch, &change.to_string());
     tell(&mut watch, "{\"version\": 9, \"full\": tr");
-    // What can't be read leaves a gap: the whole list is asked for.
+    // An event that can't be read is a missed change: the complete list is requested.
     let (line, _) = discovery.watch();
     assert!(!line.contains("stream"), "{line}");
     let before = got_one.lock().unwrap().len();
@@ -27,7 +27,7 @@
 }
 
 #[test]
-fn a_watch_that_ends_is_opened_again_with_the_last_version() {
+fn a_watch_that_ends_is_reopened_from_the_last_version() {
     let (one, _) = good();
     let discovery = Discovery::new();
     let _gateway = Gateway::new(&config(&[one], counter(Arc::default()), discovery.addr));
@@ -38,9 +38,9 @@
     assert!(discovery.watch().0.contains("index=12"));
 }
 
-/// An entry that can't be read must not take the drain beside it along.
+/// An entry that can't be read must not hide the draining endpoint beside it.
 #[test]
-fn a_bad_entry_spoils_only_itself() {
+fn an_invalid_entry_is_skipped_and_the_others_apply() {
     let ((one, got_one), (two, _)) = (good(), good());
     let discovery = Discovery::new();
     let gateway = Gateway::new(&config(&[one, two], counter(Arc::default()), discovery.addr));
@@ -49,20 +49,20 @@
     let change =
         serde_json::json!({"version": 8, "full": false, "servers": [bad, entry(0, one, "Terminating")]});
     tell(&mut watch, &change.to_string());
-    // The line is in once its warning is.
+    // The event has been handled once its warning is logged.
     gateway.logged("an entry of the list");
     let start = Instant::now();
     let mut before = usize::MAX;
     while got_one.lock().unwrap().len() != before {
-        assert!(start.elapsed() < LONG, "the drain is never kept");
+        assert!(start.elapsed() < LONG, "the draining endpoint gets requests");
         before = got_one.lock().unwrap().len();
         (0..10).for_each(|customer| assert_eq!(gateway.get(customer, 1).status(), 200));
     }
 }
 
-/// A list may stand on several lines, and come byte by byte with empty lines between.
+/// A list may be written on several lines, and arrive byte by byte with empty lines around it.
 #[test]
-fn a_list_over_several_lines_is_kept() {
+fn a_list_written_on_several_lines_applies() {
     let ((one, got_one), (two, _)) = (good(), good());
     let discovery = Discovery::new();
     let gateway = Gateway::new(&config(&[one, two], counter(Arc::default()), discovery.addr));
@@ -74,16 +74,16 @@
     for byte in text.bytes() {
         watch.write_all(&[b'1', b'\r', b'\n', byte, b'\r', b'\n']).unwrap();
     }
-    // The list is in once the warning of its other entry is; with no other watch between.
+    // The list applies once the warning about its other entry is logged; no other watch was opened meanwhile.
     gateway.logged("an entry of the list");
-    assert!(discovery.watches.try_recv().is_err(), "the first watch holds");
+    assert!(discovery.watches.try_recv().is_err(), "the first watch stays open");
     (0..10).for_each(|customer| assert_eq!(gateway.get(customer, 1).status(), 200));
     assert_eq!(got_one.lock().unwrap().len(), 0);
 }
 
-/// What a silent watch misses counts as told 6 s later, and an unfinished object is no sign of life.
+/// The gateway must know what a silent watch misses 6 s later. An unfinished object does not keep a watch alive.
 #[test]
-fn a_watch_that_falls_silent_is_opened_anew_in_time() {
+fn a_watch_that_falls_silent_is_reopened_in_time() {
     let (one, _) = good();
     for last in ["", "{\"version\": 8, \"full\": false, "] {
         let discovery = Discovery::new();
@@ -97,10 +97,10 @@
     }
 }
 
-/// An agent never answers a call that it got while discovery was down. What it gets at the return counts at
-/// once, and sends may go on for a second here: by then another call has to be answered.
+/// An agent never answers a call that arrived while discovery was down. The gateway must know at once what the agent
+/// gets at the return, with a drain grace of one second here: by then another call has to be answered.
 #[test]
-fn an_agent_that_stays_silent_is_called_again_in_time() {
+fn an_agent_that_does_not_answer_is_called_again_in_time() {
     let (one, _) = good();
     let (asked, calls) = channel();
     let agent = serve(move |m| {
@@ -116,10 +116,10 @@
     assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
 }
 
-/// A list of so many entries, one of which is there.
-fn long_list(entries: usize, there: std::net::SocketAddr) -> serde_json::Value {
+/// A complete list with this number of entries; the endpoint at `ready` is the only one that takes requests.
+fn long_list(entries: usize, ready: std::net::SocketAddr) -> serde_json::Value {
     let elsewhere = |number| entry(number, nobody_at(number), "Terminating");
-    let servers = (1..entries).map(elsewhere).chain([entry(0, there, "Ready")]);
+    let servers = (1..entries).map(elsewhere).chain([entry(0, ready, "Ready")]);
     serde_json::json!({"version": 9, "full": true, "servers": servers.collect::<Vec<_>>()})
 }
 
@@ -127,9 +127,9 @@
     std::net::SocketAddr::from(([127, 1, (number >> 8) as u8, number as u8], 9))
 }
 
-/// The program was told of nothing when it started: all it knows is the list that is pushed, in one chunk.
+/// The configuration knows no endpoints: the only list is that of the watch, in one chunk.
 #[test]
-fn a_long_list_is_taken_at_the_first_call_however_it_is_laid_out() {
+fn a_long_list_applies_at_the_first_call_however_it_is_laid_out() {
     let (one, _) = good();
     for pretty in [false, true] {
         let discovery = Discovery::new();
@@ -145,9 +145,9 @@
     }
 }
 
-/// A list past the bound is told in the log, the old one stands, and the agent is not called in a loop.
+/// A list with too many entries is logged, the old one stands, and the agent is not called in a loop.
 #[test]
-fn a_list_past_the_bound_leaves_the_gateway_serving() {
+fn a_list_with_too_many_entries_leaves_the_gateway_serving() {
     let (one, _) = good();
     let discovery = Discovery::new();
     let gateway = Gateway::new(&config(&[one], counter(Arc::default()), discovery.addr));
@@ -160,7 +160,7 @@
     let mut calls = 0;
     while start.elapsed() < Duration::from_secs(4) {
         if let Ok((line, mut list)) = discovery.watches.recv_timeout(Duration::from_millis(100)) {
-            assert!(!line.contains("stream"), "the whole list is asked for: {line}");
+            assert!(!line.contains("stream"), "the complete list is requested: {line}");
             let _ = list.write_all(answer.as_bytes());
             calls += 1;
         }
@@ -169,10 +169,10 @@
     assert!((1..=9).contains(&calls), "{calls} calls");
 }
 
-/// Clients that rest fill the descriptors, with and without a request behind them, while discovery refuses. Its
-/// return finds the watch opened anew and the list taken; requests are served, or told that there is no place.
+/// Idle clients use up the descriptors, some after a request, while discovery refuses connections. After its return the
+/// watch is reopened and the list applies; requests are served, or rejected for lack of capacity.
 #[test]
-fn clients_that_fill_the_descriptors_do_not_keep_the_watch_out() {
+fn clients_that_use_up_the_descriptors_do_not_prevent_a_watch() {
     for mode in ["push", "ask"] {
         let ((one, got_one), (two, _)) = (good(), good());
         let addr = nobody();
@@ -181,14 +181,14 @@
         config["settings"]["membership-mode"] = mode.into();
         config["settings"]["tiers-of-service"][0]["store-size"] = 1000.0.into();
         let gateway = Gateway::new(&config);
-        let mut rest: Vec<_> = (0..100).map(|_| gateway.open()).collect();
-        let served = |rest: &mut Vec<_>, customer| {
+        let mut idle: Vec<_> = (0..100).map(|_| gateway.open()).collect();
+        let served = |idle: &mut Vec<_>, customer| {
             let start = Instant::now();
             loop {
                 let mut open = gateway.open();
                 open.get_mut().write_all(look(customer, 1, 3000).as_bytes()).unwrap();
                 let status = read(&mut open).expect("an answer").status();
-                rest.push(open);
+                idle.push(open);
                 if status == 200 {
                     return;
                 }
@@ -196,7 +196,7 @@
                 std::thread::sleep(Duration::from_millis(5));
             }
         };
-        (0..50).for_each(|customer| served(&mut rest, customer));
+        (0..50).for_each(|customer| served(&mut idle, customer));
         let discovery = Discovery::at(addr);
         let (line, mut watch) =
             discovery.watches.recv_timeout(Duration::from_secs(6)).expect("a watch in time");
@@ -205,16 +205,16 @@
         tell(&mut watch, &serde_json::json!({"version": 8, "full": false, "servers": servers}).to_string());
         gateway.logged("an entry of the list");
         let before = got_one.lock().unwrap().len();
-        (50..100).for_each(|customer| served(&mut rest, customer));
+        (50..100).for_each(|customer| served(&mut idle, customer));
         assert_eq!(got_one.lock().unwrap().len(), before, "sent to a draining backend");
         let open = std::fs::read_dir(format!("/proc/{}/fd", gateway.child.id())).unwrap().count();
         assert!((40..=64).contains(&open), "{open} descriptors");
     }
 }
 
-/// A process that starts again while discovery is down, with the list that it had: hung calls hold nothing up.
+/// A process that restarts while discovery is down, with the list that it had: calls that hang delay nothing.
 #[test]
-fn a_restart_with_a_long_list_is_ready_while_discovery_is_down() {
+fn a_restart_with_a_known_list_becomes_ready_while_discovery_is_down() {
     let (one, _) = good();
     for discovery in [nobody(), serve(|_| Play::Hush(channel().0))] {
         let mut config = config(&[one], counter(Arc::default()), discovery);
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -1,11 +1,11 @@
-//! Messages between gateways.
+//! Gossip between gateways.
 
 use crate::play::*;
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
 #[test]
-fn strangers_and_long_messages_between_gateways_are_dropped() {
+fn gossip_from_strangers_and_oversized_messages_are_dropped() {
     let (backend, _) = good();
     let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
     let at = {
@@ -19,19 +19,19 @@
     config["peers"] = serde_json::json!([at, peer.local_addr().unwrap()]);
     config["peers_all"] = peer.local_addr().unwrap().to_string().into();
     let gateway = Gateway::new(&config);
-    // The counter has no room, and the customer took four units at the gateway that tells.
-    let told =
+    // The counter has no capacity, and the customer used four units at the gateway that sends this.
+    let message =
         |customer: u64| [&[2, 1], &customer.to_le_bytes()[..5], &[0], &400i16.to_le_bytes()[..]].concat();
     let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
-    stranger.send_to(&told(1), at).unwrap();
-    peer.send_to(&[told(2), vec![0; 300]].concat(), at).unwrap();
-    peer.send_to(&told(3), at).unwrap();
-    // From then on it tells, too: the message is in once this answer to it is.
+    stranger.send_to(&message(1), at).unwrap();
+    peer.send_to(&[message(2), vec![0; 300]].concat(), at).unwrap();
+    peer.send_to(&message(3), at).unwrap();
+    // From then on the gateway gossips, too: the message has been handled once this reply to it arrives.
     let start = Instant::now();
     peer.set_nonblocking(true).unwrap();
     let mut customer = 100;
     while peer.recv(&mut [0; 300]).is_err() {
-        assert!(start.elapsed() < LONG, "nothing is told");
+        assert!(start.elapsed() < LONG, "the gateway never gossips");
         customer += 1;
         assert_eq!(gateway.get(customer, 1).status(), 200);
         std::thread::sleep(Duration::from_millis(10));
--- a/tests/gateway/service.rs
+++ b/tests/gateway/service.rs
@@ -1,4 +1,4 @@
-//! Start, reload and end of the program.
+//! Startup, reload and shutdown of the program.
 
 use crate::play::*;
 use std::io::Write;
@@ -7,13 +7,13 @@
 use std::time::{Duration, Instant};
 
 #[test]
-fn a_bad_configuration_is_told_in_one_line_that_names_the_field() {
+fn an_invalid_configuration_is_reported_in_one_line_that_names_the_field() {
     let mut config = calm(&[nobody()]);
     config["settings"]["rules"]["cold-from"] = "warm".into();
-    complains(&config, "settings.rules.cold-from");
+    assert_reports(&config, "settings.rules.cold-from");
     let mut config = calm(&[nobody()]);
     config["settings"]["categories"][1].as_object_mut().unwrap().remove("window-ms");
-    complains(&config, "settings.categories[1].window-ms");
+    assert_reports(&config, "settings.categories[1].window-ms");
     for (list, number, field, value) in [
         ("categories", 0, "give-up-ms", -1.0),
         ("categories", 2, "aim-ms", 1e300),
@@ -21,20 +21,20 @@
     ] {
         let mut config = calm(&[nobody()]);
         config["settings"][list][number][field] = value.into();
-        complains(&config, &format!("settings.{list}[{number}].{field}"));
+        assert_reports(&config, &format!("settings.{list}[{number}].{field}"));
     }
 }
 
-fn complains(config: &serde_json::Value, field: &str) {
+fn assert_reports(config: &serde_json::Value, field: &str) {
     let output = start(config).0.wait_with_output().unwrap();
-    let told = String::from_utf8(output.stderr).unwrap();
+    let report = String::from_utf8(output.stderr).unwrap();
     assert!(!output.status.success());
-    assert!(told.contains(field) && told.trim_end().lines().count() == 1, "{told}");
+    assert!(report.contains(field) && report.trim_end().lines().count() == 1, "{report}");
 }
 
-/// A group and a window belong to keyed classes; the settings of others need not name them.
+/// Only classes with an idempotency key need a group and a window.
 #[test]
-fn settings_that_may_be_absent_may_be_absent() {
+fn optional_settings_may_be_absent() {
     let (backend, _) = good();
     let mut config = calm(&[backend]);
     for class in [0, 2] {
@@ -47,7 +47,7 @@
 }
 
 #[test]
-fn sigterm_answers_what_was_taken_and_ends_well() {
+fn sigterm_answers_open_requests_and_exits_successfully() {
     let (begun_to, begun) = channel();
     let addr = serve(move |_| {
         let _ = begun_to.send(());
@@ -60,7 +60,7 @@
     begun.recv_timeout(LONG).unwrap();
     let start = Instant::now();
     gateway.signal("-TERM");
-    // It is unready at once but goes on taking what comes.
+    // The gateway is not ready from now on, but goes on accepting clients.
     let unready = loop {
         let answer = gateway.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
         if answer.status() != 200 {
@@ -74,10 +74,10 @@
     assert!(gateway.log.iter().all(|line| !line.contains("panic")));
 }
 
-/// SIGHUP without a handler ends a program. Both parties move at once, as often as it comes, though the new
-/// discovery's versions are lower; the counter's old connection stays silent.
+/// SIGHUP without a handler ends a program. The gateway uses the new addresses at once, each time, even though the new
+/// discovery's versions are lower and the connection to the old counter stays silent.
 #[test]
-fn sighup_moves_discovery_and_counter() {
+fn sighup_changes_the_addresses_of_discovery_and_counter() {
     let ((old, _), (new, _)) = (good(), good());
     let (first, second) = (Discovery::new(), Discovery::new());
     let silent = serve(|_| Play::Hush(channel().0));
@@ -92,7 +92,7 @@
         config["discovery"] = discovery.addr.to_string().into();
         assert!(!gateway.reload(&config.to_string()).contains("stands"));
         let (line, mut list) = discovery.watch();
-        assert!(!line.contains("stream"), "the whole list is asked for: {line}");
+        assert!(!line.contains("stream"), "the complete list is requested: {line}");
         let addr = if round % 2 == 0 { new } else { old };
         let text = serde_json::json!({"version": 1, "full": true, "servers": [entry(round, addr, "Ready")]});
         list.write_all(say(200, "", &text.to_string()).as_bytes()).unwrap();
@@ -109,25 +109,25 @@
 }
 
 #[test]
-fn sighup_with_a_faulty_file_changes_nothing() {
+fn sighup_with_an_invalid_file_changes_nothing() {
     let (backend, _) = good();
-    let fine = calm(&[backend]);
-    let gateway = Gateway::new(&fine);
-    let mut odd = fine.clone();
-    odd["settings"]["position"] = 9.into();
+    let valid = calm(&[backend]);
+    let gateway = Gateway::new(&valid);
+    let mut invalid = valid.clone();
+    invalid["settings"]["position"] = 9.into();
     let mut customer = 0;
-    for text in ["{\"name\": \"n0\", ".to_owned(), String::new(), odd.to_string()] {
-        let told = gateway.reload(&text);
-        assert!(told.contains("the old configuration stands"), "{told}");
+    for text in ["{\"name\": \"n0\", ".to_owned(), String::new(), invalid.to_string()] {
+        let logged = gateway.reload(&text);
+        assert!(logged.contains("the old configuration stands"), "{logged}");
         customer += 1;
         assert_eq!(gateway.get(customer, 1).status(), 200);
     }
 }
 
-/// With deadlines beyond the time that a planned end leaves, a request is served for as long as it may be, and one
-/// that can't be is failed in time, not cut off.
+/// With deadlines longer than a shutdown may last, a request is served if that is possible before SIGKILL, and failed
+/// in time otherwise, not cut off.
 #[test]
-fn sigterm_waits_as_long_as_the_deadlines_allow() {
+fn sigterm_waits_for_open_requests_until_shortly_before_sigkill() {
     for hangs in [false, true] {
         let (begun_to, begun) = channel();
         let addr = serve(move |_| {
@@ -155,15 +155,15 @@
     }
 }
 
-/// Connections that came up before accepting ended are served, though the program had not seen them yet.
+/// Clients that connected before the gateway stopped accepting are served, even if it had not accepted them yet.
 #[test]
-fn sigterm_serves_whoever_has_connected() {
+fn sigterm_serves_clients_that_have_connected() {
     let (backend, _) = good();
     let mut gateway = Gateway::new(&calm(&[backend]));
     let mut busy = gateway.open();
     busy.get_mut().write_all(b"GET /look").unwrap();
     gateway.signal("-TERM");
-    // Stopped over the end of accepting, the program finds both at once: its time is up and clients wait.
+    // Suspended beyond the end of the accept period, the program finds waiting clients when that has passed.
     let mut unready = gateway.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
     while unready.status() == 200 {
         unready = gateway.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -181,13 +181,13 @@
     assert!(gateway.child.wait().unwrap().success());
 }
 
-/// Signals that come together, and a reload that comes while the program ends, neither hold the end up nor spoil it.
+/// Neither signals that arrive together nor a reload during the shutdown delay or break the shutdown.
 #[test]
-fn sigterm_and_sighup_together_end_well() {
+fn sigterm_and_sighup_together_exit_successfully() {
     for order in [["-HUP", "-TERM"], ["-TERM", "-HUP"]] {
         let (backend, _) = good();
         let mut gateway = Gateway::new(&calm(&[backend]));
-        // Stopped, it finds both at once.
+        // Suspended, the program finds both at once.
         for name in ["-STOP", order[0], order[1], "-CONT"] {
             gateway.signal(name);
         }
