--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -131,14 +131,16 @@
 #[test]
 fn a_long_list_applies_at_the_first_call_however_it_is_laid_out() {
     let (one, _) = good();
+    // Made before the watch is open: it must not fall silent meanwhile.
+    let list = long_list(20_000, one);
     for pretty in [false, true] {
+        let text = if pretty { serde_json::to_string_pretty(&list) } else { serde_json::to_string(&list) };
+        let text = text.unwrap();
         let discovery = Discovery::new();
         let gateway = Gateway::starting(&config(&[], counter(Arc::default()), discovery.addr));
         let (line, mut watch) = discovery.watch();
         assert!(line.contains("index=7"), "{line}");
-        let list = long_list(20_000, one);
-        let text = if pretty { serde_json::to_string_pretty(&list) } else { serde_json::to_string(&list) };
-        tell(&mut watch, &text.unwrap());
+        tell(&mut watch, &text);
         gateway.until_ready();
         assert_eq!(gateway.get(1, 1).status(), 200);
         assert!(discovery.watches.try_recv().is_err(), "one call");
@@ -149,14 +151,15 @@
 #[test]
 fn a_list_with_too_many_entries_leaves_the_gateway_serving() {
     let (one, _) = good();
+    // Made before the watch is open: it must not fall silent meanwhile.
+    let text = long_list(20_481, one).to_string();
+    let answer = say(200, "", &text);
     let discovery = Discovery::new();
     let gateway = Gateway::new(&config(&[one], counter(Arc::default()), discovery.addr));
     let (_, mut watch) = discovery.watch();
-    let text = long_list(20_481, one).to_string();
     tell(&mut watch, &text);
     gateway.logged("over 20480 entries");
     let start = Instant::now();
-    let answer = say(200, "", &text);
     let mut calls = 0;
     while start.elapsed() < Duration::from_secs(4) {
         if let Ok((line, mut list)) = discovery.watches.recv_timeout(Duration::from_millis(100)) {
