--- a/tests/common.rs
+++ b/tests/common.rs
@@ -3,17 +3,18 @@
 
 use quota_gateway::*;
 
-pub struct Rig {
+/// A gateway with its own clock.
+pub struct TestGateway {
     pub gateway: Gateway,
     pub now: f64,
 }
 
 pub fn settings() -> Settings {
-    let class = |effect| Class {
+    let class = |idempotency| Class {
         latency_objective_ms: 500.0,
         deadline_ms: 2000.0,
         priority_weight: 1.0,
-        idempotency: effect,
+        idempotency,
         ..Class::default()
     };
     let keyed = Idempotency::WithKey { scope: KeyScope::Zone, window_ms: 1500.0 };
@@ -51,28 +52,30 @@
     }
 }
 
-pub fn listed(id: u32, zone: u32, state: EndpointState) -> Endpoint {
+pub fn endpoint_entry(id: u32, zone: u32, state: EndpointState) -> Endpoint {
     Endpoint { id, hash_key: id.into(), zone, kind: 0, cell: 0, state, weight: 1.0, started_at: 0.0 }
 }
 
-impl Rig {
-    /// A gateway with three backends, 1 and 2 in zone 0, 3 in zone 1.
-    pub fn new(settings: Settings) -> Rig {
-        let mut rig = Rig { gateway: Gateway::new(settings, 1, 1000.0), now: 1000.0 };
-        let entries =
-            [(1, 0), (2, 0), (3, 1)].map(|(id, zone)| listed(id, zone, EndpointState::Ready)).to_vec();
-        rig.event(Event::EndpointUpdate { complete: true, endpoints: entries });
-        rig
+impl TestGateway {
+    /// A gateway with three endpoints, 1 and 2 in zone 0, 3 in zone 1.
+    pub fn new(settings: Settings) -> TestGateway {
+        let mut gateway = TestGateway { gateway: Gateway::new(settings, 1, 1000.0), now: 1000.0 };
+        let entries = [(1, 0), (2, 0), (3, 1)]
+            .map(|(id, zone)| endpoint_entry(id, zone, EndpointState::Ready))
+            .to_vec();
+        gateway.handle(Event::EndpointUpdate { complete: true, endpoints: entries });
+        gateway
     }
 
-    pub fn event(&mut self, event: Event) -> Vec<Action> {
+    /// Hands in an event and returns the resulting actions.
+    pub fn handle(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.gateway.handle(self.now, event, &mut actions);
         actions
     }
 
     pub fn request(&mut self, id: u64, class: u32, units: f64) -> Vec<Action> {
-        self.event(Event::Request(Request {
+        self.handle(Event::Request(Request {
             id,
             customer: 7,
             plan: 0,
@@ -84,48 +87,51 @@
         }))
     }
 
-    pub fn counted(&mut self, name: u64, result: Outcome, total: f64) -> Vec<Action> {
-        self.event(Event::CounterReply { key: name, outcome: result, total, elapsed_ms: 2.0 })
+    pub fn counter_reply(&mut self, key: u64, outcome: Outcome, total: f64) -> Vec<Action> {
+        self.handle(Event::CounterReply { key, outcome, total, elapsed_ms: 2.0 })
     }
 
-    pub fn outcome(
-        &mut self, id: u64, attempt: u8, backend: u32, result: Outcome, units: Option<f64>,
+    pub fn attempt_ended(
+        &mut self, id: u64, attempt: u8, endpoint: u32, outcome: Outcome, actual_units: Option<f64>,
     ) -> Vec<Action> {
-        let (ended, load) = (result == Outcome::Success, LoadReport::default());
-        self.event(Event::AttemptEnded(AttemptEnd {
+        self.handle(Event::AttemptEnded(AttemptEnd {
             id,
             attempt,
-            endpoint: backend,
-            outcome: result,
-            request_answered: ended,
-            actual_units: units,
+            endpoint,
+            outcome,
+            request_answered: outcome == Outcome::Success,
+            actual_units,
             elapsed_ms: 50.0,
-            load,
+            load: LoadReport::default(),
         }))
     }
 }
 
-pub fn count(actions: &[Action]) -> Option<(u64, f64)> {
+/// The key and the amount of the first call to the shared counter.
+pub fn counter_call(actions: &[Action]) -> Option<(u64, f64)> {
     actions.iter().find_map(|a| match a {
-        Action::AddToCounter { key: name, amount, .. } => Some((*name, *amount)),
+        Action::AddToCounter { key, amount, .. } => Some((*key, *amount)),
         _ => None,
     })
 }
 
-pub fn sent(actions: &[Action]) -> Option<u32> {
+/// The endpoint of the first attempt.
+pub fn sent_to(actions: &[Action]) -> Option<u32> {
     actions.iter().find_map(|a| match a {
-        Action::SendAttempt { endpoint: backend, .. } => Some(*backend),
+        Action::SendAttempt { endpoint, .. } => Some(*endpoint),
         _ => None,
     })
 }
 
-pub fn refused(actions: &[Action]) -> Option<f64> {
+/// The Retry-After time of the first rejection, in ms.
+pub fn rejected(actions: &[Action]) -> Option<f64> {
     actions.iter().find_map(|a| match a {
         Action::Reject { retry_after_ms, .. } => Some(*retry_after_ms),
         _ => None,
     })
 }
 
+/// Whether a request was failed.
 pub fn failed(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Fail { .. }))
 }
@@ -146,19 +152,19 @@
 
 /// A counter that gateways share.
 #[derive(Default)]
-pub struct Shared(std::collections::BTreeMap<u64, f64>);
-
-impl Shared {
-    /// Answers the calls among the actions and what follows from them; all that was done.
-    pub fn answer(&mut self, rig: &mut Rig, mut actions: Vec<Action>) -> Vec<Action> {
-        let mut done = 0;
-        while done < actions.len() {
-            if let Action::AddToCounter { key: name, amount, .. } = actions[done] {
-                let total = self.0.entry(name).or_default();
+pub struct SharedCounter(std::collections::BTreeMap<u64, f64>);
+
+impl SharedCounter {
+    /// Answers the calls among the actions, and the calls that follow from the answers; returns all actions.
+    pub fn answer_calls(&mut self, gateway: &mut TestGateway, mut actions: Vec<Action>) -> Vec<Action> {
+        let mut answered = 0;
+        while answered < actions.len() {
+            if let Action::AddToCounter { key, amount, .. } = actions[answered] {
+                let total = self.0.entry(key).or_default();
                 *total += amount;
-                actions.extend(rig.counted(name, Outcome::Success, *total));
+                actions.extend(gateway.counter_reply(key, Outcome::Success, *total));
             }
-            done += 1;
+            answered += 1;
         }
         actions
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -6,9 +6,9 @@
 use quota_gateway::*;
 use std::collections::BTreeMap;
 
-fn instance(settings: &Settings, number: u32, now: f64) -> Rig {
+fn instance(settings: &Settings, number: u32, now: f64) -> TestGateway {
     let settings = Settings { gateway_index: number, ..settings.clone() };
-    Rig { gateway: Gateway::new(settings, u64::from(number) * 7919 + 1, now), now }
+    TestGateway { gateway: Gateway::new(settings, u64::from(number) * 7919 + 1, now), now }
 }
 
 /// Most sends in any span of this length, beside what is allowed then.
@@ -57,15 +57,16 @@
         (s.rules.slow_start_min_capacity, s.rules.slow_start_ms) = (COLD_FROM, WARM_UP_MS);
         let (start, born) = (1000.0, 9000.0);
         let share = |at: f64| COLD_FROM + (1.0 - COLD_FROM) * ((at - born) / WARM_UP_MS).clamp(0.0, 1.0);
-        let warm: Vec<_> = (1..=2 * self.stay).map(|id| listed(id, 0, EndpointState::Ready)).collect();
-        let gone = (self.stay + 1..=2 * self.stay).map(|id| listed(id, 0, EndpointState::Removed));
+        let warm: Vec<_> =
+            (1..=2 * self.stay).map(|id| endpoint_entry(id, 0, EndpointState::Ready)).collect();
+        let gone = (self.stay + 1..=2 * self.stay).map(|id| endpoint_entry(id, 0, EndpointState::Removed));
         let cold = (2 * self.stay + 1..=3 * self.stay)
-            .map(|id| Endpoint { started_at: born, ..listed(id, 0, EndpointState::Ready) });
+            .map(|id| Endpoint { started_at: born, ..endpoint_entry(id, 0, EndpointState::Ready) });
         let change: Vec<_> = gone.chain(cold.clone()).collect();
         let after: Vec<_> = warm[..self.stay as usize].iter().cloned().chain(cold).collect();
         let mut rigs: Vec<_> = (0..self.gateways).map(|number| instance(&s, number, start)).collect();
         for rig in &mut rigs {
-            rig.event(Event::EndpointUpdate { complete: true, endpoints: warm.clone() });
+            rig.handle(Event::EndpointUpdate { complete: true, endpoints: warm.clone() });
         }
         let mut rng = fastrand::Rng::with_seed(self.seed);
         let mut free_at = vec![start; (3 * self.stay + 1) as usize];
@@ -82,12 +83,12 @@
             if now >= born + 1000.0 && !std::mem::replace(&mut told, true) {
                 for rig in &mut rigs {
                     rig.now = now;
-                    rig.event(Event::EndpointUpdate { complete: false, endpoints: change.clone() });
+                    rig.handle(Event::EndpointUpdate { complete: false, endpoints: change.clone() });
                 }
             }
             if now >= born + 4000.0 && !std::mem::replace(&mut restarted, true) {
                 rigs[0] = instance(&s, 0, now);
-                rigs[0].event(Event::EndpointUpdate { complete: true, endpoints: after.clone() });
+                rigs[0].handle(Event::EndpointUpdate { complete: true, endpoints: after.clone() });
             }
             let mut later = |ms: f64, step: Step| {
                 next += 1;
@@ -106,19 +107,19 @@
                     let number = number as usize;
                     rigs[number].now = now;
                     asked += 1;
-                    (number, rigs[number].event(Event::Request(request(asked, asked))))
+                    (number, rigs[number].handle(Event::Request(request(asked, asked))))
                 }
                 Step::Again { id } => {
                     let number = rng.usize(..rigs.len());
                     rigs[number].now = now;
                     (
                         number,
-                        rigs[number].event(Event::Request(Request { is_retry: true, ..request(id, id) })),
+                        rigs[number].handle(Event::Request(Request { is_retry: true, ..request(id, id) })),
                     )
                 }
                 Step::Outcome { number, outcome } => {
                     rigs[number].now = now;
-                    (number, rigs[number].event(Event::AttemptEnded(outcome)))
+                    (number, rigs[number].handle(Event::AttemptEnded(outcome)))
                 }
             };
             for action in actions {
@@ -263,14 +264,14 @@
     (s.gateway_count, s.plans[0].rate, s.plans[0].burst) = (40, 4.0, 12.0);
     let start = 100_000.0;
     let mut rigs: Vec<_> = (0..s.gateway_count).map(|number| instance(&s, number, start)).collect();
-    let backends: Vec<_> = (1..=40).map(|id| listed(id, 0, EndpointState::Ready)).collect();
+    let backends: Vec<_> = (1..=40).map(|id| endpoint_entry(id, 0, EndpointState::Ready)).collect();
     for rig in &mut rigs {
-        rig.event(Event::EndpointUpdate { complete: true, endpoints: backends.clone() });
+        rig.handle(Event::EndpointUpdate { complete: true, endpoints: backends.clone() });
     }
     let customers = 60;
     // The truth: each customer's store, as the quota has it.
     let mut stores = vec![(12.0f64, start); customers];
-    let (mut shared, mut rng) = (Shared::default(), fastrand::Rng::with_seed(11));
+    let (mut shared, mut rng) = (SharedCounter::default(), fastrand::Rng::with_seed(11));
     let (mut inside, mut beyond, mut heavy_inside, mut refused) = (0u32, 0u32, 0u32, 0u32);
     for id in 0..60_000u64 {
         let now = start + id as f64;
@@ -285,12 +286,12 @@
             rig.now = now;
             let number = id * customers as u64 + customer as u64;
             let asked = Request { gateway_set_size: 4.0, ..request(number, customer as u64) };
-            let actions = rig.event(Event::Request(asked));
-            let actions = shared.answer(rig, actions);
+            let actions = rig.handle(Event::Request(asked));
+            let actions = shared.answer_calls(rig, actions);
             *store = (*store + (now - *at) / 1000.0 * 4.0).min(12.0);
             *at = now;
             let fits = *store >= 1.0;
-            match sent(&actions) {
+            match sent_to(&actions) {
                 Some(backend) => {
                     if fits {
                         *store -= 1.0;
@@ -299,7 +300,7 @@
                     } else {
                         beyond += 1;
                     }
-                    rig.outcome(number, 0, backend, Outcome::Success, Some(1.0));
+                    rig.attempt_ended(number, 0, backend, Outcome::Success, Some(1.0));
                 }
                 None => refused += u32::from(fits && !heavy),
             }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -6,80 +6,80 @@
 
 #[test]
 fn units_are_charged_before_the_request_is_sent() {
-    let mut rig = Rig::new(settings());
+    let mut rig = TestGateway::new(settings());
     let actions = rig.request(1, 0, 3.0);
-    let (name, amount) = count(&actions).expect("a charge");
+    let (name, amount) = counter_call(&actions).expect("a charge");
     assert!(amount > 0.0);
-    assert_eq!(sent(&actions), None, "held until the counter answers");
-    assert!(sent(&rig.counted(name, Outcome::Success, amount)).is_some());
+    assert_eq!(sent_to(&actions), None, "held until the counter answers");
+    assert!(sent_to(&rig.counter_reply(name, Outcome::Success, amount)).is_some());
 }
 
 #[test]
 fn past_the_limit_it_is_refused_with_advice_and_carried_back() {
-    let mut rig = Rig::new(settings());
-    let (name, amount) = count(&rig.request(1, 0, 3.0)).unwrap();
-    let actions = rig.counted(name, Outcome::Success, amount / 3.0 * 14.0);
-    let wait = refused(&actions).expect("others used 11 of the 10 and a quarter more");
+    let mut rig = TestGateway::new(settings());
+    let (name, amount) = counter_call(&rig.request(1, 0, 3.0)).unwrap();
+    let actions = rig.counter_reply(name, Outcome::Success, amount / 3.0 * 14.0);
+    let wait = rejected(&actions).expect("others used 11 of the 10 and a quarter more");
     assert!(wait > 200.0 && wait <= 1000.0, "about 1.5 units short at 2 units a second: {wait}");
     // Others see the room that is there: the refused charge goes back at once while the counter is well.
-    assert_eq!(count(&actions), Some((name, -amount)));
+    assert_eq!(counter_call(&actions), Some((name, -amount)));
     // Seen past the limit: refused without a call until there is room.
     let actions = rig.request(2, 0, 3.0);
-    assert!(refused(&actions).is_some() && count(&actions).is_none());
+    assert!(rejected(&actions).is_some() && counter_call(&actions).is_none());
     rig.now += 3000.0;
-    assert!(count(&rig.request(3, 0, 3.0)).is_some(), "room again");
+    assert!(counter_call(&rig.request(3, 0, 3.0)).is_some(), "room again");
 }
 
 #[test]
 fn one_total_tells_the_store_to_a_gateway_that_never_looked_before() {
     // Found at size: over a long window a calm past was taken for room, and half the use was beyond quota.
-    let mut shared = Shared::default();
-    let (mut one, mut two) = (Rig::new(settings()), Rig::new(settings()));
+    let mut shared = SharedCounter::default();
+    let (mut one, mut two) = (TestGateway::new(settings()), TestGateway::new(settings()));
     (one.now, two.now) = (31_000.0, 31_000.0);
     for id in 1..=5 {
         let actions = one.request(id, 0, 2.0);
-        assert!(sent(&shared.answer(&mut one, actions)).is_some(), "10 units in the store");
+        assert!(sent_to(&shared.answer_calls(&mut one, actions)).is_some(), "10 units in the store");
     }
     let actions = two.request(1, 0, 3.0);
-    assert!(refused(&shared.answer(&mut two, actions)).is_some(), "the other gateway used them");
-    let mut three = Rig::new(settings());
+    assert!(rejected(&shared.answer_calls(&mut two, actions)).is_some(), "the other gateway used them");
+    let mut three = TestGateway::new(settings());
     three.now = 36_000.0;
     let actions = three.request(1, 0, 3.0);
-    assert!(sent(&shared.answer(&mut three, actions)).is_some(), "10 were refilled since");
+    assert!(sent_to(&shared.answer_calls(&mut three, actions)).is_some(), "10 were refilled since");
 }
 
 #[test]
 fn true_units_settle_on_the_next_charge() {
-    let mut rig = Rig::new(settings());
-    let (name, first) = count(&rig.request(1, 0, 3.0)).unwrap();
-    let backend = sent(&rig.counted(name, Outcome::Success, first)).unwrap();
-    rig.outcome(1, 0, backend, Outcome::Success, Some(5.0));
-    let (_, amount) = count(&rig.request(2, 0, 1.0)).unwrap();
+    let mut rig = TestGateway::new(settings());
+    let (name, first) = counter_call(&rig.request(1, 0, 3.0)).unwrap();
+    let backend = sent_to(&rig.counter_reply(name, Outcome::Success, first)).unwrap();
+    rig.attempt_ended(1, 0, backend, Outcome::Success, Some(5.0));
+    let (_, amount) = counter_call(&rig.request(2, 0, 1.0)).unwrap();
     assert!((amount / first - 1.0).abs() < 1e-6, "1 and the 2 that were missing");
 }
 
 #[test]
 fn what_rides_on_the_next_charge_fades_like_any_use() {
-    let mut rig = Rig::new(settings());
-    let (name, first) = count(&rig.request(1, 0, 1.0)).unwrap();
-    let backend = sent(&rig.counted(name, Outcome::Success, first)).unwrap();
-    rig.outcome(1, 0, backend, Outcome::Success, Some(5.0));
+    let mut rig = TestGateway::new(settings());
+    let (name, first) = counter_call(&rig.request(1, 0, 1.0)).unwrap();
+    let backend = sent_to(&rig.counter_reply(name, Outcome::Success, first)).unwrap();
+    rig.attempt_ended(1, 0, backend, Outcome::Success, Some(5.0));
     rig.now += 40_000.0;
-    let (_, with) = count(&rig.request(2, 0, 1.0)).unwrap();
-    let mut fresh = Rig::new(settings());
+    let (_, with) = counter_call(&rig.request(2, 0, 1.0)).unwrap();
+    let mut fresh = TestGateway::new(settings());
     fresh.now = rig.now;
-    let (_, without) = count(&fresh.request(1, 0, 1.0)).unwrap();
+    let (_, without) = counter_call(&fresh.request(1, 0, 1.0)).unwrap();
     assert!(with < without * 1.05, "use of 40 s ago has long been refilled: {with} {without}");
 }
 
 #[test]
 fn a_silent_counter_lets_requests_through_up_to_what_own_sends_prove() {
-    let mut rig = Rig::new(settings());
+    let mut rig = TestGateway::new(settings());
     let mut let_in = 0;
     for id in 1..=10 {
         let mut actions = rig.request(id, 0, 2.0);
-        actions.extend(rig.event(Event::TimerFired { token: (1 << 60) | id }));
-        let_in += usize::from(sent(&actions).is_some());
+        actions.extend(rig.handle(Event::TimerFired { token: (1 << 60) | id }));
+        let_in += usize::from(sent_to(&actions).is_some());
     }
     assert_eq!(let_in, 5, "10 units in the store, 2 a request");
 }
@@ -90,10 +90,10 @@
     let mut rigs: Vec<_> = (0..100u32)
         .map(|position| {
             let settings = Settings { gateway_count: 100, gateway_index: position, ..settings() };
-            let mut rig = Rig { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
-            rig.event(Event::EndpointUpdate {
+            let mut rig = TestGateway { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
+            rig.handle(Event::EndpointUpdate {
                 complete: true,
-                endpoints: vec![listed(1, 0, EndpointState::Ready)],
+                endpoints: vec![endpoint_entry(1, 0, EndpointState::Ready)],
             });
             rig
         })
@@ -106,16 +106,16 @@
         room = (room + 0.5).min(10.0);
         let rig = &mut rigs[rng.usize(..100)];
         rig.now = now;
-        let mut actions = rig.event(Event::Request(request(id, id)));
-        if let Some((name, amount)) = count(&actions) {
+        let mut actions = rig.handle(Event::Request(request(id, id)));
+        if let Some((name, amount)) = counter_call(&actions) {
             let full = room < 1.0;
             room -= if full { 0.0 } else { 1.0 };
             (calls, turned) = (calls + usize::from(id > 6000), turned + usize::from(full && id > 6000));
             let result = if full { Outcome::Rejected } else { Outcome::Success };
-            actions.extend(rig.counted(name, result, amount));
+            actions.extend(rig.counter_reply(name, result, amount));
         }
-        let backend = sent(&actions).expect("none is beyond its quota");
-        rig.outcome(id, 0, backend, Outcome::Success, None);
+        let backend = sent_to(&actions).expect("none is beyond its quota");
+        rig.attempt_ended(id, 0, backend, Outcome::Success, None);
     }
     assert!(calls > 5000, "they use what it bears: {calls}");
     assert!(turned * 100 < calls * 12, "{turned} of {calls} calls found no room");
@@ -123,40 +123,40 @@
 
 #[test]
 fn a_charge_that_was_turned_away_rides_on_the_next() {
-    let mut rig = Rig::new(settings());
-    let (name, first) = count(&rig.request(1, 0, 2.0)).unwrap();
-    assert!(sent(&rig.counted(name, Outcome::Rejected, 0.0)).is_some());
-    let (_, amount) = count(&rig.request(2, 0, 1.0)).unwrap();
+    let mut rig = TestGateway::new(settings());
+    let (name, first) = counter_call(&rig.request(1, 0, 2.0)).unwrap();
+    assert!(sent_to(&rig.counter_reply(name, Outcome::Rejected, 0.0)).is_some());
+    let (_, amount) = counter_call(&rig.request(2, 0, 1.0)).unwrap();
     assert!((amount / first - 1.5).abs() < 1e-6);
 }
 
 #[test]
 fn a_counter_that_lost_its_count_grants_no_fresh_allowance() {
-    let mut rig = Rig::new(settings());
+    let mut rig = TestGateway::new(settings());
     let mut total = 0.0;
     for id in 1..=3 {
-        let (name, amount) = count(&rig.request(id, 0, 3.0)).unwrap();
+        let (name, amount) = counter_call(&rig.request(id, 0, 3.0)).unwrap();
         total += amount;
-        let backend = sent(&rig.counted(name, Outcome::Success, total)).unwrap();
-        rig.outcome(id, 0, backend, Outcome::Success, Some(3.0));
+        let backend = sent_to(&rig.counter_reply(name, Outcome::Success, total)).unwrap();
+        rig.attempt_ended(id, 0, backend, Outcome::Success, Some(3.0));
     }
     // 9 of 10 used, then the count is back at nought: 3 more do not fit.
-    assert!(refused(&rig.request(4, 0, 3.0)).is_some());
+    assert!(rejected(&rig.request(4, 0, 3.0)).is_some());
     rig.now += 1100.0;
-    let (name, amount) = count(&rig.request(5, 0, 3.0)).unwrap();
-    assert!(sent(&rig.counted(name, Outcome::Success, amount)).is_some());
-    assert!(refused(&rig.request(6, 0, 1.0)).is_some());
+    let (name, amount) = counter_call(&rig.request(5, 0, 3.0)).unwrap();
+    assert!(sent_to(&rig.counter_reply(name, Outcome::Success, amount)).is_some());
+    assert!(rejected(&rig.request(6, 0, 1.0)).is_some());
 }
 
 /// Requests of many customers in one second, each call answered alike; the calls that were made.
-fn calls_in_a_second(rig: &mut Rig, first: u64, result: Outcome) -> usize {
+fn calls_in_a_second(rig: &mut TestGateway, first: u64, result: Outcome) -> usize {
     let mut calls = 0;
     for id in first..first + 100 {
         rig.now += 10.0;
-        let actions = rig.event(Event::Request(request(id, id)));
-        if let Some((name, amount)) = count(&actions) {
+        let actions = rig.handle(Event::Request(request(id, id)));
+        if let Some((name, amount)) = counter_call(&actions) {
             calls += 1;
-            rig.counted(name, result, amount);
+            rig.counter_reply(name, result, amount);
         }
     }
     calls
@@ -165,7 +165,7 @@
 #[test]
 fn a_crowded_counter_is_called_less_by_the_gateway_as_a_whole_and_trusted_again() {
     // Found at size: calls were spaced by customer, of whom each came once; nearly all went unanswered.
-    let mut rig = Rig::new(settings());
+    let mut rig = TestGateway::new(settings());
     let well = calls_in_a_second(&mut rig, 1, Outcome::Success);
     calls_in_a_second(&mut rig, 1000, Outcome::Rejected);
     let crowded = calls_in_a_second(&mut rig, 2000, Outcome::Rejected);
@@ -179,27 +179,27 @@
 }
 
 /// One of two gateways, whose counter has no room.
-fn short(position: u32) -> Rig {
+fn short(position: u32) -> TestGateway {
     let mut s = settings();
     (s.gateway_index, s.limits.gossip) = (position, true);
-    let mut rig = Rig::new(s);
+    let mut rig = TestGateway::new(s);
     calls_in_a_second(&mut rig, 1000, Outcome::Rejected);
     rig
 }
 
 /// A request whose call, if there is one, is turned away; true if it is sent.
-fn uncounted(rig: &mut Rig, id: u64, units: f64) -> bool {
+fn uncounted(rig: &mut TestGateway, id: u64, units: f64) -> bool {
     let mut actions = rig.request(id, 0, units);
-    while let Some((name, _)) = count(&actions) {
-        let further = rig.counted(name, Outcome::Rejected, 0.0);
+    while let Some((name, _)) = counter_call(&actions) {
+        let further = rig.counter_reply(name, Outcome::Rejected, 0.0);
         actions.retain(|a| !matches!(a, Action::AddToCounter { .. }));
         actions.extend(further);
     }
-    sent(&actions).is_some()
+    sent_to(&actions).is_some()
 }
 
-fn told(rig: &mut Rig) -> Vec<u8> {
-    let told = rig.event(Event::TimerFired { token: 1 << 61 }).into_iter();
+fn told(rig: &mut TestGateway) -> Vec<u8> {
+    let told = rig.handle(Event::TimerFired { token: 1 << 61 }).into_iter();
     let mut told = told.filter_map(|a| match a {
         Action::Gossip { to: u32::MAX, body } => Some(body),
         _ => None,
@@ -216,7 +216,7 @@
     assert!(!uncounted(&mut one, 5005, 1.0));
     let body = told(&mut one);
     assert!(body.len() <= 256);
-    two.event(Event::Gossip { from: 0, body });
+    two.handle(Event::Gossip { from: 0, body });
     assert!(!uncounted(&mut two, 5000, 1.0), "the other gateway used them");
     two.now += 1000.0;
     assert!(uncounted(&mut two, 5001, 2.0), "2 were refilled since");
@@ -237,35 +237,35 @@
     for body in
         [vec![], body[..7].to_vec(), [body.clone(), vec![0; 400]].concat(), changed(0, 9), changed(7, 200)]
     {
-        assert!(two.event(Event::Gossip { from: 0, body }).is_empty());
+        assert!(two.handle(Event::Gossip { from: 0, body }).is_empty());
     }
     for from in [1, 2] {
-        two.event(Event::Gossip { from, body: body.clone() });
+        two.handle(Event::Gossip { from, body: body.clone() });
     }
     assert!(uncounted(&mut two, 5000, 3.0), "nothing of it was taken for a use");
 }
 
 /// Plays `rounds` requests, one a second, each backend answering as told; the backends asked first.
-fn play(rig: &mut Rig, rounds: u64, ends: impl Fn(u64, u32) -> Outcome) -> Vec<u32> {
-    let mut shared = Shared::default();
+fn play(rig: &mut TestGateway, rounds: u64, ends: impl Fn(u64, u32) -> Outcome) -> Vec<u32> {
+    let mut shared = SharedCounter::default();
     let mut asked = Vec::new();
     for id in 1..=rounds {
         rig.now += 1000.0;
         let actions = rig.request(id, 2, 1.0);
-        let backend = sent(&shared.answer(rig, actions)).expect("the fleet is not given up");
+        let backend = sent_to(&shared.answer_calls(rig, actions)).expect("the fleet is not given up");
         asked.push(backend);
-        rig.outcome(id, 0, backend, ends(id, backend), None);
+        rig.attempt_ended(id, 0, backend, ends(id, backend), None);
     }
     asked
 }
 
 #[test]
 fn answers_spoilt_by_all_alike_put_no_backend_out_and_one_that_spoils_all_is() {
-    let mut rig = Rig::new(settings());
+    let mut rig = TestGateway::new(settings());
     let asked =
         play(&mut rig, 60, |id, _| if id % 3 == 0 { Outcome::ConnectionReset } else { Outcome::Success });
     assert!((1..=3).all(|b| asked[30..].iter().filter(|a| **a == b).count() > 3), "{asked:?}");
-    let mut rig = Rig::new(settings());
+    let mut rig = TestGateway::new(settings());
     let asked = play(&mut rig, 90, |_, b| if b == 2 { Outcome::ConnectionReset } else { Outcome::Success });
     assert!(asked[45..].iter().filter(|a| **a == 2).count() < 6, "{asked:?}");
     assert!(asked[45..].iter().filter(|a| **a == 1).count() > 10, "{asked:?}");
@@ -274,30 +274,30 @@
 /// A request that ends between its charge and its sending has taken nothing: its units ride back.
 #[test]
 fn what_ends_before_it_is_sent_is_given_back() {
-    let mut shared = Shared::default();
-    let mut rig = Rig::new(settings());
+    let mut shared = SharedCounter::default();
+    let mut rig = TestGateway::new(settings());
     for id in 1..=100 {
         // Slow enough for the calls; a twentieth of what is asked comes back by time alone.
         rig.now += 100.0;
         let actions = rig.request(id, 0, 4.0);
         if id % 2 == 0 {
             // The client leaves while the counter is asked.
-            assert!(count(&actions).is_some() && sent(&actions).is_none(), "{id}: {actions:?}");
-            rig.event(Event::ClientDisconnected { id });
-            assert!(sent(&shared.answer(&mut rig, actions)).is_none(), "{id} is sent for nobody");
+            assert!(counter_call(&actions).is_some() && sent_to(&actions).is_none(), "{id}: {actions:?}");
+            rig.handle(Event::ClientDisconnected { id });
+            assert!(sent_to(&shared.answer_calls(&mut rig, actions)).is_none(), "{id} is sent for nobody");
             continue;
         }
         // The attempt is dropped before its first byte.
-        let actions = shared.answer(&mut rig, actions);
-        let backend = sent(&actions).unwrap_or_else(|| panic!("{id}: {actions:?}"));
-        rig.event(Event::ClientDisconnected { id });
-        rig.outcome(id, 0, backend, Outcome::NotSent, None);
+        let actions = shared.answer_calls(&mut rig, actions);
+        let backend = sent_to(&actions).unwrap_or_else(|| panic!("{id}: {actions:?}"));
+        rig.handle(Event::ClientDisconnected { id });
+        rig.attempt_ended(id, 0, backend, Outcome::NotSent, None);
     }
     // The whole burst is there at last, and no more.
     let mut served = 0;
     for id in 101..=110 {
         let actions = rig.request(id, 0, 1.0);
-        served += usize::from(sent(&shared.answer(&mut rig, actions)).is_some());
+        served += usize::from(sent_to(&shared.answer_calls(&mut rig, actions)).is_some());
     }
     assert!((9..=10).contains(&served), "{served} of a burst of 10");
 }
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -12,30 +12,34 @@
 
 /// Keys as a hash of names has them.
 fn entry(id: u32, state: EndpointState) -> Endpoint {
-    Endpoint { hash_key: u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15), ..listed(id, id % ZONES, state) }
+    Endpoint {
+        hash_key: u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15),
+        ..endpoint_entry(id, id % ZONES, state)
+    }
 }
 
-fn many(settings: &Settings, backends: u32) -> Vec<Rig> {
+fn many(settings: &Settings, backends: u32) -> Vec<TestGateway> {
     let rig = |position| {
         let settings = Settings { gateway_index: position, ..settings.clone() };
-        let mut rig = Rig { gateway: Gateway::new(settings, u64::from(position) + 1, 1000.0), now: 1000.0 };
+        let mut rig =
+            TestGateway { gateway: Gateway::new(settings, u64::from(position) + 1, 1000.0), now: 1000.0 };
         let entries = (1..=backends).map(|id| entry(id, EndpointState::Ready)).collect();
-        rig.event(Event::EndpointUpdate { complete: true, endpoints: entries });
+        rig.handle(Event::EndpointUpdate { complete: true, endpoints: entries });
         rig
     };
     (0..settings.gateway_count).map(rig).collect()
 }
 
-fn fleet(backends: u32) -> Vec<Rig> {
+fn fleet(backends: u32) -> Vec<TestGateway> {
     many(&Settings { gateway_count: GATEWAYS, counter: None, ..settings() }, backends)
 }
 
-fn members(rig: &mut Rig) -> BTreeSet<u32> {
+fn members(rig: &mut TestGateway) -> BTreeSet<u32> {
     rig.gateway.subset().iter().copied().collect()
 }
 
 /// Gateways that keep to each backend: least, mean and most over those from 1 to `backends` that somebody may use.
-fn owners(rigs: &mut [Rig], of: impl Fn(u32) -> bool) -> (usize, f64, usize) {
+fn owners(rigs: &mut [TestGateway], of: impl Fn(u32) -> bool) -> (usize, f64, usize) {
     let mut owners = vec![0; BACKENDS as usize + 2];
     for rig in rigs {
         members(rig).iter().for_each(|id| owners[*id as usize] += 1);
@@ -78,7 +82,7 @@
         [(7, EndpointState::Draining), (BACKENDS + 1, EndpointState::Ready), (7, EndpointState::Ready)]
     {
         for rig in &mut rigs {
-            rig.event(Event::EndpointUpdate { complete: false, endpoints: vec![entry(id, state)] });
+            rig.handle(Event::EndpointUpdate { complete: false, endpoints: vec![entry(id, state)] });
         }
     }
     let mut owners = 0;
@@ -97,10 +101,10 @@
     let mut rigs = fleet(BACKENDS);
     let before: Vec<_> = rigs.iter_mut().map(members).collect();
     let lost = |id: &u32| id % ZONES < 2;
-    let change = |rigs: &mut Vec<Rig>, state| {
+    let change = |rigs: &mut Vec<TestGateway>, state| {
         let entries: Vec<_> = (1..=BACKENDS).filter(lost).map(|id| entry(id, state)).collect();
         rigs.iter_mut().for_each(|rig| {
-            drop(rig.event(Event::EndpointUpdate { complete: false, endpoints: entries.clone() }))
+            drop(rig.handle(Event::EndpointUpdate { complete: false, endpoints: entries.clone() }))
         });
     };
     change(&mut rigs, EndpointState::Removed);
@@ -120,18 +124,18 @@
     let mut rig = fleet(BACKENDS).remove(3);
     let before = members(&mut rig);
     let mut id = 0;
-    let mut play = |rig: &mut Rig, bad: &dyn Fn(u32) -> bool, requests: u32| {
+    let mut play = |rig: &mut TestGateway, bad: &dyn Fn(u32) -> bool, requests: u32| {
         for _ in 0..requests {
             (id, rig.now) = (id + 1, rig.now + 5.0);
-            let mut actions = rig.event(Event::Request(request(id, id)));
+            let mut actions = rig.handle(Event::Request(request(id, id)));
             let mut attempt = 0;
-            while let Some(backend) = sent(&actions) {
+            while let Some(backend) = sent_to(&actions) {
                 let result = if bad(backend) { Outcome::ConnectFailed } else { Outcome::Success };
-                actions = rig.outcome(id, attempt, backend, result, None);
+                actions = rig.attempt_ended(id, attempt, backend, result, None);
                 attempt += 1;
             }
             if id % 200 == 0 {
-                rig.event(Event::TimerFired { token: 0 });
+                rig.handle(Event::TimerFired { token: 0 });
             }
         }
     };
@@ -157,10 +161,10 @@
         let mut used = std::collections::BTreeMap::<u32, u32>::new();
         for id in 1..=6000 {
             rig.now += gap_ms;
-            let backend = sent(&rig.event(Event::Request(request(id, id)))).expect("it is sent");
-            rig.outcome(id, 0, backend, Outcome::Success, None);
+            let backend = sent_to(&rig.handle(Event::Request(request(id, id)))).expect("it is sent");
+            rig.attempt_ended(id, 0, backend, Outcome::Success, None);
             if id % ticks == 0 {
-                rig.event(Event::TimerFired { token: 0 });
+                rig.handle(Event::TimerFired { token: 0 });
             }
             if id > 5000 {
                 *used.entry(backend).or_default() += 1;
@@ -178,11 +182,11 @@
     for id in 1..=500 {
         rig.now += 20.0;
         let asked = Request { class: 1, ..request(id, id) };
-        let first = sent(&rig.event(Event::Request(asked))).expect("it is sent");
-        if let Some(second) = sent(&rig.outcome(id, 0, first, Outcome::ErrorResponse, None)) {
+        let first = sent_to(&rig.handle(Event::Request(asked))).expect("it is sent");
+        if let Some(second) = sent_to(&rig.attempt_ended(id, 0, first, Outcome::ErrorResponse, None)) {
             assert_eq!(second % ZONES, first % ZONES);
             assert_ne!(second, first);
-            rig.outcome(id, 1, second, Outcome::Success, None);
+            rig.attempt_ended(id, 1, second, Outcome::Success, None);
         }
     }
 }
@@ -193,18 +197,18 @@
     let mut rig = fleet(BACKENDS).remove(2);
     let drains = |id: &u32| id % 3 != 0;
     let entries = (1..=BACKENDS).filter(drains).map(|id| entry(id, EndpointState::Draining)).collect();
-    rig.event(Event::EndpointUpdate { complete: false, endpoints: entries });
+    rig.handle(Event::EndpointUpdate { complete: false, endpoints: entries });
     let mut used = BTreeSet::new();
     for id in 1..=3000 {
         rig.now += 8.0;
-        let backend = sent(&rig.event(Event::Request(request(id, id)))).expect("it is sent");
+        let backend = sent_to(&rig.handle(Event::Request(request(id, id)))).expect("it is sent");
         assert!(!drains(&backend), "{backend} drains");
         used.insert(backend);
         // One in ten turns the request away, and it goes to another one.
         let result = if id % 10 == 0 { Outcome::Rejected } else { Outcome::Success };
-        if let Some(backend) = sent(&rig.outcome(id, 0, backend, result, None)) {
+        if let Some(backend) = sent_to(&rig.attempt_ended(id, 0, backend, result, None)) {
             assert!(!drains(&backend), "{backend} drains");
-            rig.outcome(id, 1, backend, Outcome::Success, None);
+            rig.attempt_ended(id, 1, backend, Outcome::Success, None);
         }
     }
     assert!(used.len() > 150, "{}", used.len());
