--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -1,19 +1,27 @@
-//! What gateways tell each other, as bytes. Nothing here decides anything.
+//! The messages between gateways: which customers used how many units, and their encoding in bytes.
 
 use crate::api::CustomerId;
+use std::collections::BTreeMap;
 
-/// The form of the messages; others are ignored.
+/// The version of the encoding; messages of other versions are ignored.
 const VERSION: u8 = 2;
-/// Bytes of one use: the customer's number, its plan and the units in hundredths.
-const USE_BYTES: usize = 8;
-/// Uses in one message of 256 bytes.
-pub(crate) const USES_MOST: usize = 31;
-/// A customer's number stays below this.
-const CUSTOMERS: u64 = 1 << 33;
-
-/// Units that a customer took at the gateway that tells, or got back.
+/// Bytes of a customer's number in a message.
+const CUSTOMER_BYTES: usize = 5;
+/// Bytes of one customer's usage: its number, its plan, and the units in hundredths.
+const USAGE_BYTES: usize = 8;
+/// Customers in one message: it must fit into 256 bytes.
+const MAX_USAGES: usize = 31;
+/// Customer numbers stay below this.
+const CUSTOMER_LIMIT: u64 = 1 << 33;
+/// Units are sent in hundredths.
+const HUNDREDTHS: f64 = 100.0;
+
+/// The recipient that stands for all other gateways.
+pub(crate) const ALL_GATEWAYS: u32 = u32::MAX;
+
+/// Units that a customer used at the sending gateway, or was refunded if negative.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Use {
+pub(crate) struct Usage {
     pub(crate) customer: CustomerId,
     pub(crate) plan: u8,
     pub(crate) units: f64,
@@ -22,40 +30,80 @@
 /// A message between gateways.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Message {
-    /// The teller finds no room at the counter.
-    pub(crate) short: bool,
-    pub(crate) uses: Vec<Use>,
+    /// The sender has met a counter without capacity.
+    pub(crate) counter_short: bool,
+    pub(crate) usages: Vec<Usage>,
+}
+
+/// Why bytes are no message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum DecodeError {
+    #[error("the message ends within its header")]
+    Truncated,
+    #[error("version {0} is not known")]
+    UnknownVersion(u8),
+    #[error("{0} is neither 0 nor 1")]
+    InvalidFlag(u8),
+    #[error("{0} bytes of usage are too many or not whole entries")]
+    InvalidLength(usize),
+    #[error("customer number {0} is out of range")]
+    InvalidCustomer(CustomerId),
 }
 
 impl Message {
     pub(crate) fn encode(&self) -> Vec<u8> {
-        let mut body = vec![VERSION, u8::from(self.short)];
-        for told in self.uses.iter().take(USES_MOST) {
-            body.extend(&told.customer.to_le_bytes()[..5]);
-            body.push(told.plan);
-            body.extend(((told.units * 100.0).round() as i16).to_le_bytes());
+        let mut body = vec![VERSION, u8::from(self.counter_short)];
+        for usage in self.usages.iter().take(MAX_USAGES) {
+            body.extend(&usage.customer.to_le_bytes()[..CUSTOMER_BYTES]);
+            body.push(usage.plan);
+            body.extend(((usage.units * HUNDREDTHS).round() as i16).to_le_bytes());
         }
         body
     }
 
-    /// None for what is truncated, too long, of another version or out of range.
-    pub(crate) fn decode(body: &[u8]) -> Option<Message> {
-        let (&[version, short], body) = body.split_first_chunk()?;
-        if version != VERSION
-            || short > 1
-            || body.len() % USE_BYTES != 0
-            || body.len() > USES_MOST * USE_BYTES
-        {
-            return None;
+    pub(crate) fn decode(body: &[u8]) -> Result<Message, DecodeError> {
+        let (&[version, counter_short], entries) = body.split_first_chunk().ok_or(DecodeError::Truncated)?;
+        if version != VERSION {
+            return Err(DecodeError::UnknownVersion(version));
+        }
+        if counter_short > 1 {
+            return Err(DecodeError::InvalidFlag(counter_short));
         }
-        let told = |told: &[u8]| {
-            let mut customer = [0; 8];
-            customer[..5].copy_from_slice(&told[..5]);
-            let units = f64::from(i16::from_le_bytes([told[6], told[7]])) / 100.0;
-            let customer = u64::from_le_bytes(customer);
-            (customer < CUSTOMERS).then_some(Use { customer, plan: told[5], units })
-        };
-        let uses = body.chunks_exact(USE_BYTES).map(told).collect::<Option<_>>()?;
-        Some(Message { short: short == 1, uses })
+        if entries.len() % USAGE_BYTES != 0 || entries.len() > MAX_USAGES * USAGE_BYTES {
+            return Err(DecodeError::InvalidLength(entries.len()));
+        }
+        let usages = entries.chunks_exact(USAGE_BYTES).map(decode_usage).collect::<Result<_, _>>()?;
+        Ok(Message { counter_short: counter_short == 1, usages })
+    }
+}
+
+/// Decodes the `USAGE_BYTES` bytes of one entry.
+fn decode_usage(entry: &[u8]) -> Result<Usage, DecodeError> {
+    let mut number = [0; 8];
+    number[..CUSTOMER_BYTES].copy_from_slice(&entry[..CUSTOMER_BYTES]);
+    let customer = u64::from_le_bytes(number);
+    if customer >= CUSTOMER_LIMIT {
+        return Err(DecodeError::InvalidCustomer(customer));
+    }
+    let hundredths = i16::from_le_bytes([entry[6], entry[7]]);
+    Ok(Usage { customer, plan: entry[5], units: f64::from(hundredths) / HUNDREDTHS })
+}
+
+/// Usage that has not been sent to the other gateways yet, summed by customer.
+#[derive(Default)]
+pub(crate) struct UnsentUsage(BTreeMap<CustomerId, Usage>);
+
+impl UnsentUsage {
+    pub(crate) fn add(&mut self, customer: CustomerId, plan: u8, units: f64) {
+        self.0.entry(customer).or_insert(Usage { customer, plan, units: 0.0 }).units += units;
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Takes out as much as fits into one message.
+    pub(crate) fn take_for_message(&mut self) -> Vec<Usage> {
+        std::iter::from_fn(|| self.0.pop_first()).take(MAX_USAGES).map(|(_, usage)| usage).collect()
     }
 }
--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -5,7 +5,7 @@
 //! a counter that fails lets requests through. Use fades from the count. The sections follow a request's way.
 
 use crate::api::*;
-use crate::gossip::{Message, Use, USES_MOST};
+use crate::gossip::{Message, UnsentUsage, Usage, ALL_GATEWAYS};
 use crate::policy::load_balancer::{LoadBalancer, EJECT_MS, USUAL_GAIN, USUAL_OF_AIM};
 use crate::primitives::aimd::{AimdLimiter, AimdParameters, CallPriority};
 use crate::primitives::window::Window;
@@ -108,7 +108,7 @@
     /// When a call last found no room at the counter, here and at any gateway.
     short: (Millis, Millis),
     /// What is to be told to the others, and whether a timer runs for it.
-    uses: BTreeMap<CustomerId, Use>,
+    unsent_usage: UnsentUsage,
     telling: bool,
     /// Attempts out, their average, and answers a second, averaged alike.
     out: f64,
@@ -140,7 +140,7 @@
             call_limiter: AimdLimiter::new(&CALL_RATE, now),
             count_ms: None,
             short: (f64::NEG_INFINITY, f64::NEG_INFINITY),
-            uses: BTreeMap::new(),
+            unsent_usage: UnsentUsage::default(),
             telling: false,
             out: 0.0,
             out_mean: 0.0,
@@ -332,14 +332,13 @@
             c.gossip_level -= units;
         }
         if self.shared(now) {
-            let plan = plan as u8;
-            self.uses.entry(customer).or_insert(Use { customer, plan, units: 0.0 }).units += units;
+            self.unsent_usage.add(customer, plan as u8, units);
             self.rouse(actions);
         }
     }
 
     fn rouse(&mut self, actions: &mut Vec<Action>) {
-        if !self.uses.is_empty() && !std::mem::replace(&mut self.telling, true) {
+        if !self.unsent_usage.is_empty() && !std::mem::replace(&mut self.telling, true) {
             let after_ms = TELL_MS * f64::from(self.settings.gateway_count - 1);
             actions.push(Action::SetTimer { token: TOKEN_TELL, after_ms });
         }
@@ -347,23 +346,24 @@
 
     fn tell(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.telling = false;
-        let uses =
-            std::iter::from_fn(|| self.uses.pop_first()).take(USES_MOST).map(|(_, told)| told).collect();
-        let short = now - self.short.0 < SHORT_MS;
-        actions.push(Action::Gossip { to: u32::MAX, body: Message { short, uses }.encode() });
+        let usages = self.unsent_usage.take_for_message();
+        let counter_short = now - self.short.0 < SHORT_MS;
+        let body = Message { counter_short, usages }.encode();
+        actions.push(Action::Gossip { to: ALL_GATEWAYS, body });
         self.rouse(actions);
     }
 
     /// Another gateway tells what customers took there.
     fn message(&mut self, now: Millis, from: u32, body: &[u8]) {
         let known = from < self.settings.gateway_count && from != self.settings.gateway_index;
-        let Some(message) = Message::decode(body).filter(|_| known && self.settings.limits.gossip) else {
+        if !known || !self.settings.limits.gossip {
             return;
-        };
-        if message.short {
+        }
+        let Ok(message) = Message::decode(body) else { return };
+        if message.counter_short {
             self.short.1 = now;
         }
-        for Use { customer, plan, units } in message.uses {
+        for Usage { customer, plan, units } in message.usages {
             let plan = usize::from(plan);
             if plan >= self.settings.plans.len() {
                 continue;
