--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -8,6 +8,7 @@
 use crate::gossip::{Message, UnsentUsage, Usage, ALL_GATEWAYS};
 use crate::policy::load_balancer::{LoadBalancer, EJECT_MS, USUAL_GAIN, USUAL_OF_AIM};
 use crate::primitives::aimd::{AimdLimiter, AimdParameters, CallPriority};
+use crate::primitives::token_bucket::TokenBucket;
 use crate::primitives::window::Window;
 use crate::state::*;
 use std::collections::{BTreeMap, VecDeque};
@@ -31,8 +32,6 @@
 /// after the last call that found none, in ms, and each so many ms for every other gateway: few are taken in.
 const SHORT_MS: f64 = 10_000.0;
 const TELL_MS: f64 = 25.0;
-/// After so many slow or failed calls in a row requests no longer wait for the counter.
-const COUNTER_MISSES: u32 = 3;
 /// Calls to the counter: all gateways share its capacity and none knows it, so each finds its part by what
 /// fails.
 const CALL_RATE: AimdParameters = AimdParameters {
@@ -47,6 +46,8 @@
     fast_increase: 0.04,
     slow_increase: 0.02,
     near_share: 0.9,
+    // After that, requests no longer wait for the counter.
+    max_consecutive_failures: 3,
     // Evens out chance.
     burst_ms: 500.0,
 };
@@ -100,8 +101,6 @@
     customers: BTreeMap<CustomerId, Customer>,
     requests: BTreeMap<RequestId, OpenRequest>,
     calls: BTreeMap<u64, VecDeque<CounterCall>>,
-    /// Slow or failed calls to the counter in a row.
-    misses: u32,
     call_limiter: AimdLimiter,
     /// The counter's usual time for an answer, in ms, once there was one.
     count_ms: Option<f64>,
@@ -119,7 +118,7 @@
     flow_at: Millis,
     /// Mean units of a request.
     units: f64,
-    retries: f64,
+    retry_budget: TokenBucket,
     list_retry: Option<Millis>,
 }
 
@@ -136,7 +135,6 @@
             customers: BTreeMap::new(),
             requests: BTreeMap::new(),
             calls: BTreeMap::new(),
-            misses: 0,
             call_limiter: AimdLimiter::new(&CALL_RATE, now),
             count_ms: None,
             short: (f64::NEG_INFINITY, f64::NEG_INFINITY),
@@ -148,7 +146,7 @@
             late: USUAL_OF_AIM,
             flow_at: now,
             units: 1.0,
-            retries: RETRY_MOST,
+            retry_budget: TokenBucket::new(RETRY_MOST),
             list_retry: None,
         }
     }
@@ -264,7 +262,7 @@
         if self.settings.counter.is_none() || plan.rate <= 0.0 {
             return self.grant(now, id, actions);
         }
-        let trusted = self.misses < COUNTER_MISSES;
+        let trusted = !self.call_limiter.is_down();
         let called = self.call_limiter.try_acquire(now, CallPriority::Required);
         // A silent or crowded counter is still tried, by fewer calls; what else comes rides on the next.
         if !called {
@@ -441,13 +439,11 @@
             *usual += (took.min(*usual * WAIT_USUAL.0) - *usual) * COUNT_GAIN;
         }
         if good {
-            self.call_limiter.on_success(self.misses >= COUNTER_MISSES);
-            self.misses = 0;
+            self.call_limiter.on_success();
         } else if !matches!(result, Outcome::ErrorResponse | Outcome::ConnectionReset) {
             // A spoilt answer, or the end of its connection, tells nothing of what the counter bears.
             self.short = (now, now);
-            self.call_limiter.on_failure(now, now - took, self.misses == 0);
-            self.misses = self.misses.saturating_add(1);
+            self.call_limiter.on_failure(now, now - took);
         }
         self.reckon(now, name, &call, ok.then_some(total), result);
         let (customer, plan) = (call.customer, call.plan);
@@ -654,7 +650,7 @@
         actions.push(Action::SendAttempt { id, endpoint: backend, timeout_ms: left.min(cut.max(1.0)) });
         self.flow(now, 1.0, 0.0);
         if first {
-            self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
+            self.retry_budget.refill(RETRY_SHARE, RETRY_MOST);
         }
     }
 
@@ -721,11 +717,11 @@
         let worth = class.late_weight > 0.0
             || now + self.load_balancer.baseline_latency(open.request.class as usize)
                 < open.objective_deadline;
-        let repeatable = class.idempotency != Idempotency::NotIdempotent && self.retries >= 1.0;
+        let repeatable = class.idempotency != Idempotency::NotIdempotent && self.retry_budget.has(1.0);
         let again = worth && (o.outcome.never_executed() || repeatable);
         if again && o.outcome != Outcome::NotSent && open.deadline > now && !open.streaming {
             if !o.outcome.never_executed() && o.outcome != Outcome::Cancelled {
-                self.retries -= 1.0;
+                self.retry_budget.take(1.0);
             }
             return self.send(now, o.id, actions);
         }
--- a/src/primitives/aimd.rs
+++ b/src/primitives/aimd.rs
@@ -1,5 +1,7 @@
-//! A rate limiter that finds out by itself what a shared service bears: its rate grows with each success and is cut
-//! with each failure (additive increase, multiplicative decrease).
+//! A rate limiter that finds out by itself what a shared service bears: its rate grows with each success and
+//! is cut with each failure (additive increase, multiplicative decrease).
+
+use super::token_bucket::TokenBucket;
 
 /// How an [`AimdLimiter`] adapts. Rates are in calls a second.
 pub(crate) struct AimdParameters {
@@ -16,6 +18,8 @@
     pub(crate) slow_increase: f64,
     /// Share of the rate before the last failures from which on the rate counts as near to it.
     pub(crate) near_share: f64,
+    /// Failures in a row after which the service counts as down.
+    pub(crate) max_consecutive_failures: u32,
     /// Time in which the tokens that are saved up at most come in, in ms.
     pub(crate) burst_ms: f64,
 }
@@ -33,11 +37,12 @@
 pub(crate) struct AimdLimiter {
     parameters: &'static AimdParameters,
     rate: f64,
-    tokens: f64,
+    bucket: TokenBucket,
     refilled_at: f64,
     /// The rate before the last failures; none before the first failure.
     rate_before_failures: Option<f64>,
     decreased_at: f64,
+    consecutive_failures: u32,
 }
 
 impl AimdLimiter {
@@ -46,10 +51,11 @@
         AimdLimiter {
             parameters,
             rate: parameters.initial_rate,
-            tokens: parameters.initial_rate,
+            bucket: TokenBucket::new(parameters.initial_rate),
             refilled_at: now,
             rate_before_failures: None,
             decreased_at: f64::NEG_INFINITY,
+            consecutive_failures: 0,
         }
     }
 
@@ -57,30 +63,36 @@
     pub(crate) fn try_acquire(&mut self, now: f64, priority: CallPriority) -> bool {
         let capacity = (self.rate * self.parameters.burst_ms / 1000.0).max(1.0);
         let refill = (now - self.refilled_at).max(0.0) / 1000.0 * self.rate;
-        self.tokens = (self.tokens + refill).min(capacity);
+        self.bucket.refill(refill, capacity);
         self.refilled_at = now;
         let needed = match priority {
             CallPriority::Required => 1.0,
             CallPriority::Optional => 1.0 + capacity / 2.0,
         };
-        let acquired = self.tokens >= needed;
+        let acquired = self.bucket.has(needed);
         if acquired {
-            self.tokens -= 1.0;
+            self.bucket.take(1.0);
         }
         acquired
     }
 
     /// Whether no token was left when it was last asked.
     pub(crate) fn is_exhausted(&self) -> bool {
-        self.tokens < 1.0
+        !self.bucket.has(1.0)
+    }
+
+    /// Whether the service counts as down.
+    pub(crate) fn is_down(&self) -> bool {
+        self.consecutive_failures >= self.parameters.max_consecutive_failures
     }
 
-    /// A call has succeeded; `recovered` if it is the first one after the service counted as down.
-    pub(crate) fn on_success(&mut self, recovered: bool) {
-        // Back from silence, half of the former rate comes back at once.
-        if let Some(before) = self.rate_before_failures.filter(|_| recovered) {
+    /// A call has succeeded.
+    pub(crate) fn on_success(&mut self) {
+        // When the service is back, half of the former rate returns at once.
+        if let Some(before) = self.rate_before_failures.filter(|_| self.is_down()) {
             self.rate = self.rate.max(before / 2.0);
         }
+        self.consecutive_failures = 0;
         let near =
             self.rate_before_failures.is_some_and(|before| self.rate > before * self.parameters.near_share);
         let share = if near { self.parameters.slow_increase } else { self.parameters.fast_increase };
@@ -88,12 +100,13 @@
             (self.rate * (1.0 + share) + self.parameters.additive_increase).min(self.parameters.max_rate);
     }
 
-    /// A call that began at `started_at` has failed; `first` if the call before it succeeded.
-    pub(crate) fn on_failure(&mut self, now: f64, started_at: f64, first: bool) {
-        if first {
+    /// A call that began at `started_at` has failed.
+    pub(crate) fn on_failure(&mut self, now: f64, started_at: f64) {
+        if self.consecutive_failures == 0 {
             self.rate_before_failures = Some(self.rate);
         }
-        // Calls that were in line together are slow together: one decrease for all of them.
+        self.consecutive_failures = self.consecutive_failures.saturating_add(1);
+        // Calls that queued together are slow together: one decrease for all of them.
         if started_at >= self.decreased_at {
             self.rate = (self.rate * self.parameters.decrease_factor).max(self.parameters.min_rate);
             self.decreased_at = now;
--- a/src/primitives/mod.rs
+++ b/src/primitives/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod aimd;
 pub(crate) mod ring;
+pub(crate) mod token_bucket;
 pub(crate) mod window;
