--- /dev/null
+++ b/src/policy/forwarding.rs
@@ -0,0 +1,218 @@
+//! What becomes of an admitted request: its attempts, retries, and its final answer.
+
+use crate::api::*;
+use crate::policy::load_balancer::LoadBalancer;
+use crate::policy::overload::{self, FLEET_LOAD};
+use crate::policy::quota::QuotaLedger;
+use crate::primitives::load_estimate::LoadEstimate;
+use crate::primitives::token_bucket::TokenBucket;
+use crate::state::{Attempt, Context, OpenRequest};
+
+/// Retries allowed for each first attempt.
+const RETRIES_PER_REQUEST: f64 = 0.1;
+/// Unused retries saved up at most.
+const MAX_SAVED_RETRIES: f64 = 10.0;
+/// An attempt that earns nothing after its latency objective ends this long before it, in ms ...
+const EARLY_TIMEOUT_MS: f64 = 4.0;
+/// ... and this number of ticks.
+const EARLY_TIMEOUT_TICKS: f64 = 2.0;
+/// Advice to a client whose request found no endpoint or failed, as a share of the latency objective.
+const RETRY_AFTER_SHARE: f64 = 0.5;
+
+/// Forwards admitted requests to endpoints and sees each through to its final answer.
+pub(crate) struct Forwarder {
+    pub(crate) quota: QuotaLedger,
+    pub(crate) load_balancer: LoadBalancer,
+    load: LoadEstimate,
+    retry_budget: TokenBucket,
+}
+
+impl Forwarder {
+    pub(crate) fn new(settings: &Settings, now: Millis) -> Self {
+        Forwarder {
+            quota: QuotaLedger::new(now),
+            load_balancer: LoadBalancer::new(settings, now),
+            load: LoadEstimate::new(&FLEET_LOAD, now),
+            retry_budget: TokenBucket::new(MAX_SAVED_RETRIES),
+        }
+    }
+
+    /// Periodic housekeeping.
+    pub(crate) fn tick(&mut self, cx: &Context) {
+        self.load.advance(cx.now);
+        self.load_balancer.tick(cx.now, cx.settings, self.load.mean_in_flight());
+        self.quota.forget_idle(cx.now, cx.settings);
+    }
+
+    /// Expected latency of the request if it is admitted now, in ms.
+    pub(crate) fn expected_latency(&mut self, cx: &Context, open: &OpenRequest) -> Millis {
+        overload::expected_latency(cx, &mut self.load, &self.load_balancer, open.request.class as usize)
+    }
+
+    /// Forwards a request within its quota.
+    pub(crate) fn forward_within_quota(&mut self, cx: &mut Context, open: &mut OpenRequest) {
+        self.quota.record_usage(cx, open.account(), open.request.units);
+        self.forward(cx, open);
+    }
+
+    /// Sends the request's next attempt, if it may have one and an endpoint is there for it.
+    pub(crate) fn forward(&mut self, cx: &mut Context, open: &mut OpenRequest) {
+        let endpoint = self.load_balancer.choose(cx.now, cx.settings, open, cx.rng);
+        if let Some(endpoint) = endpoint.filter(|_| self.may_attempt(cx, open)) {
+            return self.start_attempt(cx, open, endpoint);
+        }
+        if open.attempts.is_empty() {
+            self.refund(cx, open);
+        }
+        if !open.has_attempt_in_flight() {
+            self.finish_unserved(cx, open);
+        }
+    }
+
+    /// Whether time, the rules of its class and the customer's ceiling allow the request another attempt.
+    fn may_attempt(&self, cx: &Context, open: &OpenRequest) -> bool {
+        let attempts = open.attempts.len() as u32;
+        if open.deadline <= cx.now || attempts >= cx.settings.limits.max_attempts.max(1) {
+            return false;
+        }
+        if let Idempotency::WithKey { window_ms, .. } = cx.class(&open.request).idempotency {
+            if open.first_execution.is_some_and(|first| cx.now - first.started_at >= window_ms) {
+                return false;
+            }
+        }
+        let has_ceiling = cx.plan(open.account()).ceiling_rate > 0.0;
+        attempts > 0 || !has_ceiling || self.quota.customers.fits_ceiling(&open.request)
+    }
+
+    fn start_attempt(&mut self, cx: &mut Context, open: &mut OpenRequest, endpoint: EndpointId) {
+        let first = open.attempts.is_empty();
+        let endpoint_in_flight = self.load_balancer.attempt_started(cx.now, cx.settings, endpoint, first);
+        self.quota.customers.attempt_started(&open.request, first);
+        let attempt = Attempt { endpoint, started_at: cx.now, endpoint_in_flight, in_flight: true };
+        open.attempts.push(attempt);
+        let timeout_ms = attempt_timeout(cx, open);
+        cx.actions.push(Action::SendAttempt { id: open.request.id, endpoint, timeout_ms });
+        self.load.request_started(cx.now);
+        if first {
+            self.retry_budget.refill(RETRIES_PER_REQUEST, MAX_SAVED_RETRIES);
+        }
+    }
+
+    /// An attempt has ended: its request is settled, and retried unless it has its answer.
+    pub(crate) fn attempt_ended(&mut self, cx: &mut Context, open: &mut OpenRequest, ended: AttemptEnd) {
+        let Some(attempt) = open.end_attempt(&ended) else { return };
+        let latency_ms = cx.now - attempt.started_at;
+        let endpoint_in_flight = attempt.endpoint_in_flight;
+        self.settle_attempt(cx, open, ended.actual_units);
+        self.load.request_ended(cx.now, ended.outcome == Outcome::Success);
+        if matches!(ended.outcome, Outcome::Success | Outcome::Timeout) {
+            self.load.record_latency(latency_ms, cx.class(&open.request).latency_objective_ms);
+        }
+        let request = &open.request;
+        self.load_balancer.attempt_ended(cx.now, cx.settings, request, &ended, endpoint_in_flight, cx.rng);
+        if ended.request_answered || open.closed {
+            self.close(cx, open);
+        } else if !open.has_attempt_in_flight() {
+            self.retry_or_finish(cx, open, ended.outcome);
+        }
+    }
+
+    /// Settles the request's units: the difference to the actual ones, or all of them if it was never sent.
+    fn settle_attempt(&mut self, cx: &mut Context, open: &mut OpenRequest, actual_units: Option<f64>) {
+        self.quota.customers.attempt_ended(&open.request);
+        match actual_units.filter(|units| units.is_finite()) {
+            Some(units) if cx.settings.settles_units && open.within_quota => {
+                open.within_quota = false;
+                self.quota.settle(cx, open.account(), units - open.request.units);
+            }
+            _ if open.was_never_sent() => self.refund(cx, open),
+            _ => {}
+        }
+    }
+
+    /// The request was never sent, so it used nothing.
+    fn refund(&mut self, cx: &mut Context, open: &mut OpenRequest) {
+        if std::mem::take(&mut open.within_quota) {
+            self.quota.settle(cx, open.account(), -open.request.units);
+        }
+    }
+
+    fn retry_or_finish(&mut self, cx: &mut Context, open: &mut OpenRequest, outcome: Outcome) {
+        if !self.may_retry(cx, open, outcome) {
+            return self.finish_unserved(cx, open);
+        }
+        if !outcome.never_executed() && outcome != Outcome::Cancelled {
+            self.retry_budget.take(1.0);
+        }
+        self.forward(cx, open);
+    }
+
+    fn may_retry(&self, cx: &Context, open: &OpenRequest, outcome: Outcome) -> bool {
+        if outcome == Outcome::NotSent || open.streaming || open.deadline <= cx.now {
+            return false;
+        }
+        let class = cx.class(&open.request);
+        let baseline_ms = self.load_balancer.baseline_latency(open.request.class as usize);
+        // After the latency objective a response may earn nothing.
+        if class.late_weight <= 0.0 && cx.now + baseline_ms >= open.objective_deadline {
+            return false;
+        }
+        let idempotent = class.idempotency != Idempotency::NotIdempotent;
+        outcome.never_executed() || idempotent && self.retry_budget.has(1.0)
+    }
+
+    /// Ends a request that no endpoint has served.
+    fn finish_unserved(&mut self, cx: &mut Context, open: &mut OpenRequest) {
+        let retry_after_ms = cx.class(&open.request).latency_objective_ms * RETRY_AFTER_SHARE;
+        self.finish(cx, open, retry_after_ms);
+    }
+
+    /// Ends the request: rejected if the client may safely repeat it, failed if it may have been executed.
+    pub(crate) fn finish(&mut self, cx: &mut Context, open: &mut OpenRequest, retry_after_ms: Millis) {
+        let id = open.request.id;
+        let safe_to_repeat = match cx.class(&open.request).idempotency {
+            Idempotency::Idempotent | Idempotency::WithKey { scope: KeyScope::All, .. } => true,
+            _ => open.first_execution.is_none() && !open.has_attempt_in_flight(),
+        };
+        if safe_to_repeat {
+            let limits = &cx.settings.limits;
+            let capped = retry_after_ms.clamp(0.0, limits.max_retry_after_ms.max(0.0));
+            let retry_after_ms = if limits.retry_after { capped } else { 0.0 };
+            cx.actions.push(Action::Reject { id, retry_after_ms });
+        } else {
+            cx.actions.push(Action::Fail { id });
+        }
+        self.close(cx, open);
+    }
+
+    /// The client has left. What its request was charged while it waited is refunded with the next charge.
+    pub(crate) fn client_disconnected(&mut self, cx: &mut Context, open: &mut OpenRequest) {
+        if open.awaiting_counter {
+            self.quota.settle_later(cx, open.account(), -open.request.units);
+        }
+        self.close(cx, open);
+    }
+
+    /// The request has its answer or needs none any more: no attempt follows.
+    fn close(&mut self, cx: &mut Context, open: &mut OpenRequest) {
+        self.quota.customers.release(open);
+        if !std::mem::replace(&mut open.closed, true) && cx.settings.limits.cancellation {
+            let cancel = |attempt| Action::CancelAttempt { id: open.request.id, attempt };
+            cx.actions.extend(open.attempts_in_flight().map(cancel));
+        }
+    }
+}
+
+/// How long an attempt that starts now may take, in ms.
+fn attempt_timeout(cx: &Context, open: &OpenRequest) -> Millis {
+    let remaining_ms = open.deadline - cx.now;
+    // Where a late response earns nothing, the attempt ends before its latency objective. The endpoint does
+    // the work all the same: only where that waste is priced below a late failure.
+    let prices = &cx.settings.prices;
+    if cx.class(&open.request).late_weight > 0.0 || prices.waste >= prices.late_failure {
+        return remaining_ms;
+    }
+    let objective_ms = open.objective_deadline - cx.now;
+    let early_ms = objective_ms - EARLY_TIMEOUT_MS - EARLY_TIMEOUT_TICKS * cx.settings.tick_ms;
+    remaining_ms.min(early_ms.max(1.0))
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,6 +1,14 @@
-//! Every decision of the gateway: what is admitted, where it is sent, what is retried and when the counter is
-//! called.
+//! The decisions of a gateway: what it admits, where it sends it, what it retries, when it calls the counter.
+//!
+//! [`gateway`] hands a request to [`admission`], which checks the customer's [`quota`] and the fleet's
+//! [`overload`]. [`forwarding`] sends it to the endpoint that [`load_balancer`] chooses, retries and ends it.
 
+mod admission;
+mod counter_calls;
+mod forwarding;
 pub(crate) mod gateway;
 mod load_balancer;
+mod overload;
+mod quota;
 mod subset;
+mod usage_gossip;
--- /dev/null
+++ b/src/policy/quota.rs
@@ -0,0 +1,252 @@
+//! The customers' quotas, which all gateways enforce together by means of a shared counter.
+
+use crate::api::{Action, Millis, Plan, RequestId, Settings};
+use crate::policy::counter_calls::CounterCalls;
+use crate::policy::usage_gossip::UsageGossip;
+use crate::primitives::aimd::CallPriority;
+use crate::primitives::mean::ExponentialMean;
+use crate::primitives::shared_bucket::{BucketLimits, RemoteUsage, SharedBucket, SharedBucketParameters};
+use crate::primitives::token_bucket::TokenBucket;
+use crate::state::*;
+
+/// How a customer's quota is rebuilt from the counter.
+const QUOTA_COUNT: SharedBucketParameters = SharedBucketParameters {
+    decay_bursts: 1.25,  // more is kinder to chance, less to sudden bursts
+    window_decays: 20.0, // longer windows have fewer edges, where usage may go unseen
+    min_window_ms: 100.0,
+    max_window_ms: 50_000.0, // less than the longest life of a key at the counter
+    lost_count_share: 0.99,
+    remote_rate_ms: 2000.0, // a few of a customer's requests
+    projection_ms: 10_000.0,
+};
+/// Longest life of a key, in ms, as the counter allows it.
+const MAX_KEY_TTL_MS: f64 = 60_000.0;
+/// The quota falls below 0 by the units of one request, or by this share of the burst.
+const MAX_DEFICIT_PER_BURST: f64 = 0.25;
+/// Least time between two calls that only ask for a customer's total, in ms.
+const MIN_TOTAL_QUERY_INTERVAL_MS: f64 = 100.0;
+/// A customer idle for this many decay times of its usage is forgotten: its quota must be full again.
+const IDLE_DECAYS: f64 = 3.0;
+/// The shortest such time, in ms.
+const MIN_IDLE_MS: f64 = 1000.0;
+/// Retry-After of a request over its quota: half the time in which the missing units are refilled.
+const RETRY_AFTER_MS_PER_REFILL_SECOND: f64 = 500.0;
+/// Weight of one request in the mean units: about the last hundred count.
+const MEAN_UNITS_GAIN: f64 = 0.01;
+/// The mean units before any request.
+const INITIAL_MEAN_UNITS: f64 = 1.0;
+/// The least mean units to divide by.
+const MIN_MEAN_UNITS: f64 = 0.1;
+
+/// The quotas of all customers, as this gateway knows them.
+pub(crate) struct QuotaLedger {
+    started_at: Millis,
+    pub(crate) customers: Customers,
+    counter: CounterCalls,
+    pub(crate) gossip: UsageGossip,
+    pending_calls: PendingCounterCalls,
+    mean_units: ExponentialMean,
+}
+
+impl QuotaLedger {
+    pub(crate) fn new(now: Millis) -> Self {
+        QuotaLedger {
+            started_at: now,
+            customers: Customers::default(),
+            counter: CounterCalls::new(now),
+            gossip: UsageGossip::default(),
+            pending_calls: PendingCounterCalls::default(),
+            mean_units: ExponentialMean::new(INITIAL_MEAN_UNITS, MEAN_UNITS_GAIN),
+        }
+    }
+
+    /// Units left for a request that has just come in; other gateways can only have used more.
+    pub(crate) fn available_units(&mut self, cx: &Context, open: &OpenRequest) -> f64 {
+        self.mean_units.update(open.request.units);
+        let gossip_active = self.gossip.is_active(cx);
+        let customer = self.refresh(cx, open.account(), open.request.gateway_set_size);
+        let level = customer.quota.level().min(cx.plan(open.account()).burst);
+        let level = if gossip_active { customer.gossip_level } else { level };
+        level - customer.reserved_units
+    }
+
+    /// Units left for a request that has waited for the counter.
+    pub(crate) fn counted_units(&mut self, cx: &Context, open: &OpenRequest) -> f64 {
+        let gossip_active = self.gossip.is_active(cx);
+        let customer = self.refresh(cx, open.account(), open.request.gateway_set_size);
+        let level = customer.quota.level();
+        if gossip_active {
+            return level.min(customer.gossip_level);
+        }
+        level
+    }
+
+    /// The customer's attempts in flight at all gateways, where one takes `baseline_ms`.
+    pub(crate) fn concurrent_attempts(&self, open: &OpenRequest, baseline_ms: Millis) -> f64 {
+        let mean_units = self.mean_units.value().max(MIN_MEAN_UNITS);
+        let customer = self.customers.get(open.request.customer);
+        customer.map_or(0.0, |customer| customer.concurrent_attempts(mean_units, baseline_ms))
+    }
+
+    /// Refills what the customer may use, up to now; a customer that is not known yet is added. It comes
+    /// through `gateway_set_size` gateways.
+    fn refresh(&mut self, cx: &Context, account: Account, gateway_set_size: f64) -> &mut Customer {
+        let plan = cx.plan(account);
+        let ceiling_share = 1.0 / gateway_set_size.clamp(1.0, f64::from(cx.settings.gateway_count.max(1)));
+        let ceiling_capacity = plan.ceiling_burst * ceiling_share;
+        let uptime_s = (cx.now - self.started_at).max(0.0) / 1000.0;
+        let customer = self.customers.get_or_insert_with(account.customer, || {
+            // A restarted gateway can't know what it sent before: its share of a ceiling starts empty.
+            let ceiling = (uptime_s * plan.ceiling_rate * ceiling_share).min(ceiling_capacity);
+            let quota = SharedBucket::new(&QUOTA_COUNT, account.customer, cx.now, plan.burst);
+            Customer::new(cx.now, quota, TokenBucket::new(ceiling))
+        });
+        let exhausted = self.counter.limiter.is_exhausted();
+        let remote_usage = if exhausted { RemoteUsage::Projected } else { RemoteUsage::Ignored };
+        let elapsed_s = customer.refill(cx.now, limits(cx, plan), remote_usage);
+        customer.ceiling.refill(elapsed_s * plan.ceiling_rate * ceiling_share, ceiling_capacity);
+        customer.last_seen_at = cx.now;
+        customer
+    }
+
+    /// The customer used units here, or is refunded if negative.
+    pub(crate) fn record_usage(&mut self, cx: &mut Context, account: Account, units: f64) {
+        self.customers.record_usage(account.customer, units);
+        self.gossip.record_usage(cx, account, units);
+    }
+
+    /// Units that the customer's next charge carries to the counter, or refunds if negative.
+    pub(crate) fn settle_later(&mut self, cx: &Context, account: Account, units: f64) {
+        if let Some(customer) = self.customers.get_mut(account.customer) {
+            customer.quota.settle_later(cx.now, units, limits(cx, cx.plan(account)));
+        }
+    }
+
+    /// Corrects a charge whose request turned out to use other units.
+    pub(crate) fn settle(&mut self, cx: &mut Context, account: Account, units: f64) {
+        self.settle_later(cx, account, units);
+        self.record_usage(cx, account, units);
+    }
+
+    /// Advice to a client whose request is over its quota, in ms.
+    pub(crate) fn retry_after(&self, cx: &Context, open: &OpenRequest) -> Millis {
+        let plan = cx.plan(open.account());
+        if plan.rate <= 0.0 {
+            return cx.class(&open.request).latency_objective_ms;
+        }
+        let level = self.customers.get(open.request.customer).map_or(0.0, |customer| customer.quota.level());
+        let missing = open.request.units.min(plan.burst) - level;
+        (missing / plan.rate * RETRY_AFTER_MS_PER_REFILL_SECOND).max(0.0)
+    }
+
+    /// Charges a request at the counter, if there is one. Returns whether it waits for the answer.
+    pub(crate) fn charge(&mut self, cx: &mut Context, open: &OpenRequest) -> bool {
+        if !is_counted(cx, open) {
+            return false;
+        }
+        // A counter that fails is still called, less often; what is not charged now is with the next call.
+        if !self.counter.limiter.try_acquire(cx.now, CallPriority::Required) {
+            self.gossip.record_shortage(cx.now);
+            self.settle_later(cx, open.account(), open.request.units);
+            return false;
+        }
+        self.call_counter(cx, open, open.request.units);
+        !self.counter.limiter.is_down()
+    }
+
+    /// Longest time that the request waits for the counter, in ms.
+    pub(crate) fn max_wait(&self, open: &OpenRequest) -> Millis {
+        self.counter.wait.timeout(open.objective_ms)
+    }
+
+    /// Asks the counter for the customer's total now and then, while requests are rejected without a charge.
+    pub(crate) fn query_total(&mut self, cx: &mut Context, open: &OpenRequest) {
+        let customer = self.customers.get(open.request.customer);
+        let due = customer.is_some_and(|known| cx.now - known.last_call_at > MIN_TOTAL_QUERY_INTERVAL_MS);
+        if due && is_counted(cx, open) {
+            self.settle_now(cx, open);
+        }
+    }
+
+    /// Calls the counter with the units not settled yet, if it is well.
+    pub(crate) fn settle_now(&mut self, cx: &mut Context, open: &OpenRequest) {
+        if self.counter.limiter.try_acquire(cx.now, CallPriority::Optional) {
+            self.call_counter(cx, open, 0.0);
+        }
+    }
+
+    /// Adds the units, and those not settled yet, to the customer's count.
+    fn call_counter(&mut self, cx: &mut Context, open: &OpenRequest, units: f64) {
+        let account = open.account();
+        let Some(customer) = self.customers.get_mut(account.customer) else { return };
+        let charge = customer.quota.charge(cx.now, units, limits(cx, cx.plan(account)));
+        customer.pending_calls += 1;
+        customer.last_call_at = cx.now;
+        let key = counter_key(account.customer, charge.window);
+        let ttl_ms = (charge.remaining_ms + MAX_KEY_TTL_MS - QUOTA_COUNT.max_window_ms).min(MAX_KEY_TTL_MS);
+        cx.actions.push(Action::AddToCounter { key, amount: charge.amount, ttl_ms });
+        self.pending_calls.push(key, CounterCall { account, request: open.request.id, charge });
+    }
+
+    /// The counter has answered a call, or the call has failed. Returns the request that it was made for.
+    pub(crate) fn counter_replied(&mut self, cx: &Context, reply: &CounterReply) -> Option<RequestId> {
+        let call = self.pending_calls.pop(reply.key)?;
+        if self.counter.record_reply(cx, reply) {
+            self.gossip.record_shortage(cx.now);
+        }
+        self.apply_reply(cx, &call, reply);
+        Some(call.request)
+    }
+
+    /// Rebuilds the customer's quota from the reply to a call.
+    fn apply_reply(&mut self, cx: &Context, call: &CounterCall, reply: &CounterReply) {
+        let Some(customer) = self.customers.get_mut(call.account.customer) else { return };
+        let limits = limits(cx, cx.plan(call.account));
+        customer.pending_calls = customer.pending_calls.saturating_sub(1);
+        if let Some(total) = reply.valid_total() {
+            customer.refill(cx.now, limits, RemoteUsage::Ignored);
+            let applied = customer.quota.apply_total(cx.now, call.charge, total, limits);
+            // All usage is on the count unless gateways exchange it.
+            if applied && !self.gossip.is_active(cx) {
+                customer.gossip_level = customer.quota.level();
+            }
+        } else if reply.outcome.never_executed() {
+            // A call that timed out may have been counted, and is not repeated.
+            customer.quota.settle_later(cx.now, call.charge.tokens, limits);
+        }
+    }
+
+    /// Subtracts what customers used at another gateway, as its message says.
+    pub(crate) fn receive_gossip(&mut self, cx: &Context, from: u32, body: &[u8]) {
+        for usage in self.gossip.receive(cx, from, body) {
+            let account = Account { customer: usage.customer, plan: usize::from(usage.plan) };
+            let Some(plan) = cx.settings.plans.get(account.plan) else { continue };
+            // The number of its gateways is unknown: the least share of a ceiling, as nothing is sent here.
+            let customer = self.refresh(cx, account, f64::INFINITY);
+            if customer.gossip_level >= usage.units {
+                customer.gossip_level = (customer.gossip_level - usage.units).min(plan.burst);
+            }
+        }
+    }
+
+    /// Forgets the customers whose quotas must be full again.
+    pub(crate) fn forget_idle(&mut self, now: Millis, settings: &Settings) {
+        let refill_s = |burst: f64, rate: f64| if rate > 0.0 { burst / rate } else { 0.0 };
+        let idle_ms = settings.plans.iter().map(|plan| {
+            let decay_ms = refill_s(plan.burst, plan.rate) * QUOTA_COUNT.decay_bursts * IDLE_DECAYS * 1000.0;
+            decay_ms.max(refill_s(plan.ceiling_burst, plan.ceiling_rate) * 1000.0)
+        });
+        let longest_ms = idle_ms.fold(MIN_IDLE_MS, f64::max);
+        self.customers.forget_idle(|last_seen_at| now - last_seen_at >= longest_ms);
+    }
+}
+
+fn limits(cx: &Context, plan: &Plan) -> BucketLimits {
+    let max_deficit = cx.settings.max_units.max(plan.burst * MAX_DEFICIT_PER_BURST);
+    BucketLimits { rate: plan.rate, burst: plan.burst, max_deficit }
+}
+
+/// Whether the counter holds the customer's usage.
+fn is_counted(cx: &Context, open: &OpenRequest) -> bool {
+    cx.settings.counter.is_some() && cx.plan(open.account()).rate > 0.0
+}
--- /dev/null
+++ b/src/primitives/mean.rs
@@ -0,0 +1,77 @@
+//! Moving averages that forget the past exponentially.
+
+/// A mean in which each sample has the same weight, however far apart the samples come.
+pub(crate) struct ExponentialMean {
+    value: f64,
+    gain: f64,
+}
+
+impl ExponentialMean {
+    /// A mean that stands at `initial`; each sample moves it by the share `gain` of the difference.
+    pub(crate) fn new(initial: f64, gain: f64) -> Self {
+        ExponentialMean { value: initial, gain }
+    }
+
+    pub(crate) fn update(&mut self, sample: f64) {
+        self.value += (sample - self.value) * self.gain;
+    }
+
+    pub(crate) fn value(&self) -> f64 {
+        self.value
+    }
+}
+
+/// A mean over time of a quantity that changes in steps.
+pub(crate) struct TimeAverage {
+    value: f64,
+    updated_at: f64,
+    time_constant_ms: f64,
+}
+
+impl TimeAverage {
+    /// An average of 0; after `time_constant_ms` a past value counts 1/e.
+    pub(crate) fn new(now: f64, time_constant_ms: f64) -> Self {
+        TimeAverage { value: 0.0, updated_at: now, time_constant_ms }
+    }
+
+    /// The quantity has had the value `current` since the last update.
+    pub(crate) fn update(&mut self, now: f64, current: f64) {
+        let kept = kept_share(now - self.updated_at, self.time_constant_ms);
+        self.value = self.value * kept + current * (1.0 - kept);
+        self.updated_at = now;
+    }
+
+    pub(crate) fn value(&self) -> f64 {
+        self.value
+    }
+}
+
+/// The rate of events, averaged over time.
+pub(crate) struct EventRate {
+    per_second: f64,
+    updated_at: f64,
+    time_constant_ms: f64,
+}
+
+impl EventRate {
+    /// A rate of 0; after `time_constant_ms` an event counts 1/e.
+    pub(crate) fn new(now: f64, time_constant_ms: f64) -> Self {
+        EventRate { per_second: 0.0, updated_at: now, time_constant_ms }
+    }
+
+    /// `events` have happened now; 0 lets the rate decay.
+    pub(crate) fn record(&mut self, now: f64, events: f64) {
+        let kept = kept_share(now - self.updated_at, self.time_constant_ms);
+        self.per_second = self.per_second * kept + events * 1000.0 / self.time_constant_ms;
+        self.updated_at = now;
+    }
+
+    pub(crate) fn per_second(&self) -> f64 {
+        self.per_second
+    }
+}
+
+/// The share of a past value that still counts after `elapsed_ms`.
+fn kept_share(elapsed_ms: f64, time_constant_ms: f64) -> f64 {
+    (-elapsed_ms.max(0.0) / time_constant_ms).exp()
+}
--- a/src/primitives/mod.rs
+++ b/src/primitives/mod.rs
@@ -1,6 +1,10 @@
 //! General building blocks that know nothing of settings, customers or endpoints.
 
+pub(crate) mod adaptive_timeout;
 pub(crate) mod aimd;
+pub(crate) mod load_estimate;
+pub(crate) mod mean;
 pub(crate) mod ring;
+pub(crate) mod shared_bucket;
 pub(crate) mod token_bucket;
 pub(crate) mod window;
--- a/src/state/customer.rs
+++ b/src/state/customer.rs
@@ -1,40 +1,152 @@
-//! What the gateway knows of one customer.
+//! What the gateway knows of its customers.
 
-use crate::api::Millis;
+use crate::api::{CustomerId, Millis, Request};
+use crate::primitives::shared_bucket::{BucketLimits, RemoteUsage, SharedBucket};
+use crate::primitives::token_bucket::TokenBucket;
+use crate::state::OpenRequest;
+use std::collections::BTreeMap;
 
 /// One customer as this gateway sees it.
-#[derive(Default)]
 pub(crate) struct Customer {
-    /// Units in the customer's store, rebuilt from the totals and this gateway's own grants.
-    pub(crate) level: f64,
-    pub(crate) updated_at: Millis,
-    /// Units in the store by what gateways tell each other; what is beyond it takes nothing.
+    pub(crate) last_seen_at: Millis,
+    /// The quota, as this gateway knows it from the counter and its own usage.
+    pub(crate) quota: SharedBucket,
+    /// Units left of the quota, as the gateways' messages to each other tell.
     pub(crate) gossip_level: f64,
-    /// Units settled or refused that ride on the next charge.
-    pub(crate) unsettled_units: f64,
-    pub(crate) unsettled_at: Millis,
-    /// The window counted in, the use last seen, faded to then, and what this gateway added to the count.
-    pub(crate) window: u64,
-    pub(crate) last_total: Option<f64>,
-    pub(crate) last_total_at: Millis,
-    pub(crate) local_contribution: f64,
-    /// What the last window's count had come to when this one began.
-    pub(crate) carried_over: f64,
-    /// Units of requests that wait for the counter, and calls out.
+    /// This gateway's share of the plan's hard ceiling.
+    pub(crate) ceiling: TokenBucket,
+    /// Units of requests that wait for the counter's answer.
     pub(crate) reserved_units: f64,
+    /// Calls to the counter in flight.
     pub(crate) pending_calls: u32,
     pub(crate) last_call_at: Millis,
-    /// The other gateways' use, units a second, and what of it was taken off the store unseen.
-    pub(crate) remote_rate: f64,
-    pub(crate) projected_units: f64,
+    /// Attempts in flight.
     pub(crate) in_flight: u32,
-    pub(crate) ceiling: f64,
-    pub(crate) last_seen_at: Millis,
 }
 
 impl Customer {
-    /// Whether nothing of the customer is under way here.
+    /// A customer not seen before.
+    pub(crate) fn new(now: Millis, quota: SharedBucket, ceiling: TokenBucket) -> Self {
+        Customer {
+            last_seen_at: now,
+            gossip_level: quota.level(),
+            quota,
+            ceiling,
+            reserved_units: 0.0,
+            pending_calls: 0,
+            last_call_at: f64::NEG_INFINITY,
+            in_flight: 0,
+        }
+    }
+
+    /// Refills the levels up to now; the time since they were last refilled, in s.
+    pub(crate) fn refill(&mut self, now: Millis, limits: BucketLimits, remote_usage: RemoteUsage) -> f64 {
+        let elapsed_s = self.quota.refill(now, limits, remote_usage);
+        self.gossip_level = (self.gossip_level + elapsed_s * limits.rate).min(limits.burst);
+        elapsed_s
+    }
+
+    /// Attempts in flight at all gateways. This one's are counted; those of the others are estimated from
+    /// their usage, the units of a request and its duration.
+    pub(crate) fn concurrent_attempts(&self, mean_units: f64, duration_ms: Millis) -> f64 {
+        let remote = self.quota.remote_rate() / mean_units * duration_ms / 1000.0;
+        f64::from(self.in_flight + self.pending_calls) + remote.round()
+    }
+
+    /// Whether the customer has no work and no counter call in flight.
     pub(crate) fn is_idle(&self) -> bool {
         self.pending_calls == 0 && self.in_flight == 0 && self.reserved_units <= 0.0
     }
 }
+
+/// Customers remembered at most, a few MB: numbers can be made up, and each is one more.
+const MAX_CUSTOMERS: usize = 16_384;
+
+/// The customers, by number. Where they are too many, the half that was idle longest is forgotten.
+#[derive(Default)]
+pub(crate) struct Customers(BTreeMap<CustomerId, Customer>);
+
+impl Customers {
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub(crate) fn get(&self, id: CustomerId) -> Option<&Customer> {
+        self.0.get(&id)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: CustomerId) -> Option<&mut Customer> {
+        self.0.get_mut(&id)
+    }
+
+    pub(crate) fn get_or_insert_with(
+        &mut self, id: CustomerId, new: impl FnOnce() -> Customer,
+    ) -> &mut Customer {
+        if self.0.len() >= MAX_CUSTOMERS && !self.0.contains_key(&id) {
+            self.forget_longest_idle_half();
+        }
+        self.0.entry(id).or_insert_with(new)
+    }
+
+    /// The customer used units here, or is refunded if negative.
+    pub(crate) fn record_usage(&mut self, id: CustomerId, units: f64) {
+        if let Some(customer) = self.get_mut(id) {
+            customer.quota.take(units);
+            customer.gossip_level -= units;
+        }
+    }
+
+    /// Whether this gateway's share of the hard ceiling has the request's units left.
+    pub(crate) fn fits_ceiling(&self, request: &Request) -> bool {
+        self.get(request.customer).is_some_and(|customer| customer.ceiling.has(request.units))
+    }
+
+    /// An attempt is sent; the first one of a request counts against the hard ceiling.
+    pub(crate) fn attempt_started(&mut self, request: &Request, first: bool) {
+        let Some(customer) = self.get_mut(request.customer) else { return };
+        customer.in_flight += 1;
+        if first {
+            customer.ceiling.take(request.units);
+        }
+    }
+
+    pub(crate) fn attempt_ended(&mut self, request: &Request) {
+        if let Some(customer) = self.get_mut(request.customer) {
+            customer.in_flight = customer.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// The request waits for the counter's answer, with its units reserved.
+    pub(crate) fn reserve(&mut self, open: &mut OpenRequest) {
+        open.awaiting_counter = true;
+        if let Some(customer) = self.get_mut(open.request.customer) {
+            customer.reserved_units += open.request.units;
+        }
+    }
+
+    /// Ends the request's wait for the counter, if it waits.
+    pub(crate) fn release(&mut self, open: &mut OpenRequest) {
+        let waited = std::mem::take(&mut open.awaiting_counter);
+        if let Some(customer) = self.get_mut(open.request.customer).filter(|_| waited) {
+            customer.reserved_units = (customer.reserved_units - open.request.units).max(0.0);
+        }
+    }
+
+    /// Forgets the idle customers whose time of last sight counts as expired.
+    pub(crate) fn forget_idle(&mut self, is_expired: impl Fn(Millis) -> bool) {
+        self.0.retain(|_, customer| !customer.is_idle() || !is_expired(customer.last_seen_at));
+    }
+
+    /// Forgets the half of the idle customers that were not seen for longest.
+    fn forget_longest_idle_half(&mut self) {
+        let idle = self.0.values().filter(|customer| customer.is_idle());
+        let mut last_seen: Vec<_> = idle.map(|customer| customer.last_seen_at).collect();
+        if last_seen.is_empty() {
+            return;
+        }
+        let half = last_seen.len() / 2;
+        let (_, median, _) = last_seen.select_nth_unstable_by(half, f64::total_cmp);
+        let median = *median;
+        self.forget_idle(|last_seen_at| last_seen_at <= median);
+    }
+}
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -1,49 +1,64 @@
 //! Requests that have no final answer yet or have attempts in flight.
 
-use crate::api::{EndpointId, Millis, Request};
+use crate::api::{AttemptEnd, EndpointId, Millis, Outcome, Request, RequestId, Settings};
+use crate::state::Account;
+use std::collections::BTreeMap;
 
 /// One attempt of a request.
 pub(crate) struct Attempt {
     pub(crate) endpoint: EndpointId,
     pub(crate) started_at: Millis,
-    /// Requests of this gateway at the backend when it was sent, this one included.
+    /// This gateway's attempts in flight at the endpoint when it was sent, this one included.
     pub(crate) endpoint_in_flight: f64,
     pub(crate) in_flight: bool,
 }
 
-/// The first attempt of a request that may have been executed: repeats are bound to its endpoint and its time.
+/// The first attempt of a request that may have been executed. Retries that rely on an idempotency key are
+/// bound to its endpoint's zone or cell, and to a time after it.
 #[derive(Clone, Copy)]
 pub(crate) struct FirstExecution {
     pub(crate) started_at: Millis,
     pub(crate) endpoint: EndpointId,
 }
 
-/// A request not yet ended.
+/// A request that has not ended.
 pub(crate) struct OpenRequest {
     pub(crate) request: Request,
     pub(crate) deadline: Millis,
-    /// An answer after this no longer meets the aim.
+    /// Time from its arrival to its latency objective or its client's time-out, whichever is first.
+    pub(crate) objective_ms: Millis,
+    /// A response after this misses the latency objective.
     pub(crate) objective_deadline: Millis,
-    /// The counter has been asked and the request waits for its answer.
+    /// It waits for the counter's answer.
     pub(crate) awaiting_counter: bool,
-    /// It was sent inside the quota, as far as known.
+    /// Its units are charged and may still be settled or refunded.
     pub(crate) within_quota: bool,
-    /// An attempt of it has ended that was sent.
+    /// At least one attempt has ended that had left the gateway.
     pub(crate) forwarded: bool,
+    /// It has its final answer, or its client has left.
     pub(crate) closed: bool,
+    /// Its response is being streamed.
     pub(crate) streaming: bool,
     pub(crate) attempts: Vec<Attempt>,
-    /// The first attempt that may have been executed.
     pub(crate) first_execution: Option<FirstExecution>,
 }
 
 impl OpenRequest {
-    /// A request that has just come in.
-    pub(crate) fn new(request: Request, deadline: Millis, objective_deadline: Millis) -> Self {
-        OpenRequest {
+    /// A request that has just come in; none if its class or plan is unknown or its client no longer waits.
+    pub(crate) fn new(mut request: Request, settings: &Settings, now: Millis) -> Option<Self> {
+        request.units = finite_or_zero(request.units);
+        request.timeout_ms = finite_or_zero(request.timeout_ms);
+        let class = settings.classes.get(request.class as usize)?;
+        settings.plans.get(request.plan as usize)?;
+        if request.timeout_ms <= 0.0 {
+            return None;
+        }
+        let objective_ms = class.latency_objective_ms.min(request.timeout_ms);
+        Some(OpenRequest {
+            objective_ms,
+            objective_deadline: now + objective_ms,
+            deadline: now + request.timeout_ms,
             request,
-            deadline,
-            objective_deadline,
             awaiting_counter: false,
             within_quota: true,
             forwarded: false,
@@ -51,6 +66,81 @@
             streaming: false,
             attempts: Vec::new(),
             first_execution: None,
+        })
+    }
+
+    /// The account that the request is charged to.
+    pub(crate) fn account(&self) -> Account {
+        Account::of(&self.request)
+    }
+
+    pub(crate) fn has_attempt_in_flight(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.in_flight)
+    }
+
+    /// The numbers of the attempts in flight.
+    pub(crate) fn attempts_in_flight(&self) -> impl Iterator<Item = u8> + '_ {
+        let numbered = (0..=u8::MAX).zip(&self.attempts);
+        numbered.filter(|(_, attempt)| attempt.in_flight).map(|(number, _)| number)
+    }
+
+    /// Whether nothing more is to be sent, answered or awaited.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.closed && !self.has_attempt_in_flight()
+    }
+
+    /// Whether no attempt of it has left the gateway or still may.
+    pub(crate) fn was_never_sent(&self) -> bool {
+        !self.forwarded && !self.has_attempt_in_flight()
+    }
+
+    /// Records the end of an attempt, and returns the attempt; none if it is unknown or had ended before.
+    pub(crate) fn end_attempt(&mut self, ended: &AttemptEnd) -> Option<&Attempt> {
+        let attempt = self.attempts.get_mut(usize::from(ended.attempt))?;
+        if !std::mem::take(&mut attempt.in_flight) {
+            return None;
+        }
+        if !ended.outcome.never_executed() && self.first_execution.is_none() {
+            let first = FirstExecution { started_at: attempt.started_at, endpoint: attempt.endpoint };
+            self.first_execution = Some(first);
         }
+        if ended.outcome != Outcome::NotSent {
+            self.forwarded = true;
+        }
+        Some(attempt)
+    }
+}
+
+/// The requests that have not ended, by number.
+#[derive(Default)]
+pub(crate) struct OpenRequests(BTreeMap<RequestId, OpenRequest>);
+
+impl OpenRequests {
+    pub(crate) fn contains(&self, id: RequestId) -> bool {
+        self.0.contains_key(&id)
+    }
+
+    /// Adds a request, unless it has ended at once.
+    pub(crate) fn insert(&mut self, open: OpenRequest) {
+        if !open.has_ended() {
+            self.0.insert(open.request.id, open);
+        }
+    }
+
+    /// Changes a request, if it is there, and forgets it once it has ended.
+    pub(crate) fn update(&mut self, id: RequestId, change: impl FnOnce(&mut OpenRequest)) {
+        let Some(open) = self.0.get_mut(&id) else { return };
+        change(open);
+        if open.has_ended() {
+            self.0.remove(&id);
+        }
+    }
+}
+
+fn finite_or_zero(value: f64) -> f64 {
+    if value.is_finite() {
+        value.max(0.0)
+    } else {
+        0.0
     }
 }
