--- a/tests/common.rs
+++ b/tests/common.rs
@@ -57,9 +57,14 @@
 }
 
 impl TestGateway {
+    /// A gateway that knows no endpoints yet.
+    pub fn without_endpoints(settings: Settings, seed: u64, now: f64) -> TestGateway {
+        TestGateway { gateway: Gateway::new(settings, seed, now), now }
+    }
+
     /// A gateway with three endpoints, 1 and 2 in zone 0, 3 in zone 1.
     pub fn new(settings: Settings) -> TestGateway {
-        let mut gateway = TestGateway { gateway: Gateway::new(settings, 1, 1000.0), now: 1000.0 };
+        let mut gateway = TestGateway::without_endpoints(settings, 1, 1000.0);
         let entries = [(1, 0), (2, 0), (3, 1)]
             .map(|(id, zone)| endpoint_entry(id, zone, EndpointState::Ready))
             .to_vec();
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,44 +1,50 @@
-//! Each step of the mechanism, without the bench.
+//! Quotas and the shared counter: charges, settlement, waiting, the pace of calls, and gossip between
+//! gateways.
 
 mod common;
 use common::*;
 use quota_gateway::*;
 
 #[test]
-fn units_are_charged_before_the_request_is_sent() {
-    let mut rig = TestGateway::new(settings());
-    let actions = rig.request(1, 0, 3.0);
-    let (name, amount) = counter_call(&actions).expect("a charge");
+fn units_are_charged_before_the_request_is_forwarded() {
+    let mut gateway = TestGateway::new(settings());
+    let actions = gateway.request(1, 0, 3.0);
+    let (key, amount) = counter_call(&actions).expect("a charge");
     assert!(amount > 0.0);
-    assert_eq!(sent_to(&actions), None, "held until the counter answers");
-    assert!(sent_to(&rig.counter_reply(name, Outcome::Success, amount)).is_some());
+    assert_eq!(sent_to(&actions), None, "it waits for the counter");
+    assert!(sent_to(&gateway.counter_reply(key, Outcome::Success, amount)).is_some());
 }
 
 #[test]
-fn past_the_limit_it_is_refused_with_advice_and_carried_back() {
-    let mut rig = TestGateway::new(settings());
-    let (name, amount) = counter_call(&rig.request(1, 0, 3.0)).unwrap();
-    let actions = rig.counter_reply(name, Outcome::Success, amount / 3.0 * 14.0);
-    let wait = rejected(&actions).expect("others used 11 of the 10 and a quarter more");
-    assert!(wait > 200.0 && wait <= 1000.0, "about 1.5 units short at 2 units a second: {wait}");
-    // Others see the room that is there: the refused charge goes back at once while the counter is well.
-    assert_eq!(counter_call(&actions), Some((name, -amount)));
-    // Seen past the limit: refused without a call until there is room.
-    let actions = rig.request(2, 0, 3.0);
+fn a_request_over_quota_is_rejected_with_retry_after_and_refunded() {
+    let mut gateway = TestGateway::new(settings());
+    let (key, amount) = counter_call(&gateway.request(1, 0, 3.0)).unwrap();
+    let actions = gateway.counter_reply(key, Outcome::Success, amount / 3.0 * 14.0);
+    let retry_after_ms = rejected(&actions).expect("others used 11 units; the limit of the count is 12.5");
+    assert!(
+        retry_after_ms > 200.0 && retry_after_ms <= 1000.0,
+        "about 1.5 units are missing, at 2 per second: {retry_after_ms}"
+    );
+    // The charge of the rejected request is taken back at once while the counter is well.
+    assert_eq!(counter_call(&actions), Some((key, -amount)));
+    // The customer is known to be over its quota: rejected without a call until units are refilled.
+    let actions = gateway.request(2, 0, 3.0);
     assert!(rejected(&actions).is_some() && counter_call(&actions).is_none());
-    rig.now += 3000.0;
-    assert!(counter_call(&rig.request(3, 0, 3.0)).is_some(), "room again");
+    gateway.now += 3000.0;
+    assert!(counter_call(&gateway.request(3, 0, 3.0)).is_some(), "units were refilled");
 }
 
 #[test]
-fn one_total_tells_the_store_to_a_gateway_that_never_looked_before() {
-    // Found at size: over a long window a calm past was taken for room, and half the use was beyond quota.
+fn one_total_gives_the_level_to_a_gateway_that_never_called_before() {
+    // Found in a large fleet: after a quiet time in a long window, half of the usage was over quota.
     let mut shared = SharedCounter::default();
-    let (mut one, mut two) = (TestGateway::new(settings()), TestGateway::new(settings()));
-    (one.now, two.now) = (31_000.0, 31_000.0);
+    let mut one = TestGateway::new(settings());
+    let mut two = TestGateway::new(settings());
+    one.now = 31_000.0;
+    two.now = 31_000.0;
     for id in 1..=5 {
         let actions = one.request(id, 0, 2.0);
-        assert!(sent_to(&shared.answer_calls(&mut one, actions)).is_some(), "10 units in the store");
+        assert!(sent_to(&shared.answer_calls(&mut one, actions)).is_some(), "10 units are left");
     }
     let actions = two.request(1, 0, 3.0);
     assert!(rejected(&shared.answer_calls(&mut two, actions)).is_some(), "the other gateway used them");
@@ -49,186 +55,197 @@
 }
 
 #[test]
-fn true_units_settle_on_the_next_charge() {
-    let mut rig = TestGateway::new(settings());
-    let (name, first) = counter_call(&rig.request(1, 0, 3.0)).unwrap();
-    let backend = sent_to(&rig.counter_reply(name, Outcome::Success, first)).unwrap();
-    rig.attempt_ended(1, 0, backend, Outcome::Success, Some(5.0));
-    let (_, amount) = counter_call(&rig.request(2, 0, 1.0)).unwrap();
-    assert!((amount / first - 1.0).abs() < 1e-6, "1 and the 2 that were missing");
+fn actual_units_are_settled_with_the_next_charge() {
+    let mut gateway = TestGateway::new(settings());
+    let (key, first) = counter_call(&gateway.request(1, 0, 3.0)).unwrap();
+    let endpoint = sent_to(&gateway.counter_reply(key, Outcome::Success, first)).unwrap();
+    gateway.attempt_ended(1, 0, endpoint, Outcome::Success, Some(5.0));
+    let (_, amount) = counter_call(&gateway.request(2, 0, 1.0)).unwrap();
+    assert!((amount / first - 1.0).abs() < 1e-6, "1 unit, and the 2 above the estimate");
 }
 
 #[test]
-fn what_rides_on_the_next_charge_fades_like_any_use() {
-    let mut rig = TestGateway::new(settings());
-    let (name, first) = counter_call(&rig.request(1, 0, 1.0)).unwrap();
-    let backend = sent_to(&rig.counter_reply(name, Outcome::Success, first)).unwrap();
-    rig.attempt_ended(1, 0, backend, Outcome::Success, Some(5.0));
-    rig.now += 40_000.0;
-    let (_, with) = counter_call(&rig.request(2, 0, 1.0)).unwrap();
+fn unsettled_units_decay_like_any_usage() {
+    let mut gateway = TestGateway::new(settings());
+    let (key, first) = counter_call(&gateway.request(1, 0, 1.0)).unwrap();
+    let endpoint = sent_to(&gateway.counter_reply(key, Outcome::Success, first)).unwrap();
+    gateway.attempt_ended(1, 0, endpoint, Outcome::Success, Some(5.0));
+    gateway.now += 40_000.0;
+    let (_, with_unsettled) = counter_call(&gateway.request(2, 0, 1.0)).unwrap();
     let mut fresh = TestGateway::new(settings());
-    fresh.now = rig.now;
+    fresh.now = gateway.now;
     let (_, without) = counter_call(&fresh.request(1, 0, 1.0)).unwrap();
-    assert!(with < without * 1.05, "use of 40 s ago has long been refilled: {with} {without}");
+    assert!(
+        with_unsettled < without * 1.05,
+        "usage of 40 s ago has been refilled: {with_unsettled} {without}"
+    );
 }
 
 #[test]
-fn a_silent_counter_lets_requests_through_up_to_what_own_sends_prove() {
-    let mut rig = TestGateway::new(settings());
-    let mut let_in = 0;
+fn without_a_counter_reply_the_gateways_own_usage_limits_requests() {
+    let mut gateway = TestGateway::new(settings());
+    let mut forwarded = 0;
     for id in 1..=10 {
-        let mut actions = rig.request(id, 0, 2.0);
-        actions.extend(rig.handle(Event::TimerFired { token: (1 << 60) | id }));
-        let_in += usize::from(sent_to(&actions).is_some());
+        let mut actions = gateway.request(id, 0, 2.0);
+        actions.extend(gateway.handle(Event::TimerFired { token: (1 << 60) | id }));
+        forwarded += usize::from(sent_to(&actions).is_some());
     }
-    assert_eq!(let_in, 5, "10 units in the store, 2 a request");
+    assert_eq!(forwarded, 5, "10 units, 2 for each request");
 }
 
 #[test]
-fn a_hundred_gateways_find_their_part_of_a_crowded_counter() {
-    // Found at size: after each miss a gateway was back within two calls, and one call in five was turned away.
-    let mut rigs: Vec<_> = (0..100u32)
-        .map(|position| {
-            let settings = Settings { gateway_count: 100, gateway_index: position, ..settings() };
-            let mut rig = TestGateway { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
-            rig.handle(Event::EndpointUpdate {
+fn a_hundred_gateways_find_their_part_of_an_overloaded_counter() {
+    // Found in a large fleet: gateways recovered within two calls of a failure, and one call in five was
+    // rejected.
+    let mut gateways: Vec<_> = (0..100u32)
+        .map(|index| {
+            let settings = Settings { gateway_count: 100, gateway_index: index, ..settings() };
+            let mut gateway = TestGateway::without_endpoints(settings, u64::from(index), 0.0);
+            gateway.handle(Event::EndpointUpdate {
                 complete: true,
                 endpoints: vec![endpoint_entry(1, 0, EndpointState::Ready)],
             });
-            rig
+            gateway
         })
         .collect();
-    // 600 requests a second, each of a customer that comes once; the counter bears 300 calls a second.
-    let (mut room, mut calls, mut turned) = (0.0f64, 0, 0);
+    // 600 requests per second, each of another customer; the counter has capacity for 300 calls per second.
+    let mut capacity = 0.0f64;
+    let mut calls = 0;
+    let mut rejected_calls = 0;
     let mut rng = fastrand::Rng::with_seed(1);
     for id in 0..18_000u64 {
         let now = id as f64 / 0.6;
-        room = (room + 0.5).min(10.0);
-        let rig = &mut rigs[rng.usize(..100)];
-        rig.now = now;
-        let mut actions = rig.handle(Event::Request(request(id, id)));
-        if let Some((name, amount)) = counter_call(&actions) {
-            let full = room < 1.0;
-            room -= if full { 0.0 } else { 1.0 };
-            (calls, turned) = (calls + usize::from(id > 6000), turned + usize::from(full && id > 6000));
+        capacity = (capacity + 0.5).min(10.0);
+        let gateway = &mut gateways[rng.usize(..100)];
+        gateway.now = now;
+        let mut actions = gateway.handle(Event::Request(request(id, id)));
+        if let Some((key, amount)) = counter_call(&actions) {
+            let full = capacity < 1.0;
+            capacity -= if full { 0.0 } else { 1.0 };
+            calls += usize::from(id > 6000);
+            rejected_calls += usize::from(full && id > 6000);
             let result = if full { Outcome::Rejected } else { Outcome::Success };
-            actions.extend(rig.counter_reply(name, result, amount));
+            actions.extend(gateway.counter_reply(key, result, amount));
         }
-        let backend = sent_to(&actions).expect("none is beyond its quota");
-        rig.attempt_ended(id, 0, backend, Outcome::Success, None);
+        let endpoint = sent_to(&actions).expect("every request is within its quota");
+        gateway.attempt_ended(id, 0, endpoint, Outcome::Success, None);
     }
-    assert!(calls > 5000, "they use what it bears: {calls}");
-    assert!(turned * 100 < calls * 12, "{turned} of {calls} calls found no room");
+    assert!(calls > 5000, "they use its capacity: {calls}");
+    assert!(rejected_calls * 100 < calls * 12, "{rejected_calls} of {calls} calls were rejected");
 }
 
 #[test]
-fn a_charge_that_was_turned_away_rides_on_the_next() {
-    let mut rig = TestGateway::new(settings());
-    let (name, first) = counter_call(&rig.request(1, 0, 2.0)).unwrap();
-    assert!(sent_to(&rig.counter_reply(name, Outcome::Rejected, 0.0)).is_some());
-    let (_, amount) = counter_call(&rig.request(2, 0, 1.0)).unwrap();
+fn a_rejected_charge_is_added_to_the_next() {
+    let mut gateway = TestGateway::new(settings());
+    let (key, first) = counter_call(&gateway.request(1, 0, 2.0)).unwrap();
+    assert!(sent_to(&gateway.counter_reply(key, Outcome::Rejected, 0.0)).is_some());
+    let (_, amount) = counter_call(&gateway.request(2, 0, 1.0)).unwrap();
     assert!((amount / first - 1.5).abs() < 1e-6);
 }
 
 #[test]
-fn a_counter_that_lost_its_count_grants_no_fresh_allowance() {
-    let mut rig = TestGateway::new(settings());
+fn a_counter_that_lost_its_count_grants_no_new_quota() {
+    let mut gateway = TestGateway::new(settings());
     let mut total = 0.0;
     for id in 1..=3 {
-        let (name, amount) = counter_call(&rig.request(id, 0, 3.0)).unwrap();
+        let (key, amount) = counter_call(&gateway.request(id, 0, 3.0)).unwrap();
         total += amount;
-        let backend = sent_to(&rig.counter_reply(name, Outcome::Success, total)).unwrap();
-        rig.attempt_ended(id, 0, backend, Outcome::Success, Some(3.0));
+        let endpoint = sent_to(&gateway.counter_reply(key, Outcome::Success, total)).unwrap();
+        gateway.attempt_ended(id, 0, endpoint, Outcome::Success, Some(3.0));
     }
-    // 9 of 10 used, then the count is back at nought: 3 more do not fit.
-    assert!(rejected(&rig.request(4, 0, 3.0)).is_some());
-    rig.now += 1100.0;
-    let (name, amount) = counter_call(&rig.request(5, 0, 3.0)).unwrap();
-    assert!(sent_to(&rig.counter_reply(name, Outcome::Success, amount)).is_some());
-    assert!(rejected(&rig.request(6, 0, 1.0)).is_some());
+    // 9 of 10 units are used when the count starts again from 0: 3 more do not fit.
+    assert!(rejected(&gateway.request(4, 0, 3.0)).is_some());
+    gateway.now += 1100.0;
+    let (key, amount) = counter_call(&gateway.request(5, 0, 3.0)).unwrap();
+    assert!(sent_to(&gateway.counter_reply(key, Outcome::Success, amount)).is_some());
+    assert!(rejected(&gateway.request(6, 0, 1.0)).is_some());
 }
 
-/// Requests of many customers in one second, each call answered alike; the calls that were made.
-fn calls_in_a_second(rig: &mut TestGateway, first: u64, result: Outcome) -> usize {
+/// The number of calls for a hundred customers' requests in one second, where all calls have this outcome.
+fn calls_in_a_second(gateway: &mut TestGateway, first: u64, outcome: Outcome) -> usize {
     let mut calls = 0;
     for id in first..first + 100 {
-        rig.now += 10.0;
-        let actions = rig.handle(Event::Request(request(id, id)));
-        if let Some((name, amount)) = counter_call(&actions) {
+        gateway.now += 10.0;
+        let actions = gateway.handle(Event::Request(request(id, id)));
+        if let Some((key, amount)) = counter_call(&actions) {
             calls += 1;
-            rig.counter_reply(name, result, amount);
+            gateway.counter_reply(key, outcome, amount);
         }
     }
     calls
 }
 
 #[test]
-fn a_crowded_counter_is_called_less_by_the_gateway_as_a_whole_and_trusted_again() {
-    // Found at size: calls were spaced by customer, of whom each came once; nearly all went unanswered.
-    let mut rig = TestGateway::new(settings());
-    let well = calls_in_a_second(&mut rig, 1, Outcome::Success);
-    calls_in_a_second(&mut rig, 1000, Outcome::Rejected);
-    let crowded = calls_in_a_second(&mut rig, 2000, Outcome::Rejected);
-    assert!(crowded * 10 <= well, "{crowded} calls of {well}");
-    assert!(crowded >= 1, "it is still tried");
-    for k in 3..13 {
-        calls_in_a_second(&mut rig, k * 1000, Outcome::Success);
+fn an_overloaded_counter_is_called_less_often_and_trusted_again() {
+    // Found in a large fleet: calls were limited per customer, and each came once; nearly all calls timed
+    // out.
+    let mut gateway = TestGateway::new(settings());
+    let healthy = calls_in_a_second(&mut gateway, 1, Outcome::Success);
+    calls_in_a_second(&mut gateway, 1000, Outcome::Rejected);
+    let overloaded = calls_in_a_second(&mut gateway, 2000, Outcome::Rejected);
+    assert!(overloaded * 10 <= healthy, "{overloaded} calls of {healthy}");
+    assert!(overloaded >= 1, "it is still called");
+    for second in 3..13 {
+        calls_in_a_second(&mut gateway, second * 1000, Outcome::Success);
     }
-    let again = calls_in_a_second(&mut rig, 20_000, Outcome::Success);
-    assert!(again * 2 >= well, "{again} calls of {well}");
+    let recovered = calls_in_a_second(&mut gateway, 20_000, Outcome::Success);
+    assert!(recovered * 2 >= healthy, "{recovered} calls of {healthy}");
 }
 
-/// One of two gateways, whose counter has no room.
-fn short(position: u32) -> TestGateway {
-    let mut s = settings();
-    (s.gateway_index, s.limits.gossip) = (position, true);
-    let mut rig = TestGateway::new(s);
-    calls_in_a_second(&mut rig, 1000, Outcome::Rejected);
-    rig
+/// One of two gateways, whose counter has no capacity.
+fn gateway_with_overloaded_counter(index: u32) -> TestGateway {
+    let mut settings = settings();
+    settings.gateway_index = index;
+    settings.limits.gossip = true;
+    let mut gateway = TestGateway::new(settings);
+    calls_in_a_second(&mut gateway, 1000, Outcome::Rejected);
+    gateway
 }
 
-/// A request whose call, if there is one, is turned away; true if it is sent.
-fn uncounted(rig: &mut TestGateway, id: u64, units: f64) -> bool {
-    let mut actions = rig.request(id, 0, units);
-    while let Some((name, _)) = counter_call(&actions) {
-        let further = rig.counter_reply(name, Outcome::Rejected, 0.0);
+/// Whether a request is forwarded where the counter rejects all calls.
+fn forwarded_without_counter(gateway: &mut TestGateway, id: u64, units: f64) -> bool {
+    let mut actions = gateway.request(id, 0, units);
+    while let Some((key, _)) = counter_call(&actions) {
+        let further = gateway.counter_reply(key, Outcome::Rejected, 0.0);
         actions.retain(|a| !matches!(a, Action::AddToCounter { .. }));
         actions.extend(further);
     }
     sent_to(&actions).is_some()
 }
 
-fn told(rig: &mut TestGateway) -> Vec<u8> {
-    let told = rig.handle(Event::TimerFired { token: 1 << 61 }).into_iter();
-    let mut told = told.filter_map(|a| match a {
+/// The message that the gateway sends to all others when its timer fires.
+fn gossip_message(gateway: &mut TestGateway) -> Vec<u8> {
+    let actions = gateway.handle(Event::TimerFired { token: 1 << 61 });
+    let mut messages = actions.into_iter().filter_map(|action| match action {
         Action::Gossip { to: u32::MAX, body } => Some(body),
         _ => None,
     });
-    told.next().expect("a message for all")
+    messages.next().expect("a message for all gateways")
 }
 
 #[test]
-fn where_the_counter_has_no_room_gateways_tell_each_other() {
-    let (mut one, mut two) = (short(0), short(1));
-    // What was taken before is told, too.
-    told(&mut one);
-    assert!((5000..5005).all(|id| uncounted(&mut one, id, 2.0)), "10 units in the store");
-    assert!(!uncounted(&mut one, 5005, 1.0));
-    let body = told(&mut one);
+fn gateways_exchange_usage_while_the_counter_has_no_capacity() {
+    let mut one = gateway_with_overloaded_counter(0);
+    let mut two = gateway_with_overloaded_counter(1);
+    // The usage so far is sent, too.
+    gossip_message(&mut one);
+    assert!((5000..5005).all(|id| forwarded_without_counter(&mut one, id, 2.0)), "10 units are left");
+    assert!(!forwarded_without_counter(&mut one, 5005, 1.0));
+    let body = gossip_message(&mut one);
     assert!(body.len() <= 256);
     two.handle(Event::Gossip { from: 0, body });
-    assert!(!uncounted(&mut two, 5000, 1.0), "the other gateway used them");
+    assert!(!forwarded_without_counter(&mut two, 5000, 1.0), "the other gateway used them");
     two.now += 1000.0;
-    assert!(uncounted(&mut two, 5001, 2.0), "2 were refilled since");
+    assert!(forwarded_without_counter(&mut two, 5001, 2.0), "2 were refilled since");
 }
 
 #[test]
-fn messages_lost_or_spoilt_let_requests_through() {
-    let mut one = short(0);
-    told(&mut one);
-    assert!((5000..5005).all(|id| uncounted(&mut one, id, 2.0)));
-    let body = told(&mut one);
-    let mut two = short(1);
+fn lost_or_invalid_gossip_messages_let_requests_through() {
+    let mut one = gateway_with_overloaded_counter(0);
+    gossip_message(&mut one);
+    assert!((5000..5005).all(|id| forwarded_without_counter(&mut one, id, 2.0)));
+    let body = gossip_message(&mut one);
+    let mut two = gateway_with_overloaded_counter(1);
     let changed = |at: usize, to: u8| {
         let mut body = body.clone();
         body[at] = to;
@@ -242,62 +259,78 @@
     for from in [1, 2] {
         two.handle(Event::Gossip { from, body: body.clone() });
     }
-    assert!(uncounted(&mut two, 5000, 3.0), "nothing of it was taken for a use");
+    assert!(forwarded_without_counter(&mut two, 5000, 3.0), "no usage was taken from them");
 }
 
-/// Plays `rounds` requests, one a second, each backend answering as told; the backends asked first.
-fn play(rig: &mut TestGateway, rounds: u64, ends: impl Fn(u64, u32) -> Outcome) -> Vec<u32> {
+/// The endpoints of the first attempts of `requests` requests, one per second, which end as `outcome` says.
+fn endpoints_chosen(
+    gateway: &mut TestGateway, requests: u64, outcome: impl Fn(u64, u32) -> Outcome,
+) -> Vec<u32> {
     let mut shared = SharedCounter::default();
-    let mut asked = Vec::new();
-    for id in 1..=rounds {
-        rig.now += 1000.0;
-        let actions = rig.request(id, 2, 1.0);
-        let backend = sent_to(&shared.answer_calls(rig, actions)).expect("the fleet is not given up");
-        asked.push(backend);
-        rig.attempt_ended(id, 0, backend, ends(id, backend), None);
+    let mut chosen = Vec::new();
+    for id in 1..=requests {
+        gateway.now += 1000.0;
+        let actions = gateway.request(id, 2, 1.0);
+        let endpoint = sent_to(&shared.answer_calls(gateway, actions)).expect("the fleet is still used");
+        chosen.push(endpoint);
+        gateway.attempt_ended(id, 0, endpoint, outcome(id, endpoint), None);
     }
-    asked
+    chosen
 }
 
 #[test]
-fn answers_spoilt_by_all_alike_put_no_backend_out_and_one_that_spoils_all_is() {
-    let mut rig = TestGateway::new(settings());
-    let asked =
-        play(&mut rig, 60, |id, _| if id % 3 == 0 { Outcome::ConnectionReset } else { Outcome::Success });
-    assert!((1..=3).all(|b| asked[30..].iter().filter(|a| **a == b).count() > 3), "{asked:?}");
-    let mut rig = TestGateway::new(settings());
-    let asked = play(&mut rig, 90, |_, b| if b == 2 { Outcome::ConnectionReset } else { Outcome::Success });
-    assert!(asked[45..].iter().filter(|a| **a == 2).count() < 6, "{asked:?}");
-    assert!(asked[45..].iter().filter(|a| **a == 1).count() > 10, "{asked:?}");
+fn only_an_endpoint_that_fails_more_than_the_others_is_ejected() {
+    let mut gateway = TestGateway::new(settings());
+    let chosen = endpoints_chosen(&mut gateway, 60, |id, _| {
+        if id % 3 == 0 {
+            Outcome::ConnectionReset
+        } else {
+            Outcome::Success
+        }
+    });
+    assert!((1..=3).all(|b| chosen[30..].iter().filter(|a| **a == b).count() > 3), "{chosen:?}");
+    let mut gateway = TestGateway::new(settings());
+    let chosen =
+        endpoints_chosen(
+            &mut gateway,
+            90,
+            |_, b| if b == 2 { Outcome::ConnectionReset } else { Outcome::Success },
+        );
+    assert!(chosen[45..].iter().filter(|a| **a == 2).count() < 6, "{chosen:?}");
+    assert!(chosen[45..].iter().filter(|a| **a == 1).count() > 10, "{chosen:?}");
 }
 
-/// A request that ends between its charge and its sending has taken nothing: its units ride back.
+/// A request that ends between its charge and its first attempt used nothing: its units are refunded with the
+/// next charge.
 #[test]
-fn what_ends_before_it_is_sent_is_given_back() {
+fn a_request_that_ends_before_it_is_sent_is_refunded() {
     let mut shared = SharedCounter::default();
-    let mut rig = TestGateway::new(settings());
+    let mut gateway = TestGateway::new(settings());
     for id in 1..=100 {
-        // Slow enough for the calls; a twentieth of what is asked comes back by time alone.
-        rig.now += 100.0;
-        let actions = rig.request(id, 0, 4.0);
+        // Slow enough for the limit of calls; a twentieth of the requested units is refilled by time alone.
+        gateway.now += 100.0;
+        let actions = gateway.request(id, 0, 4.0);
         if id % 2 == 0 {
-            // The client leaves while the counter is asked.
+            // The client disconnects while its request waits for the counter.
             assert!(counter_call(&actions).is_some() && sent_to(&actions).is_none(), "{id}: {actions:?}");
-            rig.handle(Event::ClientDisconnected { id });
-            assert!(sent_to(&shared.answer_calls(&mut rig, actions)).is_none(), "{id} is sent for nobody");
+            gateway.handle(Event::ClientDisconnected { id });
+            assert!(
+                sent_to(&shared.answer_calls(&mut gateway, actions)).is_none(),
+                "{id} is sent without a client"
+            );
             continue;
         }
-        // The attempt is dropped before its first byte.
-        let actions = shared.answer_calls(&mut rig, actions);
-        let backend = sent_to(&actions).unwrap_or_else(|| panic!("{id}: {actions:?}"));
-        rig.handle(Event::ClientDisconnected { id });
-        rig.attempt_ended(id, 0, backend, Outcome::NotSent, None);
+        // The attempt is dropped before its first byte is sent.
+        let actions = shared.answer_calls(&mut gateway, actions);
+        let endpoint = sent_to(&actions).unwrap_or_else(|| panic!("{id}: {actions:?}"));
+        gateway.handle(Event::ClientDisconnected { id });
+        gateway.attempt_ended(id, 0, endpoint, Outcome::NotSent, None);
     }
-    // The whole burst is there at last, and no more.
+    // At the end the whole burst is left, and no more.
     let mut served = 0;
     for id in 101..=110 {
-        let actions = rig.request(id, 0, 1.0);
-        served += usize::from(sent_to(&shared.answer_calls(&mut rig, actions)).is_some());
+        let actions = gateway.request(id, 0, 1.0);
+        served += usize::from(sent_to(&shared.answer_calls(&mut gateway, actions)).is_some());
     }
     assert!((9..=10).contains(&served), "{served} of a burst of 10");
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,208 +1,216 @@
-//! The five rules, each kept by one gateway alone, and the failures found so far.
+//! The rules that each gateway keeps by itself: deadlines, retries, draining, slow start and hard ceilings;
+//! and the faults found so far.
 
 mod common;
 use common::*;
 use quota_gateway::*;
 
-/// Settings without a counter or quota, for tests of what comes after.
-fn open_settings() -> Settings {
-    let mut s = settings();
-    s.counter = None;
-    s.plans[0].rate = 0.0;
-    s
+/// Settings without a counter and without quotas.
+fn settings_without_quota() -> Settings {
+    let mut settings = settings();
+    settings.counter = None;
+    settings.plans[0].rate = 0.0;
+    settings
 }
 
-const LATEST: f64 = 2000.0;
+/// The deadline of a request after its arrival, in ms.
+const DEADLINE_MS: f64 = 2000.0;
 
 #[test]
-fn every_request_is_answered_by_its_deadline() {
-    let mut rig = TestGateway::new(open_settings());
-    let backend = sent_to(&rig.request(1, 2, 1.0)).unwrap();
-    rig.now += LATEST;
-    let actions = rig.attempt_ended(1, 0, backend, Outcome::Timeout, None);
-    assert!(failed(&actions), "an unsafe request that may have run is failed, not refused: {actions:?}");
-    let actions = rig.attempt_ended(1, 0, backend, Outcome::Success, None);
+fn a_request_that_may_have_been_executed_is_failed_once_at_its_deadline() {
+    let mut gateway = TestGateway::new(settings_without_quota());
+    let endpoint = sent_to(&gateway.request(1, 2, 1.0)).unwrap();
+    gateway.now += DEADLINE_MS;
+    let actions = gateway.attempt_ended(1, 0, endpoint, Outcome::Timeout, None);
+    assert!(failed(&actions), "it may have been executed, so it is not rejected: {actions:?}");
+    let actions = gateway.attempt_ended(1, 0, endpoint, Outcome::Success, None);
     assert!(actions.is_empty(), "nothing follows a final answer: {actions:?}");
 }
 
 #[test]
-fn a_request_held_for_the_counter_is_released_when_the_counter_stays_silent() {
-    let mut rig = TestGateway::new(settings());
-    let actions = rig.request(1, 0, 1.0);
+fn a_request_is_forwarded_when_the_counter_does_not_answer_in_time() {
+    let mut gateway = TestGateway::new(settings());
+    let actions = gateway.request(1, 0, 1.0);
     let wait = actions.iter().find_map(|a| match a {
         Action::SetTimer { token, after_ms } if *token != 0 => Some((*token, *after_ms)),
         _ => None,
     });
-    let (token, after_ms) = wait.expect("a bounded wait");
+    let (token, after_ms) = wait.expect("a timer for the wait");
     assert!(after_ms <= 50.0);
-    rig.now += after_ms;
-    assert!(sent_to(&rig.handle(Event::TimerFired { token })).is_some());
+    gateway.now += after_ms;
+    assert!(sent_to(&gateway.handle(Event::TimerFired { token })).is_some());
 }
 
 #[test]
-fn an_unsafe_request_goes_out_again_only_if_it_never_ran() {
-    for (result, again) in
+fn a_non_idempotent_request_is_retried_only_if_it_was_never_executed() {
+    for (outcome, retried) in
         [(Outcome::Rejected, true), (Outcome::ConnectFailed, true), (Outcome::ConnectionReset, false)]
     {
-        let mut rig = TestGateway::new(open_settings());
-        let backend = sent_to(&rig.request(1, 2, 1.0)).unwrap();
-        let actions = rig.attempt_ended(1, 0, backend, result, None);
-        assert_eq!(sent_to(&actions).is_some(), again, "{result:?}");
-        assert_eq!(failed(&actions), !again, "{result:?}");
+        let mut gateway = TestGateway::new(settings_without_quota());
+        let endpoint = sent_to(&gateway.request(1, 2, 1.0)).unwrap();
+        let actions = gateway.attempt_ended(1, 0, endpoint, outcome, None);
+        assert_eq!(sent_to(&actions).is_some(), retried, "{outcome:?}");
+        assert_eq!(failed(&actions), !retried, "{outcome:?}");
     }
 }
 
 #[test]
-fn a_keyed_request_is_repeated_only_in_its_group_and_window() {
-    for (after, again) in [(10.0, true), (1600.0, false)] {
-        let mut rig = TestGateway::new(open_settings());
-        let first = sent_to(&rig.request(1, 1, 1.0)).unwrap();
-        rig.now += after;
-        let actions = rig.attempt_ended(1, 0, first, Outcome::ConnectionReset, None);
+fn a_request_with_an_idempotency_key_is_retried_only_in_its_scope_and_window() {
+    for (elapsed_ms, retried) in [(10.0, true), (1600.0, false)] {
+        let mut gateway = TestGateway::new(settings_without_quota());
+        let first = sent_to(&gateway.request(1, 1, 1.0)).unwrap();
+        gateway.now += elapsed_ms;
+        let actions = gateway.attempt_ended(1, 0, first, Outcome::ConnectionReset, None);
         let zone = |id| if id == 3 { 1 } else { 0 };
-        assert_eq!(sent_to(&actions).map(zone), again.then_some(zone(first)));
-        assert!(again || failed(&actions), "a refusal would promise too much: {actions:?}");
+        assert_eq!(sent_to(&actions).map(zone), retried.then_some(zone(first)));
+        assert!(retried || failed(&actions), "it may have been executed, so it is not rejected: {actions:?}");
     }
 }
 
 #[test]
-fn nothing_goes_to_a_draining_or_gone_backend() {
-    let mut rig = TestGateway::new(open_settings());
+fn no_attempt_goes_to_a_draining_or_removed_endpoint() {
+    let mut gateway = TestGateway::new(settings_without_quota());
     let entries =
         vec![endpoint_entry(1, 0, EndpointState::Draining), endpoint_entry(2, 0, EndpointState::Removed)];
-    rig.handle(Event::EndpointUpdate { complete: false, endpoints: entries });
+    gateway.handle(Event::EndpointUpdate { complete: false, endpoints: entries });
     for id in 1..20 {
-        let backend = sent_to(&rig.request(id, 0, 1.0));
-        assert!(backend.is_none() || backend == Some(3));
+        let endpoint = sent_to(&gateway.request(id, 0, 1.0));
+        assert!(endpoint.is_none() || endpoint == Some(3));
     }
-    rig.handle(Event::EndpointUpdate { complete: true, endpoints: vec![] });
-    assert!(rejected(&rig.request(99, 0, 1.0)).is_some(), "no backend is left");
+    gateway.handle(Event::EndpointUpdate { complete: true, endpoints: vec![] });
+    assert!(rejected(&gateway.request(99, 0, 1.0)).is_some(), "no endpoint is left");
 }
 
 #[test]
-fn a_cold_backend_gets_no_more_than_is_surely_warm() {
-    let mut rig = TestGateway::new(open_settings());
-    rig.now += 60_000.0;
+fn slow_start_limits_the_attempts_to_a_cold_endpoint() {
+    let mut gateway = TestGateway::new(settings_without_quota());
+    gateway.now += 60_000.0;
     let mut fresh = endpoint_entry(4, 0, EndpointState::Ready);
-    fresh.started_at = rig.now;
-    rig.handle(Event::EndpointUpdate { complete: false, endpoints: vec![fresh] });
+    fresh.started_at = gateway.now;
+    gateway.handle(Event::EndpointUpdate { complete: false, endpoints: vec![fresh] });
     let mut to_cold = 0;
-    // 100 requests a second for one second, each answered at once; a warm backend gets about 25.
+    // 100 requests a second for one second, each answered at once; a warm endpoint gets about 25.
     for id in 1..=100 {
-        rig.now += 10.0;
-        if let Some(backend) = sent_to(&rig.request(id, 0, 1.0)) {
-            to_cold += usize::from(backend == 4);
-            rig.attempt_ended(id, 0, backend, Outcome::Success, None);
+        gateway.now += 10.0;
+        if let Some(endpoint) = sent_to(&gateway.request(id, 0, 1.0)) {
+            to_cold += usize::from(endpoint == 4);
+            gateway.attempt_ended(id, 0, endpoint, Outcome::Success, None);
         }
     }
-    assert!(to_cold <= 9, "{to_cold} of 100 to a backend at a quarter of its capacity");
+    assert!(to_cold <= 9, "{to_cold} of 100 to an endpoint at a quarter of its capacity");
 }
 
 fn ceiling_settings() -> Settings {
-    let mut s = open_settings();
-    s.plans[0].ceiling_rate = 4.0;
-    s.plans[0].ceiling_burst = 40.0;
-    s.plans[0].ceiling_slack = 4.0;
-    s
+    let mut settings = settings_without_quota();
+    settings.plans[0].ceiling_rate = 4.0;
+    settings.plans[0].ceiling_burst = 40.0;
+    settings.plans[0].ceiling_slack = 4.0;
+    settings
 }
 
-/// Units let through in the next seconds when far more is asked than the ceiling allows.
-fn press(rig: &mut TestGateway, ids: std::ops::Range<u64>) -> f64 {
+/// Units forwarded while far more are requested than the ceiling allows, a request every 10 ms.
+fn units_forwarded_under_pressure(gateway: &mut TestGateway, ids: std::ops::Range<u64>) -> f64 {
     let mut units = 0.0;
     for id in ids {
-        rig.now += 10.0;
-        if let Some(backend) = sent_to(&rig.request(id, 0, 2.0)) {
+        gateway.now += 10.0;
+        if let Some(endpoint) = sent_to(&gateway.request(id, 0, 2.0)) {
             units += 2.0;
-            rig.attempt_ended(id, 0, backend, Outcome::Success, None);
+            gateway.attempt_ended(id, 0, endpoint, Outcome::Success, None);
         }
     }
     units
 }
 
 #[test]
-fn a_ceiling_is_held_by_shares_and_across_a_restart() {
-    let mut rig = TestGateway::new(ceiling_settings());
-    rig.now += 60_000.0;
-    // Half the ceiling is this gateway's, as the customer comes through two: 20 units and 2 a second.
-    let before = press(&mut rig, 1..1000);
+fn each_gateway_enforces_its_share_of_a_hard_ceiling_across_a_restart() {
+    let mut gateway = TestGateway::new(ceiling_settings());
+    gateway.now += 60_000.0;
+    // The customer comes through two gateways, so half of the ceiling is this one's: 20 units, and 2 per
+    // second.
+    let before = units_forwarded_under_pressure(&mut gateway, 1..1000);
     assert!(before > 36.0 && before <= 42.0, "{before}");
     let mut after = TestGateway::new(ceiling_settings());
-    let restarted = press(&mut after, 1..1000);
-    assert!(restarted <= 20.0, "a gateway that starts again begins with nothing: {restarted}");
+    let restarted = units_forwarded_under_pressure(&mut after, 1..1000);
+    assert!(restarted <= 20.0, "after a restart the share is empty: {restarted}");
 }
 
 #[test]
-fn what_others_tell_does_not_lift_the_share_of_a_ceiling() {
-    let mut s = ceiling_settings();
-    (s.gateway_count, s.limits.gossip) = (10, true);
-    let mut rig = TestGateway::new(s);
-    rig.now += 60_000.0;
-    let none = [vec![2, 0], 7u64.to_le_bytes()[..5].to_vec(), vec![0; 3]].concat();
+fn gossip_does_not_raise_the_share_of_a_hard_ceiling() {
+    let mut settings = ceiling_settings();
+    settings.gateway_count = 10;
+    settings.limits.gossip = true;
+    let mut gateway = TestGateway::new(settings);
+    gateway.now += 60_000.0;
+    let no_usage = [vec![2, 0], 7u64.to_le_bytes()[..5].to_vec(), vec![0; 3]].concat();
     let mut units = 0.0;
-    // Between any two requests of ten seconds another gateway tells of no units of the same customer.
+    // Between any two requests another gateway sends that the same customer used no units there.
     for id in (1..1000).step_by(2) {
-        units += press(&mut rig, id..id + 1);
-        rig.now += 10.0;
-        rig.handle(Event::Gossip { from: 3, body: none.clone() });
+        units += units_forwarded_under_pressure(&mut gateway, id..id + 1);
+        gateway.now += 10.0;
+        gateway.handle(Event::Gossip { from: 3, body: no_usage.clone() });
     }
-    assert!(units <= 42.0, "half of 40 units and of 4 a second for 10 s: {units}");
+    assert!(units <= 42.0, "half of 40 units, and of 4 per second for 10 s: {units}");
 }
 
 #[test]
-fn few_hung_attempts_do_not_lock_the_gateway() {
-    // Found on quiet days: no answers, so the expected wait grew without end and all was refused; and a
-    // usual time grown past the limit locked a gateway with one answer at a time.
-    let mut rig = TestGateway::new(open_settings());
+fn a_few_slow_attempts_do_not_make_the_gateway_reject_everything() {
+    // Found with little traffic: without responses the expected latency grew without end and every request
+    // was rejected; and a baseline latency above the limit blocked a gateway with one response at a time.
+    let mut gateway = TestGateway::new(settings_without_quota());
     for id in 1..=200 {
-        let actions = rig.request(id, 0, 1.0);
-        let backend = sent_to(&actions).unwrap_or_else(|| panic!("request {id} is refused: {actions:?}"));
-        rig.now += 1900.0;
+        let actions = gateway.request(id, 0, 1.0);
+        let endpoint = sent_to(&actions).unwrap_or_else(|| panic!("request {id} is rejected: {actions:?}"));
+        gateway.now += 1900.0;
         let slow = AttemptEnd {
             id,
             attempt: 0,
-            endpoint: backend,
+            endpoint,
             outcome: Outcome::Success,
             request_answered: true,
             actual_units: None,
             elapsed_ms: 1900.0,
             load: LoadReport::default(),
         };
-        rig.handle(Event::AttemptEnded(slow));
+        gateway.handle(Event::AttemptEnded(slow));
     }
     for id in 300..305 {
-        sent_to(&rig.request(id, 0, 1.0)).expect("the least work is let in");
+        sent_to(&gateway.request(id, 0, 1.0)).expect("a few requests are always admitted");
     }
-    assert!(rejected(&rig.request(305, 0, 1.0)).is_some(), "answers come late: more is refused early");
+    assert!(
+        rejected(&gateway.request(305, 0, 1.0)).is_some(),
+        "responses come late, so more requests are rejected early"
+    );
 }
 
 #[test]
-fn one_attempt_that_hangs_does_not_make_a_quiet_gateway_refuse() {
-    // Found at size: with two requests a second an average over time is moved most by the one that hangs.
-    let mut rig = TestGateway::new(Settings { gateway_count: 200, ..open_settings() });
+fn one_attempt_that_hangs_does_not_make_a_quiet_gateway_reject() {
+    // Found in a large fleet: at two requests per second one attempt that hangs moves an average over time
+    // most.
+    let mut gateway = TestGateway::new(Settings { gateway_count: 200, ..settings_without_quota() });
     for id in 1..=20 {
-        let backend = sent_to(&rig.request(id, 0, 1.0)).unwrap();
-        rig.now += 50.0;
-        rig.attempt_ended(id, 0, backend, Outcome::Success, None);
-        rig.now += 350.0;
+        let endpoint = sent_to(&gateway.request(id, 0, 1.0)).unwrap();
+        gateway.now += 50.0;
+        gateway.attempt_ended(id, 0, endpoint, Outcome::Success, None);
+        gateway.now += 350.0;
     }
-    sent_to(&rig.request(21, 0, 1.0)).unwrap();
-    rig.now += 1500.0;
-    assert!(sent_to(&rig.request(22, 0, 1.0)).is_some());
+    sent_to(&gateway.request(21, 0, 1.0)).unwrap();
+    gateway.now += 1500.0;
+    assert!(sent_to(&gateway.request(22, 0, 1.0)).is_some());
 }
 
 #[test]
-fn a_slow_attempt_is_neither_copied_nor_withdrawn() {
-    // Found at size: a backend met once in tens of seconds has answered nothing since, so all slow ones
-    // looked stuck, and copies filled a pressed fleet.
+fn a_slow_attempt_is_neither_hedged_nor_cancelled() {
+    // Found in a large fleet: an endpoint used every tens of seconds has sent no response since, so all slow
+    // attempts seemed to hang, and hedged requests overloaded the fleet further.
     for hedging in [false, true] {
-        let mut s = open_settings();
-        s.limits.hedging = hedging;
-        let mut rig = TestGateway::new(s);
-        let actions = rig.request(1, 0, 1.0);
+        let mut settings = settings_without_quota();
+        settings.limits.hedging = hedging;
+        let mut gateway = TestGateway::new(settings);
+        let actions = gateway.request(1, 0, 1.0);
         for action in actions {
             if let Action::SetTimer { token, after_ms } = action {
-                rig.now += after_ms;
-                let after = rig.handle(Event::TimerFired { token });
+                gateway.now += after_ms;
+                let after = gateway.handle(Event::TimerFired { token });
                 assert!(sent_to(&after).is_none());
                 assert!(!after.iter().any(|a| matches!(a, Action::CancelAttempt { .. })));
             }
@@ -211,223 +219,234 @@
 }
 
 #[test]
-fn a_backend_full_for_one_plan_still_serves_the_others() {
-    // Found where backends turned one plan away: full was held against them for all, and for 200 ms only.
-    let mut s = open_settings();
-    s.plans.push(s.plans[0]);
-    let mut rig = TestGateway::new(s);
-    rig.handle(Event::EndpointUpdate {
+fn an_endpoint_that_rejects_one_plan_still_serves_the_others() {
+    // Found where endpoints rejected one plan: they were avoided for all plans, and for 200 ms only.
+    let mut settings = settings_without_quota();
+    settings.plans.push(settings.plans[0]);
+    let mut gateway = TestGateway::new(settings);
+    gateway.handle(Event::EndpointUpdate {
         complete: false,
         endpoints: vec![endpoint_entry(3, 1, EndpointState::Removed)],
     });
-    let ask = |rig: &mut TestGateway, id, plan| {
-        sent_to(&rig.handle(Event::Request(Request { plan, ..request(id, id) }))).expect("sent")
+    let forward = |gateway: &mut TestGateway, id, plan| {
+        sent_to(&gateway.handle(Event::Request(Request { plan, ..request(id, id) }))).expect("sent")
     };
-    let shut = ask(&mut rig, 1, 0);
-    let other = sent_to(&rig.attempt_ended(1, 0, shut, Outcome::Rejected, None)).expect("tried elsewhere");
-    assert_ne!(shut, other);
-    rig.attempt_ended(1, 1, other, Outcome::Success, None);
-    let mut seen = Vec::new();
+    let rejecting = forward(&mut gateway, 1, 0);
+    let other =
+        sent_to(&gateway.attempt_ended(1, 0, rejecting, Outcome::Rejected, None)).expect("a retry elsewhere");
+    assert_ne!(rejecting, other);
+    gateway.attempt_ended(1, 1, other, Outcome::Success, None);
+    let mut plan_1_endpoints = Vec::new();
     for id in 2..=12 {
-        rig.now += 400.0;
-        let backends = [0, 1].map(|plan: u32| ask(&mut rig, id * 10 + u64::from(plan), plan));
-        assert_eq!(backends[0], other, "plan 0 went back");
-        seen.push(backends[1]);
-        for (plan, backend) in backends.into_iter().enumerate() {
-            rig.attempt_ended(id * 10 + plan as u64, 0, backend, Outcome::Success, None);
+        gateway.now += 400.0;
+        let endpoints = [0, 1].map(|plan: u32| forward(&mut gateway, id * 10 + u64::from(plan), plan));
+        assert_eq!(endpoints[0], other, "plan 0 avoids the endpoint that rejected it");
+        plan_1_endpoints.push(endpoints[1]);
+        for (plan, endpoint) in endpoints.into_iter().enumerate() {
+            gateway.attempt_ended(id * 10 + plan as u64, 0, endpoint, Outcome::Success, None);
         }
     }
-    assert!(seen.contains(&shut), "it has room for plan 1");
+    assert!(plan_1_endpoints.contains(&rejecting), "it has capacity for plan 1");
 }
 
-/// What a hundred gateways of two requests a second send to each of 40 backends in 15 s; the first so many
-/// start cold.
-fn hundred_gateways(cold: usize) -> Vec<usize> {
-    let mut to = vec![0; 41];
-    for position in 0..100u32 {
-        let settings = Settings { gateway_count: 100, gateway_index: position, ..open_settings() };
-        let mut rig = TestGateway { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
+/// The requests that a hundred gateways, at two requests per second each, send to each of 40 endpoints in 15
+/// s. The first `cold` endpoints start when the 15 s begin.
+fn requests_per_endpoint_of_a_hundred_gateways(cold: usize) -> Vec<usize> {
+    let mut requests = vec![0; 41];
+    for index in 0..100u32 {
+        let settings = Settings { gateway_count: 100, gateway_index: index, ..settings_without_quota() };
+        let mut gateway = TestGateway::without_endpoints(settings, u64::from(index), 0.0);
         let mut entries: Vec<_> =
             (1..=40).map(|id| endpoint_entry(id, id % 2, EndpointState::Ready)).collect();
-        rig.handle(Event::EndpointUpdate { complete: true, endpoints: entries.clone() });
+        gateway.handle(Event::EndpointUpdate { complete: true, endpoints: entries.clone() });
         for id in 0..50 {
-            rig.now += 500.0;
+            gateway.now += 500.0;
             if id == 20 {
-                entries[..cold].iter_mut().for_each(|e| e.started_at = rig.now);
-                rig.handle(Event::EndpointUpdate { complete: false, endpoints: entries[..cold].to_vec() });
+                entries[..cold].iter_mut().for_each(|e| e.started_at = gateway.now);
+                gateway
+                    .handle(Event::EndpointUpdate { complete: false, endpoints: entries[..cold].to_vec() });
             }
-            let backend = sent_to(&rig.handle(Event::Request(request(id, id)))).expect("sent");
-            to[backend as usize] += usize::from(id >= 20);
-            rig.attempt_ended(id, 0, backend, Outcome::Success, None);
+            let endpoint = sent_to(&gateway.handle(Event::Request(request(id, id)))).expect("sent");
+            requests[endpoint as usize] += usize::from(id >= 20);
+            gateway.attempt_ended(id, 0, endpoint, Outcome::Success, None);
         }
     }
-    to
+    requests
 }
 
 #[test]
-fn many_gateways_do_not_take_the_same_backend() {
-    let to = hundred_gateways(0);
-    assert!(to[1..].iter().all(|n| (10..=200).contains(n)), "75 each on average: {to:?}");
+fn a_hundred_gateways_do_not_all_choose_the_same_endpoint() {
+    let requests = requests_per_endpoint_of_a_hundred_gateways(0);
+    assert!(requests[1..].iter().all(|n| (10..=200).contains(n)), "75 each on average: {requests:?}");
 }
 
 #[test]
-fn a_hundred_gateways_do_not_push_a_cold_backend_over() {
-    let to = hundred_gateways(1);
-    // A warm one got about 75; the cold one has a quarter of its capacity at first and all after 10 s.
-    assert!(to[1] <= 90, "{} requests to the cold one: {to:?}", to[1]);
-    assert!(to[1] >= 3, "it is used: {to:?}");
+fn a_hundred_gateways_do_not_overload_a_cold_endpoint() {
+    let requests = requests_per_endpoint_of_a_hundred_gateways(1);
+    // A warm endpoint gets about 75; the cold one has a quarter of its capacity at first, and all of it after
+    // 10 s.
+    assert!(requests[1] <= 90, "{} requests to the cold one: {requests:?}", requests[1]);
+    assert!(requests[1] >= 3, "it is used: {requests:?}");
 }
 
 #[test]
-fn a_hundred_gateways_use_what_is_surely_warm_of_many_cold_backends() {
-    // Found at size: what a cold backend might be sent was left to chance among all, so that it got a part of
-    // that part, and six in ten backends stood idle while the others were overrun.
-    let to = hundred_gateways(24);
-    let cold = to[1..=24].iter().sum::<usize>();
-    // Over the 15 s the 24 have 0.75 of their capacity on average and the 16 warm ones all of theirs: they are
-    // due 53% of the 3000 requests, a little less as each gateway saves up its first request to each.
-    assert!((1050..=1700).contains(&cold), "{cold} to the cold ones: {to:?}");
-    assert!(to[1..=24].iter().all(|n| *n <= 100), "and none is pushed over: {to:?}");
+fn a_hundred_gateways_use_the_warm_capacity_of_many_cold_endpoints() {
+    // Found in a large fleet: cold endpoints were chosen by chance among all, so that they got a part of the
+    // part that they may be sent, and six in ten endpoints were idle while the others were overloaded.
+    let requests = requests_per_endpoint_of_a_hundred_gateways(24);
+    let cold = requests[1..=24].iter().sum::<usize>();
+    // Over the 15 s the 24 have 0.75 of their capacity on average and the 16 warm ones all of theirs: their
+    // part is 53% of the 3000 requests, or a little less, as each gateway first collects the tokens for a
+    // request.
+    assert!((1050..=1700).contains(&cold), "{cold} to the cold ones: {requests:?}");
+    assert!(requests[1..=24].iter().all(|n| *n <= 100), "none is overloaded: {requests:?}");
 }
 
 #[test]
-fn a_hundred_gateways_keep_to_the_connections_they_have() {
-    // Found at size: each request went to any of 60 backends, so one in three opened a connection, and each
-    // backend was heard of once in ten seconds.
-    let mut to = vec![0; 41];
+fn a_hundred_gateways_reuse_their_connections() {
+    // Found in a large fleet: each request went to any of 60 endpoints, so one in three opened a connection,
+    // and each endpoint was used every ten seconds only.
+    let mut requests = vec![0; 41];
     let mut opened = 0;
-    for position in 0..100u32 {
-        let mut settings = Settings { gateway_count: 100, gateway_index: position, ..open_settings() };
+    for index in 0..100u32 {
+        let mut settings = Settings { gateway_count: 100, gateway_index: index, ..settings_without_quota() };
         settings.prices.handshake = 0.08;
-        (settings.limits.idle_timeout_ms, settings.limits.requests_per_connection) = (30_000.0, 1);
-        let mut rig = TestGateway { gateway: Gateway::new(settings, u64::from(position), 0.0), now: 0.0 };
+        settings.limits.idle_timeout_ms = 30_000.0;
+        settings.limits.requests_per_connection = 1;
+        let mut gateway = TestGateway::without_endpoints(settings, u64::from(index), 0.0);
         let entries: Vec<_> = (1..=40).map(|id| endpoint_entry(id, id % 2, EndpointState::Ready)).collect();
-        rig.handle(Event::EndpointUpdate { complete: true, endpoints: entries });
+        gateway.handle(Event::EndpointUpdate { complete: true, endpoints: entries });
         let mut known = std::collections::BTreeSet::new();
         // Two requests at a time, four a second.
         for id in (0..100).step_by(2) {
-            rig.now += 500.0;
-            let pair =
-                [id, id + 1].map(|id| (id, sent_to(&rig.handle(Event::Request(request(id, id)))).unwrap()));
+            gateway.now += 500.0;
+            let pair = [id, id + 1]
+                .map(|id| (id, sent_to(&gateway.handle(Event::Request(request(id, id)))).unwrap()));
             assert_ne!(pair[0].1, pair[1].1, "a connection carries one request");
-            for (id, backend) in pair {
-                to[backend as usize] += 1;
-                opened += usize::from(known.insert(backend));
-                rig.attempt_ended(id, 0, backend, Outcome::Success, None);
+            for (id, endpoint) in pair {
+                requests[endpoint as usize] += 1;
+                opened += usize::from(known.insert(endpoint));
+                gateway.attempt_ended(id, 0, endpoint, Outcome::Success, None);
             }
         }
     }
     assert!(opened <= 1000, "{opened} connections for 10000 requests");
-    assert!(to[1..].iter().all(|n| (50..=600).contains(n)), "250 each on average: {to:?}");
+    assert!(requests[1..].iter().all(|n| (50..=600).contains(n)), "250 each on average: {requests:?}");
 }
 
 #[test]
-fn attempts_out_are_capped() {
-    let mut s = open_settings();
-    s.plans[0].max_concurrency = 2;
-    let mut rig = TestGateway::new(s);
-    assert!(sent_to(&rig.request(1, 0, 1.0)).is_some());
-    assert!(sent_to(&rig.request(2, 0, 1.0)).is_some());
-    assert!(rejected(&rig.request(3, 0, 1.0)).is_some());
+fn concurrent_attempts_of_a_customer_are_limited() {
+    let mut settings = settings_without_quota();
+    settings.plans[0].max_concurrency = 2;
+    let mut gateway = TestGateway::new(settings);
+    assert!(sent_to(&gateway.request(1, 0, 1.0)).is_some());
+    assert!(sent_to(&gateway.request(2, 0, 1.0)).is_some());
+    assert!(rejected(&gateway.request(3, 0, 1.0)).is_some());
 }
 
 #[test]
-fn odd_events_change_nothing() {
-    let mut rig = TestGateway::new(settings());
-    assert!(rig.attempt_ended(9, 3, 77, Outcome::Success, Some(2.0)).is_empty());
-    assert!(rig.counter_reply(12345, Outcome::Success, f64::NAN).is_empty());
-    assert!(rig.handle(Event::ClientDisconnected { id: 4 }).is_empty());
-    rig.handle(Event::EndpointUpdate {
+fn invalid_and_unknown_events_change_nothing() {
+    let mut gateway = TestGateway::new(settings());
+    assert!(gateway.attempt_ended(9, 3, 77, Outcome::Success, Some(2.0)).is_empty());
+    assert!(gateway.counter_reply(12345, Outcome::Success, f64::NAN).is_empty());
+    assert!(gateway.handle(Event::ClientDisconnected { id: 4 }).is_empty());
+    gateway.handle(Event::EndpointUpdate {
         complete: false,
         endpoints: vec![endpoint_entry(500, 3, EndpointState::Removed)],
     });
-    rig.handle(Event::TimerFired { token: u64::MAX });
-    let (name, _) = counter_call(&rig.request(1, 0, 0.0)).unwrap();
-    assert!(sent_to(&rig.counter_reply(name, Outcome::Success, 0.0)).is_some(), "zero units are fine");
-    assert!(rejected(&rig.request(2, 9, 1.0)).is_some(), "an unknown class is refused, not a crash");
-    let actions = rig.request(3, 0, f64::NAN);
+    gateway.handle(Event::TimerFired { token: u64::MAX });
+    let (key, _) = counter_call(&gateway.request(1, 0, 0.0)).unwrap();
+    assert!(sent_to(&gateway.counter_reply(key, Outcome::Success, 0.0)).is_some(), "zero units are fine");
+    assert!(rejected(&gateway.request(2, 9, 1.0)).is_some(), "an unknown class is rejected");
+    let actions = gateway.request(3, 0, f64::NAN);
     assert!(counter_call(&actions).is_none_or(|(_, amount)| amount.is_finite()));
 }
 
 #[test]
-fn contradictory_settings_never_stall_a_request() {
+fn contradictory_settings_leave_no_request_without_an_answer() {
     let cases: [fn(&mut Settings); 5] = [
-        |s| (s.gateway_index, s.limits.gossip) = (50, true),
-        |s| s.plans[0].burst = 1.0,
-        |s| s.plans[0].rate = 0.0,
-        |s| s.classes[0].latency_objective_ms = 9000.0,
-        |s| s.gateway_count = 0,
+        |settings| {
+            settings.gateway_index = 50;
+            settings.limits.gossip = true;
+        },
+        |settings| settings.plans[0].burst = 1.0,
+        |settings| settings.plans[0].rate = 0.0,
+        |settings| settings.classes[0].latency_objective_ms = 9000.0,
+        |settings| settings.gateway_count = 0,
     ];
     for (case, change) in cases.iter().enumerate() {
-        let mut s = settings();
-        change(&mut s);
-        let mut rig = TestGateway::new(s);
-        let mut actions = rig.request(1, 0, 3.0);
-        if let Some((name, amount)) = counter_call(&actions) {
-            actions.extend(rig.counter_reply(name, Outcome::Success, amount));
+        let mut settings = settings();
+        change(&mut settings);
+        let mut gateway = TestGateway::new(settings);
+        let mut actions = gateway.request(1, 0, 3.0);
+        if let Some((key, amount)) = counter_call(&actions) {
+            actions.extend(gateway.counter_reply(key, Outcome::Success, amount));
         }
         assert!(sent_to(&actions).is_some() || rejected(&actions).is_some(), "case {case}: {actions:?}");
     }
 }
 
 #[test]
-fn a_fleet_of_one_backend_or_none_and_an_absurd_spread_are_fine() {
-    for left in [1, 0] {
-        let mut rig = TestGateway::new(open_settings());
+fn one_endpoint_or_none_and_an_absurd_gateway_set_size_are_handled() {
+    for endpoint_count in [1, 0] {
+        let mut gateway = TestGateway::new(settings_without_quota());
         let entries = [endpoint_entry(1, 0, EndpointState::Ready)];
-        rig.handle(Event::EndpointUpdate { complete: true, endpoints: entries[..left].to_vec() });
-        for (id, spread) in [(1, 1e12), (2, 0.0), (3, f64::NAN)] {
-            let actions = rig.handle(Event::Request(Request { gateway_set_size: spread, ..request(id, id) }));
-            assert_eq!(sent_to(&actions), (left == 1).then_some(1));
-            assert_eq!(rejected(&actions).is_some(), left == 0);
+        gateway
+            .handle(Event::EndpointUpdate { complete: true, endpoints: entries[..endpoint_count].to_vec() });
+        for (id, gateway_set_size) in [(1, 1e12), (2, 0.0), (3, f64::NAN)] {
+            let actions = gateway.handle(Event::Request(Request { gateway_set_size, ..request(id, id) }));
+            assert_eq!(sent_to(&actions), (endpoint_count == 1).then_some(1));
+            assert_eq!(rejected(&actions).is_some(), endpoint_count == 0);
         }
     }
 }
 
 #[test]
-fn backends_that_leave_in_waves_get_nothing_once_it_is_told() {
-    let mut rig = TestGateway::new(open_settings());
+fn endpoints_that_drain_in_waves_get_no_attempts_after_the_update() {
+    let mut gateway = TestGateway::new(settings_without_quota());
     let entries: Vec<_> = (1..=9).map(|id| endpoint_entry(id, id % 2, EndpointState::Ready)).collect();
-    rig.handle(Event::EndpointUpdate { complete: true, endpoints: entries });
+    gateway.handle(Event::EndpointUpdate { complete: true, endpoints: entries });
     let mut id = 0;
     for wave in 0..4u32 {
-        let gone = [wave * 2 + 1, wave * 2 + 2];
-        rig.handle(Event::EndpointUpdate {
+        let draining = [wave * 2 + 1, wave * 2 + 2];
+        gateway.handle(Event::EndpointUpdate {
             complete: false,
-            endpoints: gone.map(|id| endpoint_entry(id, id % 2, EndpointState::Draining)).into(),
+            endpoints: draining.map(|id| endpoint_entry(id, id % 2, EndpointState::Draining)).into(),
         });
         for _ in 0..30 {
             id += 1;
-            rig.now += 20.0;
-            let backend = sent_to(&rig.request(id, 0, 1.0)).expect("others are left");
-            assert!(backend > gone[1], "{backend} is leaving");
-            rig.attempt_ended(id, 0, backend, Outcome::Success, None);
+            gateway.now += 20.0;
+            let endpoint = sent_to(&gateway.request(id, 0, 1.0)).expect("others are left");
+            assert!(endpoint > draining[1], "{endpoint} is draining");
+            gateway.attempt_ended(id, 0, endpoint, Outcome::Success, None);
         }
     }
 }
 
-/// Numbers of customers can be made up, a new one with each request: they must not fill the memory, and those with
-/// work out are not forgotten.
+/// Clients can make up customer numbers, a new one with each request: they must not fill the memory, and
+/// customers with attempts in flight are not forgotten.
 #[test]
-fn made_up_customers_do_not_fill_the_memory() {
-    let mut rig = TestGateway::new(settings());
+fn made_up_customer_numbers_do_not_fill_the_memory() {
+    let mut gateway = TestGateway::new(settings());
     let mut shared = SharedCounter::default();
-    let (name, amount) = counter_call(&rig.handle(Event::Request(request(1, 1)))).unwrap();
-    let backend = sent_to(&rig.counter_reply(name, Outcome::Success, amount)).unwrap();
+    let (key, amount) = counter_call(&gateway.handle(Event::Request(request(1, 1)))).unwrap();
+    let endpoint = sent_to(&gateway.counter_reply(key, Outcome::Success, amount)).unwrap();
     for id in 2..100_000 {
-        rig.now += 0.1;
-        let actions = rig.handle(Event::Request(request(id, id)));
-        let actions = shared.answer_calls(&mut rig, actions);
-        if let Some(backend) = sent_to(&actions) {
-            rig.attempt_ended(id, 0, backend, Outcome::Success, None);
+        gateway.now += 0.1;
+        let actions = gateway.handle(Event::Request(request(id, id)));
+        let actions = shared.answer_calls(&mut gateway, actions);
+        if let Some(endpoint) = sent_to(&actions) {
+            gateway.attempt_ended(id, 0, endpoint, Outcome::Success, None);
         }
-        assert!(rig.gateway.customer_count() <= 16_384);
+        assert!(gateway.gateway.customer_count() <= 16_384);
     }
-    assert!(rig.gateway.customer_count() > 1000, "but most are remembered");
-    rig.attempt_ended(1, 0, backend, Outcome::Success, Some(4.0));
-    // The three units beyond the guess ride on the customer's next charge.
-    rig.now += 1000.0;
-    let (_, again) = counter_call(&rig.handle(Event::Request(request(100_000, 1)))).expect("a charge");
-    // Amounts grow with the window, 5.8 times in these 11 s: forgotten, it would be that alone.
-    assert!(again > 12.0 * amount, "{again} after {amount}");
+    assert!(gateway.gateway.customer_count() > 1000, "most are remembered");
+    gateway.attempt_ended(1, 0, endpoint, Outcome::Success, Some(4.0));
+    // The three units above the estimate are settled with the customer's next charge.
+    gateway.now += 1000.0;
+    let (_, next_amount) =
+        counter_call(&gateway.handle(Event::Request(request(100_000, 1)))).expect("a charge");
+    // Amounts grow within the window, 5.8 times in these 11 s: of a forgotten customer it would be that
+    // alone.
+    assert!(next_amount > 12.0 * amount, "{next_amount} after {amount}");
 }
