--- a/tests/property.rs
+++ b/tests/property.rs
@@ -5,33 +5,55 @@
 use quota_gateway::*;
 use std::collections::BTreeMap;
 
-struct Out {
-    backend: u32,
-    sent: f64,
-    ends: f64,
-    live: bool,
-    ran: bool,
+/// How long after its deadline a request may still be answered, in ms.
+const RESPONSE_SLACK_MS: f64 = 8.0;
+
+/// An attempt as the world outside the gateway sees it.
+struct WorldAttempt {
+    endpoint: u32,
+    started_at: f64,
+    times_out_at: f64,
+    in_flight: bool,
+    /// It may have been executed.
+    executed: bool,
 }
 
-struct Asked {
+struct WorldRequest {
     class: usize,
-    ends: f64,
+    deadline: f64,
     answered: bool,
-    attempts: Vec<Out>,
+    attempts: Vec<WorldAttempt>,
 }
 
+/// A gateway with clients, endpoints, a counter and timers around it. It checks each action against the rules.
 struct World {
     gateway: Gateway,
     settings: Settings,
     now: f64,
-    asked: BTreeMap<u64, Asked>,
-    states: BTreeMap<u32, EndpointState>,
-    counts: Vec<(u64, f64)>,
+    requests: BTreeMap<u64, WorldRequest>,
+    endpoints: BTreeMap<u32, EndpointState>,
+    counter_calls: Vec<(u64, f64)>,
     timers: Vec<(f64, u64)>,
 }
 
 impl World {
-    fn event(&mut self, event: Event) {
+    fn new(seed: u64, hedging: bool) -> World {
+        let mut settings = settings();
+        settings.limits.hedging = hedging;
+        settings.plans[0].max_concurrency = 8;
+        settings.limits.gossip = true;
+        World {
+            gateway: Gateway::new(settings.clone(), seed, 0.0),
+            settings,
+            now: 0.0,
+            requests: BTreeMap::new(),
+            endpoints: (1..=6).map(|id| (id, EndpointState::Ready)).collect(),
+            counter_calls: Vec::new(),
+            timers: Vec::new(),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
         let mut actions = Vec::new();
         self.gateway.handle(self.now, event, &mut actions);
         for action in actions {
@@ -41,226 +63,221 @@
 
     fn check(&mut self, action: Action) {
         match action {
-            Action::SendAttempt { id, endpoint: backend, timeout_ms } => {
-                assert_eq!(
-                    self.states.get(&backend),
-                    Some(&EndpointState::Ready),
-                    "sent to a backend not ready"
-                );
-                let asked = self.asked.get_mut(&id).expect("a known request");
-                assert!(!asked.answered, "sent after the final answer");
-                assert!(timeout_ms > 0.0 && self.now + timeout_ms <= asked.ends + 1e-6);
-                assert!((asked.attempts.len() as u32) < self.settings.limits.max_attempts);
-                let second = self.settings.limits.hedging;
-                assert!(second || asked.attempts.iter().all(|a| !a.live), "two attempts out at once");
-                let earlier: Vec<_> = asked.attempts.iter().filter(|a| a.ran || a.live).collect();
-                match self.settings.classes[asked.class].idempotency {
-                    Idempotency::Idempotent => {}
-                    Idempotency::NotIdempotent => {
-                        assert!(earlier.is_empty(), "an unsafe request may run twice")
-                    }
-                    Idempotency::WithKey { window_ms, .. } => {
-                        for a in earlier {
-                            assert_eq!(a.backend % 2, backend % 2, "a keyed repeat outside its zone");
-                            assert!(self.now - a.sent < window_ms, "a keyed repeat outside its window");
-                        }
-                    }
-                }
-                let ends = self.now + timeout_ms;
-                asked.attempts.push(Out { backend, sent: self.now, ends, live: true, ran: false });
-            }
+            Action::SendAttempt { id, endpoint, timeout_ms } => self.check_attempt(id, endpoint, timeout_ms),
             Action::Reject { id, .. } => {
-                let asked = self.asked.get_mut(&id).expect("a known request");
-                assert!(!std::mem::replace(&mut asked.answered, true), "answered twice");
-                let safe = self.settings.classes[asked.class].idempotency == Idempotency::Idempotent;
+                let request = self.requests.get_mut(&id).expect("a known request");
+                assert!(!std::mem::replace(&mut request.answered, true), "answered twice");
+                let idempotent = self.settings.classes[request.class].idempotency == Idempotency::Idempotent;
                 assert!(
-                    safe || asked.attempts.iter().all(|a| !a.live && !a.ran),
-                    "refused what may have run"
+                    idempotent || request.attempts.iter().all(|a| !a.in_flight && !a.executed),
+                    "rejected what may have been executed"
                 );
             }
             Action::Fail { id } => {
-                let asked = self.asked.get_mut(&id).expect("a known request");
-                assert!(!std::mem::replace(&mut asked.answered, true), "answered twice");
+                let request = self.requests.get_mut(&id).expect("a known request");
+                assert!(!std::mem::replace(&mut request.answered, true), "answered twice");
             }
-            Action::AddToCounter { key: name, amount, .. } => self.counts.push((name, amount)),
+            Action::AddToCounter { key, amount, .. } => self.counter_calls.push((key, amount)),
             Action::SetTimer { token, after_ms } => self.timers.push((self.now + after_ms, token)),
             Action::CancelAttempt { id, attempt } => {
-                assert!((attempt as usize) < self.asked[&id].attempts.len())
+                assert!((attempt as usize) < self.requests[&id].attempts.len())
             }
             _ => {}
         }
     }
 
-    fn outcome(&mut self, id: u64, attempt: usize, result: Outcome) {
-        let asked = self.asked.get_mut(&id).unwrap();
-        let out = &mut asked.attempts[attempt];
-        (out.live, out.ran) = (false, !result.never_executed());
-        let (backend, elapsed_ms) = (out.backend, self.now - out.sent);
-        asked.answered |= result == Outcome::Success;
-        let (ended, units, load) = (asked.answered, Some(2.0), LoadReport::default());
-        let attempt = attempt as u8;
-        self.event(Event::AttemptEnded(AttemptEnd {
+    fn check_attempt(&mut self, id: u64, endpoint: u32, timeout_ms: f64) {
+        assert_eq!(
+            self.endpoints.get(&endpoint),
+            Some(&EndpointState::Ready),
+            "sent to an endpoint that is not ready"
+        );
+        let request = self.requests.get_mut(&id).expect("a known request");
+        assert!(!request.answered, "sent after the final answer");
+        assert!(timeout_ms > 0.0 && self.now + timeout_ms <= request.deadline + 1e-6);
+        assert!((request.attempts.len() as u32) < self.settings.limits.max_attempts);
+        let hedging = self.settings.limits.hedging;
+        assert!(hedging || request.attempts.iter().all(|a| !a.in_flight), "two attempts in flight at once");
+        let earlier: Vec<_> = request.attempts.iter().filter(|a| a.executed || a.in_flight).collect();
+        match self.settings.classes[request.class].idempotency {
+            Idempotency::Idempotent => {}
+            Idempotency::NotIdempotent => {
+                assert!(earlier.is_empty(), "a request that is not idempotent may be executed twice")
+            }
+            Idempotency::WithKey { window_ms, .. } => {
+                for attempt in earlier {
+                    assert_eq!(attempt.endpoint % 2, endpoint % 2, "a retry outside its key's zone");
+                    assert!(self.now - attempt.started_at < window_ms, "a retry outside its key's window");
+                }
+            }
+        }
+        request.attempts.push(WorldAttempt {
+            endpoint,
+            started_at: self.now,
+            times_out_at: self.now + timeout_ms,
+            in_flight: true,
+            executed: false,
+        });
+    }
+
+    fn end_attempt(&mut self, id: u64, number: usize, outcome: Outcome) {
+        let request = self.requests.get_mut(&id).unwrap();
+        let attempt = &mut request.attempts[number];
+        attempt.in_flight = false;
+        attempt.executed = !outcome.never_executed();
+        request.answered |= outcome == Outcome::Success;
+        let ended = AttemptEnd {
             id,
-            attempt,
-            endpoint: backend,
-            outcome: result,
-            request_answered: ended,
-            actual_units: units,
-            elapsed_ms,
-            load,
-        }));
+            attempt: number as u8,
+            endpoint: attempt.endpoint,
+            outcome,
+            request_answered: request.answered,
+            actual_units: Some(2.0),
+            elapsed_ms: self.now - attempt.started_at,
+            load: LoadReport::default(),
+        };
+        self.handle(Event::AttemptEnded(ended));
     }
 
-    /// Brings the clock on: timers ring, time-outs fall due.
-    fn pass(&mut self, ms: f64) {
+    /// Advances the clock: timers fire, attempts time out.
+    fn advance(&mut self, ms: f64) {
         self.now += ms;
         let now = self.now;
-        let (due, later) = self.timers.drain(..).partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = self.timers.drain(..).partition(|(at, _)| *at <= now);
         self.timers = later;
-        let due: Vec<(f64, u64)> = due;
         for (_, token) in due {
-            self.event(Event::TimerFired { token });
+            self.handle(Event::TimerFired { token });
         }
-        let ids: Vec<_> = self.asked.keys().copied().collect();
+        let ids: Vec<_> = self.requests.keys().copied().collect();
         for id in ids {
-            for attempt in 0..self.asked[&id].attempts.len() {
-                let out = &self.asked[&id].attempts[attempt];
-                if out.live && out.ends <= now {
-                    self.outcome(id, attempt, Outcome::Timeout);
+            for number in 0..self.requests[&id].attempts.len() {
+                let attempt = &self.requests[&id].attempts[number];
+                if attempt.in_flight && attempt.times_out_at <= now {
+                    self.end_attempt(id, number, Outcome::Timeout);
                 }
             }
-            let asked = &self.asked[&id];
-            assert!(asked.answered || now <= asked.ends + 8.0, "request {id} is overdue");
+            let request = &self.requests[&id];
+            let in_time = now <= request.deadline + RESPONSE_SLACK_MS;
+            assert!(request.answered || in_time, "request {id} is overdue");
         }
-        let over = |a: &Asked| a.answered && a.attempts.iter().all(|out| !out.live);
-        self.asked.retain(|_, a| !over(a));
+        self.requests.retain(|_, r| !r.answered || r.attempts.iter().any(|attempt| attempt.in_flight));
     }
-}
 
-fn run(seed: u64, hedging: bool) {
-    let mut rng = fastrand::Rng::with_seed(seed);
-    let mut settings = settings();
-    settings.limits.hedging = hedging;
-    settings.plans[0].max_concurrency = 8;
-    settings.limits.gossip = true;
-    let mut w = World {
-        gateway: Gateway::new(settings.clone(), seed, 0.0),
-        settings,
-        now: 0.0,
-        asked: BTreeMap::new(),
-        states: (1..=6).map(|id| (id, EndpointState::Ready)).collect(),
-        counts: Vec::new(),
-        timers: Vec::new(),
-    };
-    let entry = |id: u32, state, started| Endpoint {
-        id,
-        hash_key: id.into(),
-        zone: id % 2,
-        kind: 0,
-        cell: id,
-        state,
-        weight: 1.0,
-        started_at: started,
-    };
-    w.event(Event::EndpointUpdate {
-        complete: true,
-        endpoints: (1..=6).map(|id| entry(id, EndpointState::Ready, 0.0)).collect(),
-    });
-    for id in 1..4000 {
-        w.pass(rng.f64() * 8.0);
+    /// An event that a faulty endpoint or gateway might cause, now and then.
+    fn disturb(&mut self, rng: &mut fastrand::Rng) {
         let odd = [-1.0, f64::NAN, f64::INFINITY, 1e300, 3.0][rng.usize(0..5)];
         match rng.u32(0..20) {
             0 => {
-                let load = LoadReport { queued: Some(odd), service_ms: Some(odd), ..LoadReport::default() };
-                let result = [Outcome::Success, Outcome::Timeout, Outcome::ConnectFailed][rng.usize(0..3)];
-                w.event(Event::HealthCheckEnded {
+                let outcome = [Outcome::Success, Outcome::Timeout, Outcome::ConnectFailed][rng.usize(0..3)];
+                self.handle(Event::HealthCheckEnded {
                     endpoint: rng.u32(0..9),
-                    outcome: result,
+                    outcome,
                     elapsed_ms: odd,
-                    load,
+                    load: LoadReport { queued: Some(odd), service_ms: Some(odd), ..LoadReport::default() },
                 });
             }
             1 => {
                 let body = (0..rng.usize(0..30)).map(|_| rng.u8(0..3)).collect();
-                w.event(Event::Gossip { from: rng.u32(0..4), body });
+                self.handle(Event::Gossip { from: rng.u32(0..4), body });
             }
             2 => {
-                let (customer, units) = (rng.u64(0..20).to_le_bytes(), rng.i16(-300..900).to_le_bytes());
+                let customer = rng.u64(0..20).to_le_bytes();
+                let units = rng.i16(-300..900).to_le_bytes();
                 let body = [&[2, rng.u8(0..2)], &customer[..5], &[rng.u8(0..3)], &units].concat();
-                w.event(Event::Gossip { from: rng.u32(0..4), body });
+                self.handle(Event::Gossip { from: rng.u32(0..4), body });
             }
             _ => {}
         }
+    }
+
+    fn send_request(&mut self, id: u64, rng: &mut fastrand::Rng) {
+        let class = rng.usize(0..3);
+        let timeout_ms = 20.0 + rng.f64() * 2000.0;
+        let request =
+            WorldRequest { class, deadline: self.now + timeout_ms, answered: false, attempts: Vec::new() };
+        self.requests.insert(id, request);
+        self.handle(Event::Request(Request {
+            id,
+            customer: rng.u64(0..20),
+            plan: 0,
+            class: class as u32,
+            units: rng.f64() * 3.0,
+            timeout_ms,
+            gateway_set_size: 2.0,
+            is_retry: rng.bool(),
+        }));
+    }
+
+    fn end_any_attempt(&mut self, rng: &mut fastrand::Rng) {
+        let numbered = |(id, request): (&u64, &WorldRequest)| {
+            let id = *id;
+            let in_flight = request.attempts.iter().enumerate().filter(|(_, attempt)| attempt.in_flight);
+            in_flight.map(|(number, _)| (id, number)).collect::<Vec<_>>()
+        };
+        let in_flight: Vec<_> = self.requests.iter().flat_map(numbered).collect();
+        if in_flight.is_empty() {
+            return;
+        }
+        let (id, number) = in_flight[rng.usize(0..in_flight.len())];
+        let outcomes = [
+            Outcome::Success,
+            Outcome::Success,
+            Outcome::Success,
+            Outcome::ErrorResponse,
+            Outcome::Rejected,
+            Outcome::ConnectFailed,
+            Outcome::ConnectionReset,
+            Outcome::Cancelled,
+        ];
+        self.end_attempt(id, number, outcomes[rng.usize(0..outcomes.len())]);
+    }
+
+    fn answer_counter_calls(&mut self, rng: &mut fastrand::Rng) {
+        while !self.counter_calls.is_empty() {
+            let (key, amount) = self.counter_calls.remove(0);
+            let outcomes = [Outcome::Success, Outcome::Success, Outcome::Timeout, Outcome::Rejected];
+            let outcome = outcomes[rng.usize(0..4)];
+            let total = amount + rng.f64() * 12.0;
+            let elapsed_ms = rng.f64() * 60.0;
+            self.handle(Event::CounterReply { key, outcome, total, elapsed_ms });
+        }
+    }
+
+    fn change_any_endpoint(&mut self, rng: &mut fastrand::Rng) {
+        let id = rng.u32(1..=6);
+        let states =
+            [EndpointState::Ready, EndpointState::Ready, EndpointState::Draining, EndpointState::Removed];
+        let state = states[rng.usize(0..4)];
+        let started_at = if rng.bool() { self.now } else { 0.0 };
+        self.endpoints.insert(id, state);
+        let endpoints = vec![endpoint(id, state, started_at)];
+        self.handle(Event::EndpointUpdate { complete: false, endpoints });
+    }
+}
+
+fn endpoint(id: u32, state: EndpointState, started_at: f64) -> Endpoint {
+    Endpoint { id, hash_key: id.into(), zone: id % 2, kind: 0, cell: id, state, weight: 1.0, started_at }
+}
+
+fn run(seed: u64, hedging: bool) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut world = World::new(seed, hedging);
+    let endpoints = (1..=6).map(|id| endpoint(id, EndpointState::Ready, 0.0)).collect();
+    world.handle(Event::EndpointUpdate { complete: true, endpoints });
+    for id in 1..4000 {
+        world.advance(rng.f64() * 8.0);
+        world.disturb(&mut rng);
         match rng.u32(0..10) {
-            0..=3 => {
-                let (class, budget_ms) = (rng.usize(0..3), 20.0 + rng.f64() * 2000.0);
-                let ends = w.now + budget_ms;
-                w.asked.insert(id, Asked { class, ends, answered: false, attempts: Vec::new() });
-                w.event(Event::Request(Request {
-                    id,
-                    customer: rng.u64(0..20),
-                    plan: 0,
-                    class: class as u32,
-                    units: rng.f64() * 3.0,
-                    timeout_ms: budget_ms,
-                    gateway_set_size: 2.0,
-                    is_retry: rng.bool(),
-                }));
-            }
-            4..=7 => {
-                let live = w.asked.iter().flat_map(|(id, a)| {
-                    a.attempts.iter().enumerate().filter(|(_, o)| o.live).map(|(n, _)| (*id, n))
-                });
-                let live = live.collect::<Vec<_>>();
-                if !live.is_empty() {
-                    let (id, attempt) = live[rng.usize(0..live.len())];
-                    let all = [
-                        Outcome::Success,
-                        Outcome::Success,
-                        Outcome::Success,
-                        Outcome::ErrorResponse,
-                        Outcome::Rejected,
-                        Outcome::ConnectFailed,
-                        Outcome::ConnectionReset,
-                        Outcome::Cancelled,
-                    ];
-                    w.outcome(id, attempt, all[rng.usize(0..all.len())]);
-                }
-            }
-            8 => {
-                while let Some((name, amount)) = (!w.counts.is_empty()).then(|| w.counts.remove(0)) {
-                    let result = [Outcome::Success, Outcome::Success, Outcome::Timeout, Outcome::Rejected]
-                        [rng.usize(0..4)];
-                    let total = amount + rng.f64() * 12.0;
-                    w.event(Event::CounterReply {
-                        key: name,
-                        outcome: result,
-                        total,
-                        elapsed_ms: rng.f64() * 60.0,
-                    });
-                }
-            }
-            _ => {
-                let id = rng.u32(1..=6);
-                let state = [
-                    EndpointState::Ready,
-                    EndpointState::Ready,
-                    EndpointState::Draining,
-                    EndpointState::Removed,
-                ][rng.usize(0..4)];
-                let started = if rng.bool() { w.now } else { 0.0 };
-                w.states.insert(id, state);
-                w.event(Event::EndpointUpdate {
-                    complete: false,
-                    endpoints: vec![entry(id, state, started)],
-                });
-            }
+            0..=3 => world.send_request(id, &mut rng),
+            4..=7 => world.end_any_attempt(&mut rng),
+            8 => world.answer_counter_calls(&mut rng),
+            _ => world.change_any_endpoint(&mut rng),
         }
     }
     for _ in 0..300 {
-        w.pass(10.0);
+        world.advance(10.0);
     }
-    assert!(w.asked.values().all(|a| a.answered), "every request has its answer");
+    assert!(world.requests.values().all(|request| request.answered), "every request has its answer");
 }
 
 #[test]
