--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -107,3 +107,6 @@
         std::iter::from_fn(|| self.0.pop_first()).take(MAX_USAGES).map(|(_, usage)| usage).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/adaptive_timeout.rs
+++ b/src/primitives/adaptive_timeout.rs
@@ -43,3 +43,6 @@
         baseline.update(capped);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/aimd.rs
+++ b/src/primitives/aimd.rs
@@ -113,3 +113,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/load_estimate.rs
+++ b/src/primitives/load_estimate.rs
@@ -99,3 +99,6 @@
         self.responses.record(now, responses);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/mean.rs
+++ b/src/primitives/mean.rs
@@ -75,3 +75,6 @@
 fn kept_share(elapsed_ms: f64, time_constant_ms: f64) -> f64 {
     (-elapsed_ms.max(0.0) / time_constant_ms).exp()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/shared_bucket.rs
+++ b/src/primitives/shared_bucket.rs
@@ -238,3 +238,6 @@
         Window::at(now, self.key, self.window_length_ms(limits))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/token_bucket.rs
+++ b/src/primitives/token_bucket.rs
@@ -25,3 +25,6 @@
         self.tokens -= tokens;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/timer.rs
+++ b/src/state/timer.rs
@@ -36,3 +36,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/state/timer/tests.rs
@@ -0,0 +1,13 @@
+use super::*;
+
+#[test]
+fn a_token_gives_back_its_timer() {
+    for timer in [Timer::Housekeeping, Timer::CounterWait(0), Timer::CounterWait(99), Timer::Gossip] {
+        assert_eq!(Timer::from_token(timer.token()), timer);
+    }
+}
+
+#[test]
+fn an_unknown_token_counts_as_housekeeping() {
+    assert_eq!(Timer::from_token(u64::MAX), Timer::Housekeeping);
+}
