--- a/src/policy/forwarding.rs
+++ b/src/policy/forwarding.rs
@@ -88,8 +88,7 @@
         let first = open.attempts.is_empty();
         let endpoint_in_flight = self.load_balancer.attempt_started(cx.now, cx.settings, endpoint, first);
         self.quota.customers.attempt_started(&open.request, first);
-        let attempt = Attempt { endpoint, started_at: cx.now, endpoint_in_flight, in_flight: true };
-        open.attempts.push(attempt);
+        open.attempts.push(Attempt { endpoint, started_at: cx.now, endpoint_in_flight, in_flight: true });
         let timeout_ms = attempt_timeout(cx, open);
         cx.actions.push(Action::SendAttempt { id: open.request.id, endpoint, timeout_ms });
         self.load.request_started(cx.now);
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -1,6 +1,6 @@
 //! The customers' quotas, which all gateways enforce together by means of a shared counter.
 
-use crate::api::{Action, Millis, Plan, RequestId, Settings};
+use crate::api::{Action, Millis, RequestId, Settings};
 use crate::policy::counter_calls::CounterCalls;
 use crate::policy::usage_gossip::UsageGossip;
 use crate::primitives::aimd::CallPriority;
@@ -103,7 +103,7 @@
         });
         let exhausted = self.counter.limiter.is_exhausted();
         let remote_usage = if exhausted { RemoteUsage::Projected } else { RemoteUsage::Ignored };
-        let elapsed_s = customer.refill(cx.now, limits(cx, plan), remote_usage);
+        let elapsed_s = customer.refill(cx.now, bucket_limits(cx, account), remote_usage);
         customer.ceiling.refill(elapsed_s * plan.ceiling_rate * ceiling_share, ceiling_capacity);
         customer.last_seen_at = cx.now;
         customer
@@ -118,7 +118,7 @@
     /// Units that the customer's next charge carries to the counter, or refunds if negative.
     pub(crate) fn settle_later(&mut self, cx: &Context, account: Account, units: f64) {
         if let Some(customer) = self.customers.get_mut(account.customer) {
-            customer.quota.settle_later(cx.now, units, limits(cx, cx.plan(account)));
+            customer.quota.settle_later(cx.now, units, bucket_limits(cx, account));
         }
     }
 
@@ -179,7 +179,7 @@
     fn call_counter(&mut self, cx: &mut Context, open: &OpenRequest, units: f64) {
         let account = open.account();
         let Some(customer) = self.customers.get_mut(account.customer) else { return };
-        let charge = customer.quota.charge(cx.now, units, limits(cx, cx.plan(account)));
+        let charge = customer.quota.charge(cx.now, units, bucket_limits(cx, account));
         customer.pending_calls += 1;
         customer.last_call_at = cx.now;
         let key = counter_key(account.customer, charge.window);
@@ -201,7 +201,7 @@
     /// Rebuilds the customer's quota from the reply to a call.
     fn apply_reply(&mut self, cx: &Context, call: &CounterCall, reply: &CounterReply) {
         let Some(customer) = self.customers.get_mut(call.account.customer) else { return };
-        let limits = limits(cx, cx.plan(call.account));
+        let limits = bucket_limits(cx, call.account);
         customer.pending_calls = customer.pending_calls.saturating_sub(1);
         if let Some(total) = reply.valid_total() {
             customer.refill(cx.now, limits, RemoteUsage::Ignored);
@@ -241,7 +241,8 @@
     }
 }
 
-fn limits(cx: &Context, plan: &Plan) -> BucketLimits {
+fn bucket_limits(cx: &Context, account: Account) -> BucketLimits {
+    let plan = cx.plan(account);
     let max_deficit = cx.settings.max_units.max(plan.burst * MAX_DEFICIT_PER_BURST);
     BucketLimits { rate: plan.rate, burst: plan.burst, max_deficit }
 }
--- a/src/primitives/aimd.rs
+++ b/src/primitives/aimd.rs
@@ -1,26 +1,26 @@
-//! A rate limiter that finds out by itself what a shared service bears: its rate grows with each success and
+//! A rate limiter that finds its part of the capacity of a shared service: its rate grows with each success and
 //! is cut with each failure (additive increase, multiplicative decrease).
 
 use super::token_bucket::TokenBucket;
 
-/// How an [`AimdLimiter`] adapts. Rates are in calls a second.
+/// How an [`AimdLimiter`] adapts. Rates are in calls per second.
 pub(crate) struct AimdParameters {
     pub(crate) initial_rate: f64,
     pub(crate) min_rate: f64,
     pub(crate) max_rate: f64,
     /// Share of the rate that a failure leaves.
     pub(crate) decrease_factor: f64,
-    /// Calls a second that a success adds, beside its share of the rate.
+    /// Calls per second that a success adds, beside its share of the rate.
     pub(crate) additive_increase: f64,
     /// Share of the rate that a success adds below `near_share` of the rate before the last failures.
     pub(crate) fast_increase: f64,
     /// Share of the rate that a success adds above it.
     pub(crate) slow_increase: f64,
-    /// Share of the rate before the last failures from which on the rate counts as near to it.
+    /// From this share of the rate before the last failures on, the rate counts as near to it.
     pub(crate) near_share: f64,
     /// Failures in a row after which the service counts as down.
     pub(crate) max_consecutive_failures: u32,
-    /// Time in which the tokens that are saved up at most come in, in ms.
+    /// The capacity of the bucket, as the time in which it fills, in ms.
     pub(crate) burst_ms: f64,
 }
 
@@ -29,7 +29,7 @@
 pub(crate) enum CallPriority {
     /// Takes the last token.
     Required,
-    /// Leaves half of the tokens that can be saved up.
+    /// Leaves half of the bucket to required calls.
     Optional,
 }
 
--- a/src/primitives/shared_bucket.rs
+++ b/src/primitives/shared_bucket.rs
@@ -9,7 +9,7 @@
 /// How the level is rebuilt. Times are in ms.
 pub(crate) struct SharedBucketParameters {
     /// A usage decays by a factor e in this multiple of burst over rate, and the same multiple of the burst
-    /// is the limit of the count: together they hold a user to its rate.
+    /// is the limit of the count: together they limit a user to its rate.
     pub(crate) decay_bursts: f64,
     /// Length of a window, in decay times.
     pub(crate) window_decays: f64,
@@ -36,9 +36,9 @@
 /// How a refill treats the usage by the other parties since the last total.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RemoteUsage {
-    /// The next total will tell it soon.
+    /// It is not known before the next total, which comes soon.
     Ignored,
-    /// Calls to the counter are few: it is taken to go on as before for a while. The next total corrects it.
+    /// Calls to the counter are few: it is assumed to go on as before for a while. The next total corrects it.
     Projected,
 }
 
--- a/src/state/customer.rs
+++ b/src/state/customer.rs
@@ -150,3 +150,6 @@
         self.forget_idle(|last_seen_at| last_seen_at <= median);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/state/customer/tests.rs
@@ -0,0 +1,41 @@
+use super::*;
+use crate::primitives::shared_bucket::SharedBucketParameters;
+
+const PARAMETERS: SharedBucketParameters = SharedBucketParameters {
+    decay_bursts: 1.25,
+    window_decays: 20.0,
+    min_window_ms: 100.0,
+    max_window_ms: 50_000.0,
+    lost_count_share: 0.99,
+    remote_rate_ms: 2000.0,
+    projection_ms: 10_000.0,
+};
+
+fn customer(id: CustomerId, now: Millis) -> Customer {
+    Customer::new(now, SharedBucket::new(&PARAMETERS, id, now, 10.0), TokenBucket::new(0.0))
+}
+
+#[test]
+fn where_customers_are_too_many_the_half_that_was_idle_longest_is_forgotten() {
+    let mut customers = Customers::default();
+    for id in 0..MAX_CUSTOMERS as u64 {
+        customers.get_or_insert_with(id, || customer(id, id as Millis));
+    }
+    customers.get_mut(0).unwrap().in_flight = 1;
+    customers.get_or_insert_with(u64::MAX, || customer(u64::MAX, 1e9));
+    assert!(customers.len() <= MAX_CUSTOMERS / 2 + 2, "{}", customers.len());
+    assert!(customers.get(0).is_some(), "it is not idle");
+    assert!(customers.get(1).is_none());
+    assert!(customers.get(MAX_CUSTOMERS as u64 - 1).is_some());
+}
+
+#[test]
+fn idle_customers_are_forgotten_when_their_time_has_expired() {
+    let mut customers = Customers::default();
+    for id in 0..3 {
+        customers.get_or_insert_with(id, || customer(id, id as Millis));
+    }
+    customers.get_mut(0).unwrap().pending_calls = 1;
+    customers.forget_idle(|last_seen_at| last_seen_at < 2.0);
+    assert!(customers.get(0).is_some() && customers.get(1).is_none() && customers.get(2).is_some());
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,4 +1,5 @@
-//! What the gateway remembers: plain records with their constructors. Nothing here decides anything.
+//! What the gateway remembers: plain records with their constructors, and the tables that hold them. Nothing here
+//! decides about a request.
 
 mod context;
 mod counter_call;
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -144,3 +144,6 @@
         0.0
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/state/request/tests.rs
@@ -0,0 +1,78 @@
+use super::*;
+use crate::api::{Class, LoadReport, Plan};
+
+fn request(id: RequestId) -> Request {
+    Request {
+        id,
+        customer: 1,
+        plan: 0,
+        class: 0,
+        units: 1.0,
+        timeout_ms: 300.0,
+        gateway_set_size: 1.0,
+        is_retry: false,
+    }
+}
+
+fn open(request: Request) -> Option<OpenRequest> {
+    let classes = vec![Class { latency_objective_ms: 500.0, ..Class::default() }];
+    let settings = Settings { classes, plans: vec![Plan::default()], ..Settings::default() };
+    OpenRequest::new(request, &settings, 1000.0)
+}
+
+fn with_attempt() -> OpenRequest {
+    let mut open = open(request(1)).unwrap();
+    open.attempts.push(Attempt { endpoint: 7, started_at: 1000.0, endpoint_in_flight: 1.0, in_flight: true });
+    open
+}
+
+fn ended(outcome: Outcome) -> AttemptEnd {
+    AttemptEnd {
+        id: 1,
+        attempt: 0,
+        endpoint: 7,
+        outcome,
+        request_answered: false,
+        actual_units: None,
+        elapsed_ms: 5.0,
+        load: LoadReport::default(),
+    }
+}
+
+#[test]
+fn a_request_is_opened_only_if_its_class_and_plan_are_known_and_time_is_left() {
+    let opened = open(request(1)).unwrap();
+    assert_eq!((opened.deadline, opened.objective_deadline), (1300.0, 1300.0));
+    assert!(open(Request { class: 1, ..request(1) }).is_none());
+    assert!(open(Request { plan: 1, ..request(1) }).is_none());
+    assert!(open(Request { timeout_ms: f64::NAN, ..request(1) }).is_none());
+    assert_eq!(open(Request { units: f64::INFINITY, ..request(1) }).unwrap().request.units, 0.0);
+}
+
+#[test]
+fn an_attempt_ends_once() {
+    let mut open = with_attempt();
+    assert!(open.end_attempt(&ended(Outcome::Timeout)).is_some());
+    assert!(open.end_attempt(&ended(Outcome::Timeout)).is_none());
+    assert!(open.end_attempt(&AttemptEnd { attempt: 9, ..ended(Outcome::Timeout) }).is_none());
+    assert_eq!(open.first_execution.map(|first| first.endpoint), Some(7));
+}
+
+#[test]
+fn an_attempt_that_was_not_sent_leaves_the_request_unsent_and_unexecuted() {
+    let mut open = with_attempt();
+    open.end_attempt(&ended(Outcome::NotSent));
+    assert!(open.was_never_sent() && open.first_execution.is_none());
+}
+
+#[test]
+fn a_request_is_forgotten_once_it_is_closed_and_its_attempts_have_ended() {
+    let mut requests = OpenRequests::default();
+    requests.insert(with_attempt());
+    requests.update(1, |open| open.closed = true);
+    assert!(requests.contains(1));
+    requests.update(1, |open| {
+        open.end_attempt(&ended(Outcome::Cancelled));
+    });
+    assert!(!requests.contains(1));
+}
