--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -6,7 +6,7 @@
 
 use crate::api::*;
 use crate::gossip::{Message, Use, USES_MOST};
-use crate::policy::load_balancer::{LoadBalancer, EJECT_MS, USUAL_GAIN, USUAL_OF_AIM};
+use crate::policy::{latency::*, load_balancer::LoadBalancer, outlier::BASE_EJECTION_MS};
 use crate::primitives::aimd::{AimdLimiter, AimdParameters, CallPriority};
 use crate::primitives::window::Window;
 use crate::state::*;
@@ -145,7 +145,7 @@
             out: 0.0,
             out_mean: 0.0,
             served: 0.0,
-            late: USUAL_OF_AIM,
+            late: INITIAL_BASELINE_SHARE,
             flow_at: now,
             units: 1.0,
             retries: RETRY_MOST,
@@ -176,7 +176,9 @@
             Event::EndpointUpdate { complete: full, endpoints: entries } => {
                 self.load_balancer.update_endpoints(now, &self.settings, full, entries, &mut self.rng);
             }
-            Event::EndpointPollFailed => self.list_retry = Some(now + EJECT_MS * (1.0 + self.rng.f64())),
+            Event::EndpointPollFailed => {
+                self.list_retry = Some(now + BASE_EJECTION_MS * (1.0 + self.rng.f64()))
+            }
             Event::Request(request) => self.request(now, request, actions),
             Event::ResponseStarted { id, .. } => {
                 if let Some(open) = self.requests.get_mut(&id) {
@@ -236,7 +238,7 @@
             return;
         }
         let (units, customer, timeout_ms) = (request.units, request.customer, request.timeout_ms);
-        self.units += (units - self.units) * USUAL_GAIN;
+        self.units += (units - self.units) * BASELINE_WEIGHT;
         let aim = self.settings.classes[class].latency_objective_ms.min(request.timeout_ms);
         self.customer(now, customer, plan_no, request.gateway_set_size);
         let open = OpenRequest::new(request, now + timeout_ms, now + aim);
--- a/src/primitives/ring.rs
+++ b/src/primitives/ring.rs
@@ -1,74 +1,160 @@
-//! Backends on a ring for each zone, by a key that all gateways see alike, and arcs of it. A data structure: nothing
-//! here decides anything.
+//! A hash ring for each zone, and one arc of all these rings. Processes that add the same nodes have the same rings.
 
-use crate::api::EndpointId;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Part of a whole turn between two gateways that follow each other in number.
-const TURN: f64 = 0.618_033_988_749_895;
+/// Share of the ring between two processes of consecutive index: the golden ratio spreads any number of them.
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 
-/// The rings.
-#[derive(Default)]
-pub(crate) struct Ring {
-    zones: BTreeMap<u32, BTreeSet<(u64, EndpointId)>>,
-    len: usize,
-}
+/// The number of a node.
+pub(crate) type NodeId = u32;
 
-/// The place of a key on its ring: keys may be small numbers in a row.
-fn place(key: u64) -> u64 {
-    let mixed = (key ^ key >> 30).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    let mixed = (mixed ^ mixed >> 27).wrapping_mul(0x94D0_49BB_1331_11EB);
-    mixed ^ mixed >> 31
+/// A node and what places it: the ring of its zone and a key that all processes see alike.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Node {
+    pub(crate) id: NodeId,
+    pub(crate) zone: u32,
+    pub(crate) key: u64,
 }
 
-/// A share of a whole turn, as places go.
-pub(crate) fn turn(share: f64) -> u64 {
-    (share.clamp(0.0, 1.0) * u64::MAX as f64) as u64
+/// The nodes on one arc of all rings. Each zone gives at least its first `min_per_zone` nodes from the start of the
+/// arc on, though they lie behind its end.
+#[derive(Default)]
+pub(crate) struct RingArc {
+    zones: BTreeMap<u32, BTreeSet<(u64, NodeId)>>,
+    /// Nodes on all rings.
+    node_count: usize,
+    start: u64,
+    length: u64,
+    /// The length as a share of a ring.
+    share: f64,
+    min_per_zone: usize,
+    /// Sorted by number; `is_stale` if they may differ from what the arc holds now.
+    members: Vec<NodeId>,
+    is_stale: bool,
 }
 
-/// Where the gateway of this number begins among so many. The places are even, and gateways whose numbers follow each
-/// other lie far apart: customers come through gateways in a row, and these must not share their backends.
-pub(crate) fn begin(number: u32, count: u32) -> u64 {
-    let count = u64::from(count.max(1));
-    let gcd = |mut a: u64, mut b: u64| {
-        while b > 0 {
-            (a, b) = (b, a % b);
+impl RingArc {
+    /// An arc of no length.
+    pub(crate) fn new(start: u64, min_per_zone: usize) -> Self {
+        RingArc { start, min_per_zone, ..RingArc::default() }
+    }
+
+    /// Number of nodes on all rings.
+    pub(crate) fn node_count(&self) -> usize {
+        self.node_count
+    }
+
+    /// Puts `new` in the place of `old`; either may be absent.
+    pub(crate) fn replace(&mut self, old: Option<Node>, new: Option<Node>) {
+        if old == new {
+            return;
         }
-        a
-    };
-    // A step that visits each place once, a golden section as nearly as can be.
-    let first = ((count as f64 * TURN) as u64).max(1);
-    let step = (first..=first + count).find(|step| gcd(*step, count) == 1).unwrap_or(1);
-    turn((u64::from(number) * step % count) as f64 / count as f64)
-}
+        if let Some(node) = old {
+            self.remove(node);
+        }
+        if let Some(node) = new {
+            self.insert(node);
+        }
+    }
 
-impl Ring {
-    /// Backends on all rings.
-    pub(crate) fn len(&self) -> usize {
-        self.len
+    fn insert(&mut self, node: Node) {
+        let position = position_of_key(node.key);
+        let ring = self.zones.entry(node.zone).or_default();
+        if ring.insert((position, node.id)) {
+            self.node_count += 1;
+            let zone_len = ring.len();
+            self.note_change(position, zone_len);
+        }
     }
 
-    /// Puts a backend on its ring or takes it off. Its place and how many are there now, if that changes anything.
-    pub(crate) fn set(&mut self, zone: u32, key: u64, id: EndpointId, on: bool) -> Option<(u64, usize)> {
-        let (ring, place) = (self.zones.entry(zone).or_default(), place(key));
-        let changed = if on { ring.insert((place, id)) } else { ring.remove(&(place, id)) };
-        changed.then(|| {
-            self.len = if on { self.len + 1 } else { self.len - 1 };
-            (place, ring.len())
-        })
+    fn remove(&mut self, node: Node) {
+        let position = position_of_key(node.key);
+        let Some(ring) = self.zones.get_mut(&node.zone) else { return };
+        if ring.remove(&(position, node.id)) {
+            self.node_count -= 1;
+            let zone_len = ring.len();
+            self.note_change(position, zone_len);
+        }
     }
 
-    /// Those of all rings within the arc, and at least so many behind its begin on each, in the order of their numbers.
-    pub(crate) fn arc(&self, begin: u64, length: u64, least: usize) -> Vec<EndpointId> {
-        let mut found = Vec::new();
+    /// A node at this position has come or gone; the zone now has `zone_len` nodes.
+    fn note_change(&mut self, position: u64, zone_len: usize) {
+        let is_on_arc = position.wrapping_sub(self.start) <= self.length;
+        if is_on_arc || zone_len <= 2 * self.min_per_zone {
+            self.is_stale = true;
+        }
+    }
+
+    /// Makes the arc this share of a ring. Changes by up to `min_change` of its length are left out, except the last
+    /// one to the whole ring.
+    pub(crate) fn resize(&mut self, share: f64, min_change: f64) {
+        let becomes_whole = share == 1.0 && self.share < 1.0;
+        if becomes_whole || (share - self.share).abs() > self.share * min_change {
+            self.share = share;
+            self.length = arc_length(share);
+            self.is_stale = true;
+        }
+    }
+
+    /// Brings the members up to date; true if they may have changed.
+    pub(crate) fn update(&mut self) -> bool {
+        if self.is_stale {
+            self.members = self.find_members();
+        }
+        std::mem::take(&mut self.is_stale)
+    }
+
+    /// The members as of the last update, sorted by their numbers.
+    pub(crate) fn members(&self) -> &[NodeId] {
+        &self.members
+    }
+
+    fn find_members(&self) -> Vec<NodeId> {
+        let mut members = Vec::new();
         for ring in self.zones.values() {
-            let behind = ring.range((begin, 0)..).chain(ring.range(..(begin, 0)));
-            let inside = |(n, (place, _)): &(usize, &(u64, EndpointId))| {
-                *n < least || place.wrapping_sub(begin) <= length
-            };
-            found.extend(behind.enumerate().take_while(inside).map(|(_, (_, id))| *id));
+            let from_start = ring.range((self.start, 0)..);
+            let wrapped_around = ring.range(..(self.start, 0));
+            for (index, (position, id)) in from_start.chain(wrapped_around).enumerate() {
+                let is_on_arc = position.wrapping_sub(self.start) <= self.length;
+                if index >= self.min_per_zone && !is_on_arc {
+                    break;
+                }
+                members.push(*id);
+            }
         }
-        found.sort_unstable();
-        found
+        members.sort_unstable();
+        members
+    }
+}
+
+/// The length of an arc that covers this share of a ring.
+fn arc_length(share: f64) -> u64 {
+    (share.clamp(0.0, 1.0) * u64::MAX as f64) as u64
+}
+
+/// The position of the process of this index among `count` that are spaced evenly. Consecutive indexes lie far apart:
+/// a customer's requests come through consecutive gateways, and these must not share their servers.
+pub(crate) fn evenly_spaced_position(index: u32, count: u32) -> u64 {
+    let count = u64::from(count.max(1));
+    // A step without a common divisor visits each position once.
+    let ideal_step = ((count as f64 * GOLDEN_RATIO) as u64).max(1);
+    let candidates = ideal_step..=ideal_step + count;
+    let step = candidates.into_iter().find(|step| greatest_common_divisor(*step, count) == 1).unwrap_or(1);
+    arc_length((u64::from(index) * step % count) as f64 / count as f64)
+}
+
+/// Mixes the bits of a key, as keys may be consecutive numbers (the finalizer of SplitMix64).
+fn position_of_key(key: u64) -> u64 {
+    let mixed = (key ^ key >> 30).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let mixed = (mixed ^ mixed >> 27).wrapping_mul(0x94D0_49BB_1331_11EB);
+    mixed ^ mixed >> 31
+}
+
+fn greatest_common_divisor(mut larger: u64, mut smaller: u64) -> u64 {
+    while smaller > 0 {
+        let remainder = larger % smaller;
+        larger = smaller;
+        smaller = remainder;
     }
+    larger
 }
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -1,54 +1,125 @@
 //! What the gateway knows of one endpoint.
 
-use crate::api::{Endpoint, Millis};
+use crate::api::{Endpoint, EndpointState, Millis, Outcome};
+use crate::primitives::decay::DecayingRatio;
+use crate::primitives::ejection::Ejection;
+use crate::primitives::ramp::WarmUp;
+use crate::primitives::ring::Node;
+use crate::state::ConnectionEstimate;
+use std::ops::Range;
 
-/// One backend as this gateway sees it.
+/// One endpoint as this gateway sees it.
 pub(crate) struct TrackedEndpoint {
     pub(crate) endpoint: Endpoint,
-    /// The last list that named it.
+    /// Number of the last endpoint update that named it.
     pub(crate) last_update: u64,
-    /// When it started or came back, if it may be cold.
-    pub(crate) slow_start_from: Option<Millis>,
-    /// Work it may be sent while cold, in requests, and when that was reckoned.
-    pub(crate) slow_start_tokens: f64,
-    pub(crate) slow_start_tokens_at: Millis,
+    /// Attempts of this gateway in flight.
     pub(crate) in_flight: u32,
-    /// Its time for a request beside the fleet's, and when last learned.
-    pub(crate) relative_latency: f64,
-    pub(crate) latency_updated_at: Millis,
-    /// Connections believed open to it, and when the last answer came on one.
-    pub(crate) connections: u32,
-    pub(crate) connection_used_at: Millis,
-    /// Last sign of life with work out.
+    /// The last response, or if later, the start of an attempt that found no other in flight.
     pub(crate) last_response_at: Millis,
-    pub(crate) consecutive_failures: u32,
-    /// Share of its answers that come spoilt or break off.
-    pub(crate) invalid_response_rate: f64,
-    /// Left out until then; a trial request follows.
-    pub(crate) ejected_until: Millis,
-    /// Turns each plan away until then.
-    pub(crate) rejecting_until: Vec<Millis>,
+    /// Its latency compared to the fleet's.
+    pub(crate) relative_latency: DecayingRatio,
+    pub(crate) connections: ConnectionEstimate,
+    pub(crate) warm_up: WarmUp,
+    pub(crate) health: EndpointHealth,
 }
 
 impl TrackedEndpoint {
-    /// An endpoint of which nothing is known yet but its entry in the list.
-    pub(crate) fn new(endpoint: Endpoint, slow_start_from: Option<Millis>, now: Millis) -> Self {
+    /// An endpoint of which only its entry in the endpoint list is known.
+    pub(crate) fn new(
+        endpoint: Endpoint, relative_latency: DecayingRatio, connections: ConnectionEstimate,
+        warm_up: WarmUp, now: Millis,
+    ) -> Self {
         TrackedEndpoint {
             endpoint,
             last_update: 0,
-            slow_start_from,
-            slow_start_tokens: 0.0,
-            slow_start_tokens_at: now,
             in_flight: 0,
-            relative_latency: 1.0,
-            latency_updated_at: now,
-            connections: 0,
-            connection_used_at: now,
             last_response_at: now,
-            consecutive_failures: 0,
-            invalid_response_rate: 0.0,
-            ejected_until: now,
-            rejecting_until: Vec::new(),
+            relative_latency,
+            connections,
+            warm_up,
+            health: EndpointHealth::default(),
         }
     }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.endpoint.state == EndpointState::Ready
+    }
+
+    /// Its place among the ready endpoints.
+    pub(crate) fn ring_node(&self) -> Option<Node> {
+        let Endpoint { id, zone, hash_key: key, .. } = self.endpoint;
+        self.is_ready().then_some(Node { id, zone, key })
+    }
+
+    pub(crate) fn has_free_connection(&self, now: Millis) -> bool {
+        self.connections.has_free(now, self.in_flight)
+    }
+
+    /// Whether an attempt may be sent as far as ejection goes.
+    pub(crate) fn is_admitted(&self, now: Millis) -> bool {
+        self.health.ejection.admits(now, self.in_flight == 0)
+    }
+
+    /// Whether it takes attempts of any plan now.
+    pub(crate) fn is_available(&self, now: Millis) -> bool {
+        self.is_ready() && self.is_admitted(now) && !self.health.is_rejecting_any(now)
+    }
+
+    /// It has started anew: what was learned of it no longer holds.
+    pub(crate) fn restart(&mut self, warm_up: WarmUp) {
+        self.warm_up = warm_up;
+        self.health = EndpointHealth::default();
+        self.relative_latency.reset();
+    }
+
+    pub(crate) fn attempt_started(&mut self, now: Millis) {
+        if self.in_flight == 0 {
+            self.last_response_at = now;
+        }
+        self.in_flight += 1;
+        self.connections.attempt_started(now, self.in_flight);
+        self.warm_up.take_token();
+    }
+
+    pub(crate) fn attempt_ended(&mut self, now: Millis, outcome: Outcome) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.connections.attempt_ended(now, outcome);
+        if matches!(outcome, Outcome::Success | Outcome::Rejected) {
+            self.last_response_at = now;
+        }
+    }
+}
+
+/// What an endpoint's outcomes say about its health.
+#[derive(Default)]
+pub(crate) struct EndpointHealth {
+    pub(crate) ejection: Ejection,
+    /// Share of its responses that are errors or break off, averaged.
+    pub(crate) invalid_rate: f64,
+    /// By plan: it is likely to reject requests until then. Plans beyond the end have had no rejection.
+    rejecting_until: Vec<Millis>,
+}
+
+impl EndpointHealth {
+    /// The endpoint is likely to reject requests of these plans until then.
+    pub(crate) fn set_rejecting(&mut self, plans: Range<usize>, until: Millis) {
+        if self.rejecting_until.len() < plans.end {
+            self.rejecting_until.resize(plans.end, f64::NEG_INFINITY);
+        }
+        self.rejecting_until[plans].fill(until);
+    }
+
+    pub(crate) fn is_rejecting(&self, now: Millis, plan: usize) -> bool {
+        self.rejecting_until.get(plan).is_some_and(|until| now < *until)
+    }
+
+    pub(crate) fn is_rejecting_any(&self, now: Millis) -> bool {
+        self.rejecting_until.iter().any(|until| now < *until)
+    }
+
+    /// Whether it is neither ejected nor rejecting.
+    pub(crate) fn is_healthy(&self, now: Millis) -> bool {
+        !self.ejection.is_ejected() && !self.is_rejecting_any(now)
+    }
 }
