--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,228 +1,354 @@
-//! What is harmless in one gateway and harmful in all: many instances of the module, their sends summed against
-//! the rule.
+//! What is harmless in one gateway and harmful in all: many gateways, whose attempts together are held against the
+//! rules.
 
 mod common;
 use common::*;
 use quota_gateway::*;
 use std::collections::BTreeMap;
 
-fn instance(settings: &Settings, number: u32, now: f64) -> TestGateway {
-    let settings = Settings { gateway_index: number, ..settings.clone() };
-    TestGateway { gateway: Gateway::new(settings, u64::from(number) * 7919 + 1, now), now }
+fn gateway_at(settings: &Settings, index: u32, now: f64) -> TestGateway {
+    let settings = Settings { gateway_index: index, ..settings.clone() };
+    TestGateway { gateway: Gateway::new(settings, u64::from(index) * 7919 + 1, now), now }
 }
 
-/// Most sends in any span of this length, beside what is allowed then.
-fn worst(sends: &[f64], span: f64, allowed: impl Fn(f64) -> f64) -> (usize, f64) {
+/// Attempts sent in a window of time, and how many are allowed then.
+struct WindowLoad {
+    sent: usize,
+    allowed: f64,
+}
+
+impl WindowLoad {
+    fn is_worse_than(&self, other: &WindowLoad) -> bool {
+        self.sent as f64 / self.allowed > other.sent as f64 / other.allowed
+    }
+}
+
+/// The window of this length with the most attempts, compared to what is allowed at its start.
+fn worst_window(sent_at: &[f64], window_ms: f64, allowed: impl Fn(f64) -> f64) -> WindowLoad {
     let mut first = 0;
-    let mut worst = (0, f64::INFINITY);
-    for (last, at) in sends.iter().enumerate() {
-        while sends[first] < at - span {
+    let mut worst = WindowLoad { sent: 0, allowed: f64::INFINITY };
+    for (last, at) in sent_at.iter().enumerate() {
+        while sent_at[first] < at - window_ms {
             first += 1;
         }
-        let (sent, allowed) = (last + 1 - first, allowed(sends[first]));
-        if sent as f64 / allowed > worst.0 as f64 / worst.1 {
-            worst = (sent, allowed);
+        let load = WindowLoad { sent: last + 1 - first, allowed: allowed(sent_at[first]) };
+        if load.is_worse_than(&worst) {
+            worst = load;
         }
     }
     worst
 }
 
-/// Each backend bears so many a second when warm, and has a line of so many ms before it turns away.
-const BEARS: f64 = 20.0;
-const LINE_MS: f64 = 800.0;
-const COLD_FROM: f64 = 0.16;
+/// Requests per second that an endpoint serves when it is warm.
+const WARM_CAPACITY: f64 = 20.0;
+/// An endpoint rejects requests that would wait longer than this, in ms.
+const MAX_QUEUE_MS: f64 = 800.0;
+/// Share of its capacity that an endpoint has when it starts.
+const COLD_CAPACITY_SHARE: f64 = 0.16;
+/// Time until an endpoint has its full capacity, in ms.
 const WARM_UP_MS: f64 = 15_000.0;
+/// Share of the attempts that end as an error.
+const ERROR_SHARE: f64 = 0.05;
+/// When the gateways start, in ms.
+const START: f64 = 1000.0;
+/// When the new endpoints start, in ms.
+const RELEASE: f64 = 9000.0;
+/// When the gateways hear of the release, in ms.
+const LIST_UPDATE: f64 = RELEASE + 1000.0;
+/// When one gateway restarts, in ms.
+const GATEWAY_RESTART: f64 = RELEASE + 4000.0;
+/// End of the play, in ms.
+const END: f64 = RELEASE + 12_000.0;
+/// Pause of a client after a rejection, in ms.
+const CLIENT_PAUSE_MS: f64 = 400.0;
+/// Marks the number of a request that has come again.
+const RETRY_MARK: u64 = 1 << 40;
 
-/// A release: half of the warm backends go and as many start cold, told to all gateways a second later.
+/// A release: half of the warm endpoints are removed, and as many start cold in their place.
 struct Release {
     gateways: u32,
     seed: u64,
-    /// Requests a second over all gateways; one gateway in ten sees four times what the others see.
-    rate: f64,
+    /// Requests per second over all gateways; one gateway in ten gets four times what the others get.
+    request_rate: f64,
     overload_multiple: f64,
     overload_window_ms: f64,
-    /// Backends that stay; as many go, and as many come cold in their place.
-    stay: u32,
+    /// Number of endpoints that stay, of those removed, and of those that start.
+    staying: u32,
+}
+
+/// What the new endpoints were sent.
+struct ReleaseLoad {
+    /// The worst window of any of them.
+    worst: WindowLoad,
+    /// Attempts to all of them.
+    sent: usize,
 }
 
 impl Release {
-    /// The worst that any cold backend gets in the time that the rules name: sends of all gateways beside
-    /// N + 2 x root of N + 2, N being what it bears then; and all sends to cold ones. One gateway restarts during the
-    /// ramp, one attempt in twenty ends as an error, and clients come again.
-    fn play(&self) -> (usize, f64, usize) {
-        let mut s = settings();
-        (s.counter, s.plans[0].rate, s.gateway_count) = (None, 0.0, self.gateways);
-        (s.rules.overload_multiple, s.rules.overload_window_ms) =
-            (self.overload_multiple, self.overload_window_ms);
-        (s.rules.slow_start_min_capacity, s.rules.slow_start_ms) = (COLD_FROM, WARM_UP_MS);
-        let (start, born) = (1000.0, 9000.0);
-        let share = |at: f64| COLD_FROM + (1.0 - COLD_FROM) * ((at - born) / WARM_UP_MS).clamp(0.0, 1.0);
-        let warm: Vec<_> =
-            (1..=2 * self.stay).map(|id| endpoint_entry(id, 0, EndpointState::Ready)).collect();
-        let gone = (self.stay + 1..=2 * self.stay).map(|id| endpoint_entry(id, 0, EndpointState::Removed));
-        let cold = (2 * self.stay + 1..=3 * self.stay)
-            .map(|id| Endpoint { started_at: born, ..endpoint_entry(id, 0, EndpointState::Ready) });
-        let change: Vec<_> = gone.chain(cold.clone()).collect();
-        let after: Vec<_> = warm[..self.stay as usize].iter().cloned().chain(cold).collect();
-        let mut rigs: Vec<_> = (0..self.gateways).map(|number| instance(&s, number, start)).collect();
-        for rig in &mut rigs {
-            rig.handle(Event::EndpointUpdate { complete: true, endpoints: warm.clone() });
+    /// Plays the release with a gateway that restarts during the warm-up, endpoints that fail a few requests, and clients
+    /// that come again once after a rejection. In the window that the rules name, a warming endpoint may be sent
+    /// N + 2 x root of N + 2 attempts, N being the multiple of its capacity at which it is overloaded.
+    fn play(&self) -> ReleaseLoad {
+        let mut simulation = Simulation::new(self);
+        simulation.run();
+        let allowed = |at: f64| {
+            let capacity = capacity_share(at) * WARM_CAPACITY;
+            let overload = self.overload_multiple * capacity * self.overload_window_ms / 1000.0;
+            overload + 2.0 * overload.sqrt() + 2.0
+        };
+        let mut worst = WindowLoad { sent: 0, allowed: 1.0 };
+        for sent_at in &simulation.sent_to_new {
+            let load = worst_window(sent_at, self.overload_window_ms, allowed);
+            if load.is_worse_than(&worst) {
+                worst = load;
+            }
         }
-        let mut rng = fastrand::Rng::with_seed(self.seed);
-        let mut free_at = vec![start; (3 * self.stay + 1) as usize];
-        let mut sends = vec![Vec::new(); self.stay as usize + 1];
-        let mut events = BTreeMap::from([((0, 0), Step::Arrival)]);
-        let (mut next, mut asked, mut told, mut restarted) = (0, 0, false, false);
-        let mut attempts = BTreeMap::new();
-        let at = |ms: f64| (ms * 1000.0) as u64;
-        while let Some(((micros, _), step)) = events.pop_first() {
-            let now = start + micros as f64 / 1000.0;
-            if now > born + 12_000.0 {
+        ReleaseLoad { worst, sent: simulation.sent_to_new.iter().map(Vec::len).sum() }
+    }
+
+    fn settings(&self) -> Settings {
+        let mut settings = settings();
+        settings.counter = None;
+        settings.plans[0].rate = 0.0;
+        settings.gateway_count = self.gateways;
+        settings.rules.overload_multiple = self.overload_multiple;
+        settings.rules.overload_window_ms = self.overload_window_ms;
+        settings.rules.slow_start_min_capacity = COLD_CAPACITY_SHARE;
+        settings.rules.slow_start_ms = WARM_UP_MS;
+        settings
+    }
+
+    fn endpoints_before(&self) -> Vec<Endpoint> {
+        (1..=2 * self.staying).map(|id| endpoint_entry(id, 0, EndpointState::Ready)).collect()
+    }
+
+    fn new_endpoints(&self) -> impl Iterator<Item = Endpoint> {
+        let ids = 2 * self.staying + 1..=3 * self.staying;
+        ids.map(|id| Endpoint { started_at: RELEASE, ..endpoint_entry(id, 0, EndpointState::Ready) })
+    }
+
+    fn changed_entries(&self) -> Vec<Endpoint> {
+        let removed =
+            (self.staying + 1..=2 * self.staying).map(|id| endpoint_entry(id, 0, EndpointState::Removed));
+        removed.chain(self.new_endpoints()).collect()
+    }
+
+    fn endpoints_after(&self) -> Vec<Endpoint> {
+        let staying = self.endpoints_before().into_iter().take(self.staying as usize);
+        staying.chain(self.new_endpoints()).collect()
+    }
+}
+
+/// Share of its capacity that a new endpoint has.
+fn capacity_share(now: f64) -> f64 {
+    COLD_CAPACITY_SHARE + (1.0 - COLD_CAPACITY_SHARE) * ((now - RELEASE) / WARM_UP_MS).clamp(0.0, 1.0)
+}
+
+enum Step {
+    Arrival,
+    ClientRetry { id: u64 },
+    AttemptEnd { gateway: usize, end: AttemptEnd },
+}
+
+/// One play of a release.
+struct Simulation<'a> {
+    release: &'a Release,
+    settings: Settings,
+    gateways: Vec<TestGateway>,
+    rng: fastrand::Rng,
+    now: f64,
+    /// Steps by time since the start in us, and by the order in which they were scheduled.
+    schedule: BTreeMap<(u64, u64), Step>,
+    scheduled: u64,
+    requests: u64,
+    /// Attempts sent so far, by request.
+    attempts: BTreeMap<u64, u8>,
+    /// When each endpoint has served what it has been sent, by its number.
+    free_at: Vec<f64>,
+    /// Times of the attempts to each new endpoint.
+    sent_to_new: Vec<Vec<f64>>,
+    has_updated_list: bool,
+    has_restarted: bool,
+}
+
+impl<'a> Simulation<'a> {
+    fn new(release: &'a Release) -> Self {
+        let settings = release.settings();
+        let endpoints = release.endpoints_before();
+        let mut gateways: Vec<_> =
+            (0..release.gateways).map(|index| gateway_at(&settings, index, START)).collect();
+        for gateway in &mut gateways {
+            gateway.handle(Event::EndpointUpdate { complete: true, endpoints: endpoints.clone() });
+        }
+        Simulation {
+            release,
+            settings,
+            gateways,
+            rng: fastrand::Rng::with_seed(release.seed),
+            now: START,
+            schedule: BTreeMap::from([((0, 0), Step::Arrival)]),
+            scheduled: 0,
+            requests: 0,
+            attempts: BTreeMap::new(),
+            free_at: vec![START; (3 * release.staying + 1) as usize],
+            sent_to_new: vec![Vec::new(); release.staying as usize],
+            has_updated_list: false,
+            has_restarted: false,
+        }
+    }
+
+    fn run(&mut self) {
+        while let Some(((micros, _), step)) = self.schedule.pop_first() {
+            self.now = START + micros as f64 / 1000.0;
+            if self.now > END {
                 break;
             }
-            if now >= born + 1000.0 && !std::mem::replace(&mut told, true) {
-                for rig in &mut rigs {
-                    rig.now = now;
-                    rig.handle(Event::EndpointUpdate { complete: false, endpoints: change.clone() });
-                }
+            if self.now >= LIST_UPDATE && !std::mem::replace(&mut self.has_updated_list, true) {
+                self.update_lists();
             }
-            if now >= born + 4000.0 && !std::mem::replace(&mut restarted, true) {
-                rigs[0] = instance(&s, 0, now);
-                rigs[0].handle(Event::EndpointUpdate { complete: true, endpoints: after.clone() });
+            if self.now >= GATEWAY_RESTART && !std::mem::replace(&mut self.has_restarted, true) {
+                self.restart_gateway();
             }
-            let mut later = |ms: f64, step: Step| {
-                next += 1;
-                events.insert((at(now + ms - start), next), step);
-            };
-            let (number, actions) = match step {
-                Step::Arrival => {
-                    let gap = -(1.0 - rng.f64()).ln() * 1000.0 / self.rate;
-                    later(gap, Step::Arrival);
-                    let busy = self.gateways.div_ceil(10);
-                    let place = rng.f64() * f64::from(self.gateways + 3 * busy);
-                    let number = match place < 4.0 * f64::from(busy) {
-                        true => place as u32 / 4 * 10,
-                        false => rng.u32(..self.gateways),
-                    };
-                    let number = number as usize;
-                    rigs[number].now = now;
-                    asked += 1;
-                    (number, rigs[number].handle(Event::Request(request(asked, asked))))
-                }
-                Step::Again { id } => {
-                    let number = rng.usize(..rigs.len());
-                    rigs[number].now = now;
-                    (
-                        number,
-                        rigs[number].handle(Event::Request(Request { is_retry: true, ..request(id, id) })),
-                    )
-                }
-                Step::Outcome { number, outcome } => {
-                    rigs[number].now = now;
-                    (number, rigs[number].handle(Event::AttemptEnded(outcome)))
-                }
-            };
-            for action in actions {
-                match action {
-                    Action::SendAttempt { id, endpoint: backend, .. } => {
-                        let cold = backend > 2 * self.stay;
-                        if cold {
-                            sends[(backend - 2 * self.stay) as usize].push(now);
-                        }
-                        let bears = BEARS * if cold { share(now) } else { 1.0 };
-                        let free = &mut free_at[backend as usize];
-                        let waits = (*free - now).max(0.0);
-                        let (result, elapsed_ms) = if waits > LINE_MS {
-                            (Outcome::Rejected, 1.0)
-                        } else {
-                            *free = now + waits + 1000.0 / bears;
-                            let spoilt = rng.f64() < 0.05;
-                            (
-                                if spoilt { Outcome::ErrorResponse } else { Outcome::Success },
-                                waits + 1000.0 / bears,
-                            )
-                        };
-                        let attempt = attempts.entry(id).or_insert(0u8);
-                        let (ended, load) = (result == Outcome::Success, LoadReport::default());
-                        let outcome = AttemptEnd {
-                            id,
-                            attempt: *attempt,
-                            endpoint: backend,
-                            outcome: result,
-                            request_answered: ended,
-                            actual_units: None,
-                            elapsed_ms,
-                            load,
-                        };
-                        *attempt += 1;
-                        later(elapsed_ms, Step::Outcome { number, outcome });
-                    }
-                    Action::Reject { id, .. } if id < 1 << 40 => {
-                        later(400.0, Step::Again { id: id | 1 << 40 })
-                    }
-                    _ => {}
-                }
+            self.step(step);
+        }
+    }
+
+    fn schedule(&mut self, after_ms: f64, step: Step) {
+        self.scheduled += 1;
+        let micros = ((self.now + after_ms - START) * 1000.0) as u64;
+        self.schedule.insert((micros, self.scheduled), step);
+    }
+
+    fn update_lists(&mut self) {
+        let entries = self.release.changed_entries();
+        for gateway in &mut self.gateways {
+            gateway.now = self.now;
+            gateway.handle(Event::EndpointUpdate { complete: false, endpoints: entries.clone() });
+        }
+    }
+
+    fn restart_gateway(&mut self) {
+        self.gateways[0] = gateway_at(&self.settings, 0, self.now);
+        let endpoints = self.release.endpoints_after();
+        self.gateways[0].handle(Event::EndpointUpdate { complete: true, endpoints });
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Arrival => {
+                let gap_ms = -(1.0 - self.rng.f64()).ln() * 1000.0 / self.release.request_rate;
+                self.schedule(gap_ms, Step::Arrival);
+                let gateway = self.draw_gateway();
+                self.requests += 1;
+                self.handle(gateway, Event::Request(request(self.requests, self.requests)));
+            }
+            Step::ClientRetry { id } => {
+                let gateway = self.rng.usize(..self.gateways.len());
+                self.handle(gateway, Event::Request(Request { is_retry: true, ..request(id, id) }));
             }
+            Step::AttemptEnd { gateway, end } => self.handle(gateway, Event::AttemptEnded(end)),
         }
-        let mut worst_of_all = (0, 1.0);
-        for sends in &sends[1..] {
-            let (sent, allowed) = worst(sends, self.overload_window_ms, |at| {
-                let n = self.overload_multiple * share(at) * BEARS * self.overload_window_ms / 1000.0;
-                n + 2.0 * n.sqrt() + 2.0
-            });
-            if sent as f64 / allowed > worst_of_all.0 as f64 / worst_of_all.1 {
-                worst_of_all = (sent, allowed);
+    }
+
+    /// A random gateway; every tenth is drawn four times as often as the others.
+    fn draw_gateway(&mut self) -> usize {
+        let gateways = self.release.gateways;
+        let busy = gateways.div_ceil(10);
+        let drawn = self.rng.f64() * f64::from(gateways + 3 * busy);
+        let index =
+            if drawn < 4.0 * f64::from(busy) { drawn as u32 / 4 * 10 } else { self.rng.u32(..gateways) };
+        index as usize
+    }
+
+    fn handle(&mut self, gateway: usize, event: Event) {
+        self.gateways[gateway].now = self.now;
+        let actions = self.gateways[gateway].handle(event);
+        for action in actions {
+            match action {
+                Action::SendAttempt { id, endpoint, .. } => self.send_attempt(gateway, id, endpoint),
+                Action::Reject { id, .. } if id < RETRY_MARK => {
+                    self.schedule(CLIENT_PAUSE_MS, Step::ClientRetry { id: id | RETRY_MARK });
+                }
+                _ => {}
             }
         }
-        (worst_of_all.0, worst_of_all.1, sends.iter().map(Vec::len).sum())
     }
-}
 
-enum Step {
-    Arrival,
-    Again { id: u64 },
-    Outcome { number: usize, outcome: AttemptEnd },
+    fn send_attempt(&mut self, gateway: usize, id: u64, endpoint: u32) {
+        let first_new = 2 * self.release.staying + 1;
+        let mut capacity = WARM_CAPACITY;
+        if endpoint >= first_new {
+            self.sent_to_new[(endpoint - first_new) as usize].push(self.now);
+            capacity = WARM_CAPACITY * capacity_share(self.now);
+        }
+        let (outcome, elapsed_ms) = self.serve(endpoint, capacity);
+        let attempt = self.attempts.entry(id).or_insert(0);
+        let end = AttemptEnd {
+            id,
+            attempt: *attempt,
+            endpoint,
+            outcome,
+            request_answered: outcome == Outcome::Success,
+            actual_units: None,
+            elapsed_ms,
+            load: LoadReport::default(),
+        };
+        *attempt += 1;
+        self.schedule(elapsed_ms, Step::AttemptEnd { gateway, end });
+    }
+
+    /// An endpoint of this capacity takes a request in: how that ends, and after which time in ms.
+    fn serve(&mut self, endpoint: u32, capacity: f64) -> (Outcome, f64) {
+        let free_at = &mut self.free_at[endpoint as usize];
+        let queue_ms = (*free_at - self.now).max(0.0);
+        if queue_ms > MAX_QUEUE_MS {
+            return (Outcome::Rejected, 1.0);
+        }
+        *free_at = self.now + queue_ms + 1000.0 / capacity;
+        let fails = self.rng.f64() < ERROR_SHARE;
+        let outcome = if fails { Outcome::ErrorResponse } else { Outcome::Success };
+        (outcome, queue_ms + 1000.0 / capacity)
+    }
 }
 
-/// Quiet and crowded: half of what the warm backends bear before the release, and nearly all of it.
-fn no_cold_backend_is_pushed_over_by(gateways: u32, stay: u32) {
-    for busy in [0.5, 0.92] {
+/// A release with half of the load that the warm endpoints bear before it, and with nearly all of it.
+fn no_warming_endpoint_is_overloaded_by(gateways: u32, staying: u32) {
+    for load in [0.5, 0.92] {
         for (seed, (overload_multiple, overload_window_ms)) in
             [(4.0, 1500.0), (2.0, 2000.0)].into_iter().enumerate()
         {
-            let rate = busy * BEARS * f64::from(2 * stay);
-            let release = Release {
+            assert_no_overload(Release {
                 gateways,
                 seed: seed as u64 + 5,
-                rate,
+                request_rate: load * WARM_CAPACITY * f64::from(2 * staying),
                 overload_multiple,
                 overload_window_ms,
-                stay,
-            };
-            let (sent, allowed, all) = release.play();
-            assert!(sent as f64 <= allowed, "{rate} a second: {sent} sent where {allowed} are allowed");
-            assert!(all > 500, "cold backends are used: {all}");
+                staying,
+            });
         }
     }
 }
 
-/// With more backends than a gateway looks at: each has some gateways that may send to it. Shorter by one multiple
-/// than the others, as it takes its time.
+fn assert_no_overload(release: Release) {
+    let rate = release.request_rate;
+    let ReleaseLoad { worst: WindowLoad { sent, allowed }, sent: all } = release.play();
+    assert!(sent as f64 <= allowed, "{rate} a second: {sent} sent where {allowed} are allowed");
+    assert!(all > 500, "warming endpoints are used: {all}");
+}
+
+/// With more endpoints than a gateway uses, each has some gateways that may send to it. With one overload multiple
+/// only, as it takes its time.
 #[test]
-fn gateways_that_keep_to_a_subset_push_no_cold_backend_over() {
-    let play = |busy: f64, gateways| {
-        let rate = busy * BEARS * 260.0;
-        let release = Release {
+fn gateways_with_a_subset_overload_no_warming_endpoint() {
+    let play = |load: f64, gateways| {
+        assert_no_overload(Release {
             gateways,
             seed: 9,
-            rate,
+            request_rate: load * WARM_CAPACITY * 260.0,
             overload_multiple: 2.0,
             overload_window_ms: 2000.0,
-            stay: 130,
-        };
-        let (sent, allowed, all) = release.play();
-        assert!(sent as f64 <= allowed, "{rate} a second: {sent} sent where {allowed} are allowed");
-        assert!(all > 500, "cold backends are used: {all}");
+            staying: 130,
+        });
     };
     std::thread::scope(|scope| {
         scope.spawn(|| play(0.5, 40));
@@ -232,83 +358,142 @@
 }
 
 #[test]
-fn three_gateways_push_no_cold_backend_over() {
-    no_cold_backend_is_pushed_over_by(3, 30);
+fn three_gateways_overload_no_warming_endpoint() {
+    no_warming_endpoint_is_overloaded_by(3, 30);
 }
 
 #[test]
-fn twenty_gateways_push_no_cold_backend_over() {
-    no_cold_backend_is_pushed_over_by(20, 30);
+fn twenty_gateways_overload_no_warming_endpoint() {
+    no_warming_endpoint_is_overloaded_by(20, 30);
 }
 
 #[test]
-fn thirty_gateways_push_no_cold_backend_over() {
-    no_cold_backend_is_pushed_over_by(30, 30);
+fn thirty_gateways_overload_no_warming_endpoint() {
+    no_warming_endpoint_is_overloaded_by(30, 30);
 }
 
 #[test]
-fn three_hundred_gateways_push_no_cold_backend_over() {
-    no_cold_backend_is_pushed_over_by(300, 30);
+fn three_hundred_gateways_overload_no_warming_endpoint() {
+    no_warming_endpoint_is_overloaded_by(300, 30);
 }
 
 #[test]
-fn seven_hundred_gateways_push_no_cold_backend_over() {
-    no_cold_backend_is_pushed_over_by(720, 30);
+fn seven_hundred_gateways_overload_no_warming_endpoint() {
+    no_warming_endpoint_is_overloaded_by(720, 30);
+}
+
+/// The rate of the customers' quota, in units per second.
+const QUOTA_RATE: f64 = 4.0;
+/// The burst of the customers' quota, in units.
+const QUOTA_BURST: f64 = 12.0;
+
+/// A customer, with its quota reckoned exactly.
+struct Customer {
+    /// Requests per second.
+    request_rate: f64,
+    /// Whether it asks for more than its quota.
+    is_heavy: bool,
+    /// Units left in its quota, and when that was reckoned.
+    units: f64,
+    updated_at: f64,
+}
+
+impl Customer {
+    /// One in ten asks for three times its rate, the others for well below it.
+    fn new(number: usize, now: f64) -> Self {
+        let is_heavy = number % 10 == 0;
+        let request_rate = if is_heavy { 12.0 } else { 1.5 };
+        Customer { request_rate, is_heavy, units: QUOTA_BURST, updated_at: now }
+    }
+
+    /// Whether a request of one unit now is within the quota.
+    fn is_within_quota(&mut self, now: f64) -> bool {
+        self.units = (self.units + (now - self.updated_at) / 1000.0 * QUOTA_RATE).min(QUOTA_BURST);
+        self.updated_at = now;
+        self.units >= 1.0
+    }
+}
+
+/// Requests of a day, by what became of them.
+#[derive(Default)]
+struct QuotaTotals {
+    sent_within: u32,
+    sent_beyond: u32,
+    heavy_sent_within: u32,
+    light_rejected_within: u32,
+}
+
+impl QuotaTotals {
+    fn record(&mut self, customer: &mut Customer, is_within: bool, is_sent: bool) {
+        match (is_sent, is_within) {
+            (true, true) => {
+                customer.units -= 1.0;
+                self.sent_within += 1;
+                self.heavy_sent_within += u32::from(customer.is_heavy);
+            }
+            (true, false) => self.sent_beyond += 1,
+            (false, true) if !customer.is_heavy => self.light_rejected_within += 1,
+            (false, _) => {}
+        }
+    }
 }
 
 /// A quiet day: most customers ask well below their rate, one in ten for three times as much. The counter is well.
-/// What all gateways together let through beyond the quotas, and what they refuse inside them, stays small.
+/// What all gateways together let through beyond the quotas, and what they reject inside them, stays small.
 #[test]
 fn quotas_hold_over_the_fleet_on_a_quiet_day() {
-    let mut s = settings();
-    (s.gateway_count, s.plans[0].rate, s.plans[0].burst) = (40, 4.0, 12.0);
+    let QuotaTotals { sent_within, sent_beyond, heavy_sent_within, light_rejected_within } = quiet_day();
+    let light_sent_within = sent_within - heavy_sent_within;
+    assert!(sent_beyond * 20 <= sent_within, "{sent_beyond} beyond the quotas, {sent_within} inside");
+    assert!(
+        light_rejected_within * 25 <= light_sent_within,
+        "{light_rejected_within} rejected of those who ask little, {light_sent_within} inside"
+    );
+    // Six customers, a burst of 12 and 4 a second for a minute.
+    assert!(
+        heavy_sent_within * 10 >= 6 * (12 + 4 * 60) * 8,
+        "{heavy_sent_within} to those who ask more than they may"
+    );
+}
+
+/// A minute of 60 customers at 40 gateways.
+fn quiet_day() -> QuotaTotals {
+    let mut settings = settings();
+    settings.gateway_count = 40;
+    settings.plans[0].rate = QUOTA_RATE;
+    settings.plans[0].burst = QUOTA_BURST;
     let start = 100_000.0;
-    let mut rigs: Vec<_> = (0..s.gateway_count).map(|number| instance(&s, number, start)).collect();
-    let backends: Vec<_> = (1..=40).map(|id| endpoint_entry(id, 0, EndpointState::Ready)).collect();
-    for rig in &mut rigs {
-        rig.handle(Event::EndpointUpdate { complete: true, endpoints: backends.clone() });
+    let mut gateways: Vec<_> =
+        (0..settings.gateway_count).map(|index| gateway_at(&settings, index, start)).collect();
+    let endpoints: Vec<_> = (1..=40).map(|id| endpoint_entry(id, 0, EndpointState::Ready)).collect();
+    for gateway in &mut gateways {
+        gateway.handle(Event::EndpointUpdate { complete: true, endpoints: endpoints.clone() });
     }
-    let customers = 60;
-    // The truth: each customer's store, as the quota has it.
-    let mut stores = vec![(12.0f64, start); customers];
-    let (mut shared, mut rng) = (SharedCounter::default(), fastrand::Rng::with_seed(11));
-    let (mut inside, mut beyond, mut heavy_inside, mut refused) = (0u32, 0u32, 0u32, 0u32);
-    for id in 0..60_000u64 {
-        let now = start + id as f64;
-        for (customer, (store, at)) in stores.iter_mut().enumerate() {
-            let heavy = customer % 10 == 0;
-            let rate = if heavy { 12.0 } else { 1.5 };
-            if rng.f64() >= rate / 1000.0 {
+    let mut customers: Vec<_> = (0..60).map(|number| Customer::new(number, start)).collect();
+    let customer_count = customers.len() as u64;
+    let mut counter = SharedCounter::default();
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut totals = QuotaTotals::default();
+    for millisecond in 0..60_000u64 {
+        let now = start + millisecond as f64;
+        for (number, customer) in customers.iter_mut().enumerate() {
+            if rng.f64() >= customer.request_rate / 1000.0 {
                 continue;
             }
-            // It comes in through four gateways in a row.
-            let rig = &mut rigs[(customer * 3 + rng.usize(..4)) % 40];
-            rig.now = now;
-            let number = id * customers as u64 + customer as u64;
-            let asked = Request { gateway_set_size: 4.0, ..request(number, customer as u64) };
-            let actions = rig.handle(Event::Request(asked));
-            let actions = shared.answer_calls(rig, actions);
-            *store = (*store + (now - *at) / 1000.0 * 4.0).min(12.0);
-            *at = now;
-            let fits = *store >= 1.0;
-            match sent_to(&actions) {
-                Some(backend) => {
-                    if fits {
-                        *store -= 1.0;
-                        inside += 1;
-                        heavy_inside += u32::from(heavy);
-                    } else {
-                        beyond += 1;
-                    }
-                    rig.attempt_ended(number, 0, backend, Outcome::Success, Some(1.0));
-                }
-                None => refused += u32::from(fits && !heavy),
+            // It comes in through four consecutive gateways.
+            let gateway = &mut gateways[(number * 3 + rng.usize(..4)) % 40];
+            gateway.now = now;
+            let id = millisecond * customer_count + number as u64;
+            let request = Request { gateway_set_size: 4.0, ..request(id, number as u64) };
+            let actions = gateway.handle(Event::Request(request));
+            let actions = counter.answer_calls(gateway, actions);
+            let is_within = customer.is_within_quota(now);
+            let endpoint = sent_to(&actions);
+            totals.record(customer, is_within, endpoint.is_some());
+            if let Some(endpoint) = endpoint {
+                gateway.attempt_ended(id, 0, endpoint, Outcome::Success, Some(1.0));
             }
         }
     }
-    let light_inside = inside - heavy_inside;
-    assert!(beyond * 20 <= inside, "{beyond} beyond the quotas, {inside} inside");
-    assert!(refused * 25 <= light_inside, "{refused} refused to those who ask little, {light_inside} inside");
-    // Six customers, a burst of 12 and 4 a second for a minute.
-    assert!(heavy_inside * 10 >= 6 * (12 + 4 * 60) * 8, "{heavy_inside} to those who ask more than they may");
+    totals
 }
