--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -1,8 +1,8 @@
-//! What grows with the number of backends: a request with its outcome, a whole list, a change of one entry.
-//! Run by `cargo bench`; times are of one machine, the ratios between sizes are what counts.
+//! What grows with the number of endpoints: a request with its response, a complete endpoint list, a change of one
+//! entry. Run by `cargo bench`; times are of one machine, the ratios between sizes are what counts.
 #![allow(missing_docs)]
 
-use criterion::{black_box, criterion_group, criterion_main, BenchmarkId, Criterion};
+use criterion::{black_box, criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
 use quota_gateway::*;
 
 fn entry(id: u32) -> Endpoint {
@@ -18,7 +18,7 @@
     }
 }
 
-fn gateway(backends: u32) -> Gateway {
+fn settings() -> Settings {
     let class = Class {
         latency_objective_ms: 500.0,
         deadline_ms: 2000.0,
@@ -26,7 +26,7 @@
         idempotency: Idempotency::Idempotent,
         ..Class::default()
     };
-    let settings = Settings {
+    Settings {
         gateway_count: 720,
         classes: vec![class],
         plans: vec![Plan { weight_multiplier: 1.0, burst: 1.0, ..Plan::default() }],
@@ -38,91 +38,99 @@
         },
         prices: Prices { handshake: 0.01, ..Prices::default() },
         ..Settings::default()
-    };
-    let mut gateway = Gateway::new(settings, 7, 0.0);
-    let entries = (0..backends).map(entry).collect();
-    gateway.handle(0.0, Event::EndpointUpdate { complete: true, endpoints: entries }, &mut Vec::new());
+    }
+}
+
+fn gateway_with(endpoints: u32) -> Gateway {
+    let mut gateway = Gateway::new(settings(), 7, 0.0);
+    let endpoints = (0..endpoints).map(entry).collect();
+    gateway.handle(0.0, Event::EndpointUpdate { complete: true, endpoints }, &mut Vec::new());
     gateway
 }
 
-fn request(c: &mut Criterion) {
-    let mut group = c.benchmark_group("request");
-    for backends in [50, 200, 1000, 8200] {
-        let (mut gateway, mut actions, mut id) = (gateway(backends), Vec::new(), 0);
-        group.bench_function(BenchmarkId::from_parameter(backends), |b| {
-            b.iter(|| {
+fn request(id: RequestId) -> Request {
+    Request {
+        id,
+        customer: id % 500,
+        plan: 0,
+        class: 0,
+        units: 1.0,
+        timeout_ms: 2000.0,
+        gateway_set_size: 8.0,
+        is_retry: false,
+    }
+}
+
+fn success(id: RequestId, endpoint: EndpointId) -> AttemptEnd {
+    AttemptEnd {
+        id,
+        attempt: 0,
+        endpoint,
+        outcome: Outcome::Success,
+        request_answered: true,
+        actual_units: None,
+        elapsed_ms: 20.0,
+        load: LoadReport::default(),
+    }
+}
+
+fn sent_to(actions: &[Action]) -> Option<EndpointId> {
+    actions.iter().find_map(|action| match action {
+        Action::SendAttempt { endpoint, .. } => Some(*endpoint),
+        _ => None,
+    })
+}
+
+fn request_with_response(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("request");
+    for endpoints in [50, 200, 1000, 8200] {
+        let mut gateway = gateway_with(endpoints);
+        let mut actions = Vec::new();
+        let mut id = 0;
+        group.bench_function(BenchmarkId::from_parameter(endpoints), |bencher| {
+            bencher.iter(|| {
                 id += 1;
                 let now = id as f64 * 8.0;
-                let (units, budget_ms, spread, repeat) = (1.0, 2000.0, 8.0, false);
-                let request = Request {
-                    id,
-                    customer: id % 500,
-                    plan: 0,
-                    class: 0,
-                    units,
-                    timeout_ms: budget_ms,
-                    gateway_set_size: spread,
-                    is_retry: repeat,
-                };
-                gateway.handle(now, Event::Request(request), &mut actions);
-                let sent = actions.iter().find_map(|action| match action {
-                    Action::SendAttempt { endpoint: backend, .. } => Some(*backend),
-                    _ => None,
-                });
+                gateway.handle(now, Event::Request(request(id)), &mut actions);
+                let Some(endpoint) = sent_to(&actions) else { panic!("not sent") };
                 actions.clear();
-                let Some(backend) = sent else { panic!("not sent") };
-                let (attempt, result, ended, elapsed_ms, load) =
-                    (0, Outcome::Success, true, 20.0, LoadReport::default());
-                let outcome = AttemptEnd {
-                    id,
-                    attempt,
-                    endpoint: backend,
-                    outcome: result,
-                    request_answered: ended,
-                    actual_units: None,
-                    elapsed_ms,
-                    load,
-                };
-                gateway.handle(now + 4.0, Event::AttemptEnded(outcome), &mut actions);
+                gateway.handle(now + 4.0, Event::AttemptEnded(success(id, endpoint)), &mut actions);
             })
         });
     }
 }
 
-fn whole_list(c: &mut Criterion) {
-    let mut group = c.benchmark_group("whole list");
-    for backends in [200, 1000, 8200] {
-        let mut gateway = gateway(backends);
-        let list: Vec<_> = (0..backends).map(entry).collect();
-        group.bench_function(BenchmarkId::from_parameter(backends), |b| {
-            let event = || Event::EndpointUpdate { complete: true, endpoints: list.clone() };
-            b.iter_batched(
-                event,
+fn complete_list(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("whole list");
+    for endpoints in [200, 1000, 8200] {
+        let mut gateway = gateway_with(endpoints);
+        let list: Vec<_> = (0..endpoints).map(entry).collect();
+        group.bench_function(BenchmarkId::from_parameter(endpoints), |bencher| {
+            bencher.iter_batched(
+                || Event::EndpointUpdate { complete: true, endpoints: list.clone() },
                 |event| gateway.handle(1.0, event, black_box(&mut Vec::new())),
-                criterion::BatchSize::LargeInput,
+                BatchSize::LargeInput,
             )
         });
     }
 }
 
-fn change(c: &mut Criterion) {
-    let mut group = c.benchmark_group("change of one entry");
-    for backends in [200, 1000, 8200] {
-        let (mut gateway, mut turn) = (gateway(backends), 0u32);
-        group.bench_function(BenchmarkId::from_parameter(backends), |b| {
-            b.iter(|| {
-                turn += 1;
-                let state = if turn % 2 == 1 { EndpointState::Draining } else { EndpointState::Ready };
-                let entries = vec![Endpoint { state, ..entry(turn / 2 % backends) }];
-                gateway.handle(
-                    1.0,
-                    Event::EndpointUpdate { complete: false, endpoints: entries },
-                    black_box(&mut Vec::new()),
-                );
+fn change_of_one_entry(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("change of one entry");
+    for endpoints in [200, 1000, 8200] {
+        let mut gateway = gateway_with(endpoints);
+        let mut changes = 0u32;
+        group.bench_function(BenchmarkId::from_parameter(endpoints), |bencher| {
+            bencher.iter(|| {
+                changes += 1;
+                let state = if changes % 2 == 1 { EndpointState::Draining } else { EndpointState::Ready };
+                let changed = vec![Endpoint { state, ..entry(changes / 2 % endpoints) }];
+                let event = Event::EndpointUpdate { complete: false, endpoints: changed };
+                gateway.handle(1.0, event, black_box(&mut Vec::new()));
             })
         });
     }
 }
 
-criterion_group!(benches, request, whole_list, change);
+criterion_group!(benches, request_with_response, complete_list, change_of_one_entry);
 criterion_main!(benches);
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -1,5 +1,5 @@
-//! Fleets in which a gateway keeps to a part of the backends only: how even that is, what moves, and that the rules
-//! hold with it.
+//! Fleets in which a gateway uses a subset of the endpoints only: how even the subsets are, what changes in them, and
+//! that the rules hold with them.
 
 mod common;
 use common::*;
@@ -7,57 +7,86 @@
 use std::collections::BTreeSet;
 
 const GATEWAYS: u32 = 90;
-const BACKENDS: u32 = 1024;
+const ENDPOINTS: u32 = 1024;
 const ZONES: u32 = 8;
 
-/// Keys as a hash of names has them.
+/// An entry whose key is distributed like a hash.
 fn entry(id: u32, state: EndpointState) -> Endpoint {
-    Endpoint {
-        hash_key: u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15),
-        ..endpoint_entry(id, id % ZONES, state)
-    }
+    let hash_key = u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    Endpoint { hash_key, ..endpoint_entry(id, id % ZONES, state) }
 }
 
-fn many(settings: &Settings, backends: u32) -> Vec<TestGateway> {
-    let rig = |position| {
-        let settings = Settings { gateway_index: position, ..settings.clone() };
-        let mut rig =
-            TestGateway { gateway: Gateway::new(settings, u64::from(position) + 1, 1000.0), now: 1000.0 };
-        let entries = (1..=backends).map(|id| entry(id, EndpointState::Ready)).collect();
-        rig.handle(Event::EndpointUpdate { complete: true, endpoints: entries });
-        rig
-    };
-    (0..settings.gateway_count).map(rig).collect()
+/// All gateways of a fleet, with endpoints from 1 on.
+fn gateways_with(settings: &Settings, endpoints: u32) -> Vec<TestGateway> {
+    (0..settings.gateway_count).map(|index| gateway_at(settings, index, endpoints)).collect()
+}
+
+fn gateway_at(settings: &Settings, index: u32, endpoints: u32) -> TestGateway {
+    let settings = Settings { gateway_index: index, ..settings.clone() };
+    let mut gateway =
+        TestGateway { gateway: Gateway::new(settings, u64::from(index) + 1, 1000.0), now: 1000.0 };
+    let endpoints = (1..=endpoints).map(|id| entry(id, EndpointState::Ready)).collect();
+    gateway.handle(Event::EndpointUpdate { complete: true, endpoints });
+    gateway
+}
+
+fn fleet_settings() -> Settings {
+    Settings { gateway_count: GATEWAYS, counter: None, ..settings() }
+}
+
+fn fleet(endpoints: u32) -> Vec<TestGateway> {
+    gateways_with(&fleet_settings(), endpoints)
+}
+
+/// The gateway of this index, with all endpoints.
+fn one_of_fleet(index: u32) -> TestGateway {
+    gateway_at(&fleet_settings(), index, ENDPOINTS)
 }
 
-fn fleet(backends: u32) -> Vec<TestGateway> {
-    many(&Settings { gateway_count: GATEWAYS, counter: None, ..settings() }, backends)
+fn members(gateway: &mut TestGateway) -> BTreeSet<u32> {
+    gateway.gateway.subset().iter().copied().collect()
 }
 
-fn members(rig: &mut TestGateway) -> BTreeSet<u32> {
-    rig.gateway.subset().iter().copied().collect()
+/// The number of gateways that have an endpoint in their subset, over several endpoints.
+struct GatewaysPerEndpoint {
+    min: usize,
+    mean: f64,
+    max: usize,
 }
 
-/// Gateways that keep to each backend: least, mean and most over those from 1 to `backends` that somebody may use.
-fn owners(rigs: &mut [TestGateway], of: impl Fn(u32) -> bool) -> (usize, f64, usize) {
-    let mut owners = vec![0; BACKENDS as usize + 2];
-    for rig in rigs {
-        members(rig).iter().for_each(|id| owners[*id as usize] += 1);
+impl GatewaysPerEndpoint {
+    /// Over those endpoints for which `is_counted` holds.
+    fn new(gateways: &mut [TestGateway], is_counted: impl Fn(u32) -> bool) -> Self {
+        let mut counts = vec![0; ENDPOINTS as usize + 2];
+        for gateway in gateways {
+            for id in members(gateway) {
+                counts[id as usize] += 1;
+            }
+        }
+        let counts: Vec<_> =
+            (1..=ENDPOINTS).filter(|id| is_counted(*id)).map(|id| counts[id as usize]).collect();
+        GatewaysPerEndpoint {
+            min: *counts.iter().min().unwrap(),
+            mean: counts.iter().sum::<usize>() as f64 / counts.len() as f64,
+            max: *counts.iter().max().unwrap(),
+        }
+    }
+
+    fn assert_even(&self) {
+        let GatewaysPerEndpoint { min, mean, max } = *self;
+        assert!(min as f64 >= mean - 1.5 && max as f64 <= mean + 1.5, "{min} to {max}, {mean} in the mean");
     }
-    let owners: Vec<_> = (1..=BACKENDS).filter(|id| of(*id)).map(|id| owners[id as usize]).collect();
-    let mean = owners.iter().sum::<usize>() as f64 / owners.len() as f64;
-    (*owners.iter().min().unwrap(), mean, *owners.iter().max().unwrap())
 }
 
 #[test]
-fn all_backends_have_alike_many_gateways_and_all_gateways_all_zones() {
-    let mut rigs = fleet(BACKENDS);
-    let (least, mean, most) = owners(&mut rigs, |_| true);
-    // A plain hash of gateway and backend gives one of them 9 and another 37.
-    assert!(least as f64 >= mean - 1.5 && most as f64 <= mean + 1.5, "{least} to {most}, {mean} in the mean");
-    assert!(mean >= 16.0, "{mean}");
-    for rig in &mut rigs {
-        let members = members(rig);
+fn all_endpoints_have_equally_many_gateways_and_all_gateways_all_zones() {
+    let mut gateways = fleet(ENDPOINTS);
+    let per_endpoint = GatewaysPerEndpoint::new(&mut gateways, |_| true);
+    // With a plain hash of gateway and endpoint one of them would have 9 and another 37.
+    per_endpoint.assert_even();
+    assert!(per_endpoint.mean >= 16.0, "{}", per_endpoint.mean);
+    for gateway in &mut gateways {
+        let members = members(gateway);
         assert!((200..=320).contains(&members.len()), "{}", members.len());
         for zone in 0..ZONES {
             let of_zone = members.iter().filter(|id| *id % ZONES == zone).count();
@@ -67,148 +96,162 @@
 }
 
 #[test]
-fn few_backends_are_all_kept_to() {
-    for rig in &mut fleet(256) {
-        assert_eq!(members(rig).len(), 256);
+fn a_small_fleet_is_used_completely_by_each_gateway() {
+    for gateway in &mut fleet(256) {
+        assert_eq!(members(gateway).len(), 256);
     }
 }
 
-/// One that comes or goes concerns those alone that keep to it; none of their other members changes.
+/// One that comes or goes concerns only the gateways that use it; none of their other members changes.
 #[test]
-fn few_members_move_when_a_backend_comes_or_goes() {
-    let mut rigs = fleet(BACKENDS);
-    let before: Vec<_> = rigs.iter_mut().map(members).collect();
-    for (id, state) in
-        [(7, EndpointState::Draining), (BACKENDS + 1, EndpointState::Ready), (7, EndpointState::Ready)]
-    {
-        for rig in &mut rigs {
-            rig.handle(Event::EndpointUpdate { complete: false, endpoints: vec![entry(id, state)] });
+fn few_members_change_when_an_endpoint_comes_or_goes() {
+    let mut gateways = fleet(ENDPOINTS);
+    let before: Vec<_> = gateways.iter_mut().map(members).collect();
+    let changes =
+        [(7, EndpointState::Draining), (ENDPOINTS + 1, EndpointState::Ready), (7, EndpointState::Ready)];
+    for (id, state) in changes {
+        for gateway in &mut gateways {
+            gateway.handle(Event::EndpointUpdate { complete: false, endpoints: vec![entry(id, state)] });
         }
     }
-    let mut owners = 0;
-    for (rig, before) in rigs.iter_mut().zip(before) {
-        let after = members(rig);
-        let moved: Vec<_> = after.symmetric_difference(&before).collect();
-        assert!(moved.is_empty() || moved == [&(BACKENDS + 1)], "{moved:?}");
-        owners += moved.len();
+    let mut users = 0;
+    for (gateway, before) in gateways.iter_mut().zip(before) {
+        let after = members(gateway);
+        let changed: Vec<_> = after.symmetric_difference(&before).collect();
+        assert!(changed.is_empty() || changed == [&(ENDPOINTS + 1)], "{changed:?}");
+        users += changed.len();
     }
-    assert!((15..=35).contains(&owners), "{owners} keep to the new one");
+    assert!((15..=35).contains(&users), "{users} use the new one");
 }
 
 /// With two zones lost the arcs widen over the others, evenly; at their return they are as before.
 #[test]
 fn arcs_widen_when_zones_are_lost_and_narrow_again() {
-    let mut rigs = fleet(BACKENDS);
-    let before: Vec<_> = rigs.iter_mut().map(members).collect();
-    let lost = |id: &u32| id % ZONES < 2;
-    let change = |rigs: &mut Vec<TestGateway>, state| {
-        let entries: Vec<_> = (1..=BACKENDS).filter(lost).map(|id| entry(id, state)).collect();
-        rigs.iter_mut().for_each(|rig| {
-            drop(rig.handle(Event::EndpointUpdate { complete: false, endpoints: entries.clone() }))
-        });
+    let mut gateways = fleet(ENDPOINTS);
+    let before: Vec<_> = gateways.iter_mut().map(members).collect();
+    let is_lost = |id: &u32| id % ZONES < 2;
+    let set_lost_zones = |gateways: &mut Vec<TestGateway>, state| {
+        let endpoints: Vec<_> = (1..=ENDPOINTS).filter(is_lost).map(|id| entry(id, state)).collect();
+        for gateway in gateways {
+            gateway.handle(Event::EndpointUpdate { complete: false, endpoints: endpoints.clone() });
+        }
     };
-    change(&mut rigs, EndpointState::Removed);
-    let (least, mean, most) = owners(&mut rigs, |id| !lost(&id));
-    assert!(least as f64 >= mean - 1.5 && most as f64 <= mean + 1.5, "{least} to {most}, {mean} in the mean");
-    for rig in &mut rigs {
-        let members = members(rig);
-        assert!(members.iter().all(|id| !lost(id)) && members.len() >= 200, "{}", members.len());
+    set_lost_zones(&mut gateways, EndpointState::Removed);
+    GatewaysPerEndpoint::new(&mut gateways, |id| !is_lost(&id)).assert_even();
+    for gateway in &mut gateways {
+        let members = members(gateway);
+        assert!(members.iter().all(|id| !is_lost(id)) && members.len() >= 200, "{}", members.len());
     }
-    change(&mut rigs, EndpointState::Ready);
-    assert_eq!(rigs.iter_mut().map(members).collect::<Vec<_>>(), before);
+    set_lost_zones(&mut gateways, EndpointState::Ready);
+    assert_eq!(gateways.iter_mut().map(members).collect::<Vec<_>>(), before);
 }
 
-/// Members that are left out make room for others; once they answer again the arc is as before.
-#[test]
-fn members_of_no_use_are_made_up_for() {
-    let mut rig = fleet(BACKENDS).remove(3);
-    let before = members(&mut rig);
-    let mut id = 0;
-    let mut play = |rig: &mut TestGateway, bad: &dyn Fn(u32) -> bool, requests: u32| {
-        for _ in 0..requests {
-            (id, rig.now) = (id + 1, rig.now + 5.0);
-            let mut actions = rig.handle(Event::Request(request(id, id)));
-            let mut attempt = 0;
-            while let Some(backend) = sent_to(&actions) {
-                let result = if bad(backend) { Outcome::ConnectFailed } else { Outcome::Success };
-                actions = rig.attempt_ended(id, attempt, backend, result, None);
-                attempt += 1;
-            }
-            if id % 200 == 0 {
-                rig.handle(Event::TimerFired { token: 0 });
-            }
+/// Sends requests to a gateway; `is_failing` endpoints refuse the connection.
+fn send_requests(gateway: &mut TestGateway, ids: std::ops::Range<u64>, is_failing: &dyn Fn(u32) -> bool) {
+    for id in ids {
+        gateway.now += 5.0;
+        let mut actions = gateway.handle(Event::Request(request(id, id)));
+        let mut attempt = 0;
+        while let Some(endpoint) = sent_to(&actions) {
+            let outcome = if is_failing(endpoint) { Outcome::ConnectFailed } else { Outcome::Success };
+            actions = gateway.attempt_ended(id, attempt, endpoint, outcome, None);
+            attempt += 1;
         }
-    };
-    let bad = |id: u32| before.contains(&id) && id % 3 == 0;
-    play(&mut rig, &bad, 6000);
-    let wide = members(&mut rig);
-    let well = wide.iter().filter(|id| !bad(**id)).count();
+        if id % 200 == 0 {
+            gateway.handle(Event::TimerFired { token: 0 });
+        }
+    }
+}
+
+/// Members that are ejected make room for others; once they succeed again the arc narrows.
+#[test]
+fn ejected_members_are_made_up_for() {
+    let mut gateway = one_of_fleet(3);
+    let before = members(&mut gateway);
+    let is_failing = |id: u32| before.contains(&id) && id % 3 == 0;
+    send_requests(&mut gateway, 1..6001, &is_failing);
+    let wide = members(&mut gateway);
+    let well = wide.iter().filter(|id| !is_failing(**id)).count();
     assert!(wide.is_superset(&before) && well * 100 >= before.len() * 85, "{well} of {}", before.len());
-    play(&mut rig, &|_| false, 40_000);
-    assert!(members(&mut rig).len() < wide.len(), "it narrows again");
+    send_requests(&mut gateway, 6001..46_001, &|_| false);
+    assert!(members(&mut gateway).len() < wide.len(), "it narrows again");
+}
+
+/// Settings of a site where connections have a price.
+fn settings_with_handshake_price() -> Settings {
+    let mut settings = fleet_settings();
+    settings.prices.handshake = 0.01;
+    settings.limits.idle_timeout_ms = 30_000.0;
+    settings.limits.requests_per_connection = 1;
+    settings
 }
 
-/// The cost of a request doesn't grow with the fleet: what it looks at is told by what it sends to. A quiet gateway
-/// spreads over its members, and keeps to few connections where it has few requests.
+/// The endpoints that are sent the last 1,000 of 6,000 requests that come `gap_ms` apart, with a tick at every
+/// `tick_requests` of them.
+fn endpoints_used(gateway: &mut TestGateway, gap_ms: f64, tick_requests: u64) -> BTreeSet<u32> {
+    let mut used = BTreeSet::new();
+    for id in 1..=6000 {
+        gateway.now += gap_ms;
+        let endpoint = sent_to(&gateway.handle(Event::Request(request(id, id)))).expect("it is sent");
+        gateway.attempt_ended(id, 0, endpoint, Outcome::Success, None);
+        if id % tick_requests == 0 {
+            gateway.handle(Event::TimerFired { token: 0 });
+        }
+        if id > 5000 {
+            used.insert(endpoint);
+        }
+    }
+    used
+}
+
+/// The cost of a request does not grow with the fleet: what a gateway compares shows in what it sends to. It spreads
+/// requests over its members, and keeps to few connections where it has few requests.
 #[test]
 fn requests_spread_over_the_members() {
-    for (gap_ms, ticks, least, most) in [(8.0, 100, 200, 320), (4000.0, 1, 1, 130)] {
-        let mut s = Settings { gateway_count: GATEWAYS, counter: None, ..settings() };
-        s.prices.handshake = 0.01;
-        (s.limits.idle_timeout_ms, s.limits.requests_per_connection) = (30_000.0, 1);
-        let mut rig = many(&s, BACKENDS).remove(5);
-        let kept = members(&mut rig);
-        let mut used = std::collections::BTreeMap::<u32, u32>::new();
-        for id in 1..=6000 {
-            rig.now += gap_ms;
-            let backend = sent_to(&rig.handle(Event::Request(request(id, id)))).expect("it is sent");
-            rig.attempt_ended(id, 0, backend, Outcome::Success, None);
-            if id % ticks == 0 {
-                rig.handle(Event::TimerFired { token: 0 });
-            }
-            if id > 5000 {
-                *used.entry(backend).or_default() += 1;
-            }
-        }
-        assert!(used.keys().all(|id| kept.contains(id)));
+    for (gap_ms, tick_requests, least, most) in [(8.0, 100, 200, 320), (4000.0, 1, 1, 130)] {
+        let mut gateway = gateway_at(&settings_with_handshake_price(), 5, ENDPOINTS);
+        let members = members(&mut gateway);
+        let used = endpoints_used(&mut gateway, gap_ms, tick_requests);
+        assert!(used.iter().all(|id| members.contains(id)));
         assert!((least..=most).contains(&used.len()), "{} used, {gap_ms} ms apart", used.len());
     }
 }
 
-/// Repeats of a keyed request stay in the zone of the first attempt, though few members lie there.
+/// Retries of a keyed request stay in the zone of the first attempt, though few members are in it.
 #[test]
-fn keyed_repeats_find_their_group() {
-    let mut rig = fleet(BACKENDS).remove(1);
+fn keyed_retries_stay_in_their_zone() {
+    let mut gateway = one_of_fleet(1);
     for id in 1..=500 {
-        rig.now += 20.0;
-        let asked = Request { class: 1, ..request(id, id) };
-        let first = sent_to(&rig.handle(Event::Request(asked))).expect("it is sent");
-        if let Some(second) = sent_to(&rig.attempt_ended(id, 0, first, Outcome::ErrorResponse, None)) {
+        gateway.now += 20.0;
+        let keyed = Request { class: 1, ..request(id, id) };
+        let first = sent_to(&gateway.handle(Event::Request(keyed))).expect("it is sent");
+        if let Some(second) = sent_to(&gateway.attempt_ended(id, 0, first, Outcome::ErrorResponse, None)) {
             assert_eq!(second % ZONES, first % ZONES);
             assert_ne!(second, first);
-            rig.attempt_ended(id, 1, second, Outcome::Success, None);
+            gateway.attempt_ended(id, 1, second, Outcome::Success, None);
         }
     }
 }
 
-/// What drains or has gone gets nothing more, in the subset or out of it, and the others are used.
+/// Draining endpoints get nothing more, in the subset or out of it, and the others are used.
 #[test]
-fn nothing_goes_to_what_drains() {
-    let mut rig = fleet(BACKENDS).remove(2);
-    let drains = |id: &u32| id % 3 != 0;
-    let entries = (1..=BACKENDS).filter(drains).map(|id| entry(id, EndpointState::Draining)).collect();
-    rig.handle(Event::EndpointUpdate { complete: false, endpoints: entries });
+fn draining_endpoints_get_no_attempts() {
+    let mut gateway = one_of_fleet(2);
+    let is_draining = |id: &u32| id % 3 != 0;
+    let endpoints =
+        (1..=ENDPOINTS).filter(is_draining).map(|id| entry(id, EndpointState::Draining)).collect();
+    gateway.handle(Event::EndpointUpdate { complete: false, endpoints });
     let mut used = BTreeSet::new();
     for id in 1..=3000 {
-        rig.now += 8.0;
-        let backend = sent_to(&rig.handle(Event::Request(request(id, id)))).expect("it is sent");
-        assert!(!drains(&backend), "{backend} drains");
-        used.insert(backend);
-        // One in ten turns the request away, and it goes to another one.
-        let result = if id % 10 == 0 { Outcome::Rejected } else { Outcome::Success };
-        if let Some(backend) = sent_to(&rig.attempt_ended(id, 0, backend, result, None)) {
-            assert!(!drains(&backend), "{backend} drains");
-            rig.attempt_ended(id, 1, backend, Outcome::Success, None);
+        gateway.now += 8.0;
+        let endpoint = sent_to(&gateway.handle(Event::Request(request(id, id)))).expect("it is sent");
+        assert!(!is_draining(&endpoint), "{endpoint} is draining");
+        used.insert(endpoint);
+        // One in ten rejects the request, and it goes to another one.
+        let outcome = if id % 10 == 0 { Outcome::Rejected } else { Outcome::Success };
+        if let Some(endpoint) = sent_to(&gateway.attempt_ended(id, 0, endpoint, outcome, None)) {
+            assert!(!is_draining(&endpoint), "{endpoint} is draining");
+            gateway.attempt_ended(id, 1, endpoint, Outcome::Success, None);
         }
     }
     assert!(used.len() > 150, "{}", used.len());
