--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,11 +4,16 @@
 //! [`overload`]. [`forwarding`] sends it to the endpoint that [`load_balancer`] chooses, retries and ends it.
 
 mod admission;
+mod connections;
 mod counter_calls;
+mod endpoints;
 mod forwarding;
 pub(crate) mod gateway;
+mod latency;
 mod load_balancer;
+mod outlier;
 mod overload;
 mod quota;
+mod slow_start;
 mod subset;
 mod usage_gossip;
