--- a/src/policy/gateway.rs
+++ b/src/gateway.rs
@@ -1,22 +1,17 @@
-//! The entry point of the decisions: events in, actions out. Their types are in `src/api`.
+//! The entry point of the library: events in, actions out. Their types are in `src/api`, the decisions in `src/policy`.
 
 use crate::api::*;
-use crate::policy::admission;
-use crate::policy::forwarding::Forwarder;
+use crate::policy::{admission, Forwarder, PollRetry};
 use crate::state::{Context, CounterReply, OpenRequest, OpenRequests, Timer};
 
 /// Time between two runs of the periodic housekeeping, in ms.
 const TICK_MS: f64 = 1000.0;
-/// A failed poll of the endpoint list is repeated after this time and up to as much again by chance, in ms: a
-/// list service that comes back is not polled by all gateways at once.
-const POLL_RETRY_MS: f64 = 500.0;
-
 /// The decisions of one gateway.
 pub struct Gateway {
     settings: Settings,
     rng: fastrand::Rng,
     started: bool,
-    poll_retry_at: Option<Millis>,
+    poll_retry: PollRetry,
     requests: OpenRequests,
     forwarder: Forwarder,
 }
@@ -29,7 +24,7 @@
             settings,
             rng: fastrand::Rng::with_seed(seed),
             started: false,
-            poll_retry_at: None,
+            poll_retry: PollRetry::default(),
             requests: OpenRequests::default(),
         }
     }
@@ -59,9 +54,7 @@
             Event::EndpointUpdate { complete, endpoints } => {
                 forwarder.load_balancer.update_endpoints(now, cx.settings, complete, endpoints, cx.rng);
             }
-            Event::EndpointPollFailed => {
-                self.poll_retry_at = Some(now + POLL_RETRY_MS * (1.0 + cx.rng.f64()))
-            }
+            Event::EndpointPollFailed => self.poll_retry.poll_failed(now, cx.rng),
             Event::Request(request) if requests.contains(request.id) => {}
             Event::Request(request) => {
                 let id = request.id;
@@ -81,7 +74,7 @@
             Event::TimerFired { token } => match Timer::from_token(token) {
                 Timer::Housekeeping => {
                     cx.set_timer(Timer::Housekeeping, TICK_MS);
-                    if self.poll_retry_at.take_if(|at| *at <= now).is_some() {
+                    if self.poll_retry.take_due(now) {
                         cx.actions.push(Action::WatchEndpoints);
                     }
                     forwarder.tick(cx);
--- a/src/policy/usage_gossip.rs
+++ b/src/gossip/exchange.rs
@@ -1,7 +1,7 @@
 //! What gateways tell each other of their customers' usage while the counter has no capacity for all calls.
 
+use super::message::{Message, UnsentUsage, Usage, ALL_GATEWAYS};
 use crate::api::{Action, Millis};
-use crate::gossip::{Message, UnsentUsage, Usage, ALL_GATEWAYS};
 use crate::state::{Account, Context, Timer};
 
 /// Usage is exchanged for this long after a call last met a counter without capacity, in ms.
@@ -11,7 +11,7 @@
 
 /// The exchange of usage with the other gateways.
 #[derive(Default)]
-pub(crate) struct UsageGossip {
+pub(crate) struct UsageExchange {
     unsent: UnsentUsage,
     timer_set: bool,
     /// When a call of this gateway last met a counter without capacity.
@@ -20,7 +20,7 @@
     fleet_shortage_at: Option<Millis>,
 }
 
-impl UsageGossip {
+impl UsageExchange {
     /// Whether usage is exchanged at present.
     pub(crate) fn is_active(&self, cx: &Context) -> bool {
         let permitted = cx.settings.limits.gossip && cx.settings.gateway_count > 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,10 +60,11 @@
 //! ```
 
 pub mod api;
+mod gateway;
 mod gossip;
 mod policy;
 mod primitives;
 mod state;
 
 pub use api::*;
-pub use policy::gateway::Gateway;
+pub use gateway::Gateway;
--- /dev/null
+++ b/src/policy/call_limiter.rs
@@ -0,0 +1,115 @@
+//! Paces the calls to the shared counter. All gateways share its capacity and none knows it, so each finds its part:
+//! its rate grows with each success and is cut with each failure (additive increase, multiplicative decrease).
+
+use crate::api::Millis;
+use crate::primitives::token_bucket::TokenBucket;
+
+/// Calls per second before anything is known of the counter.
+const INITIAL_RATE: f64 = 10.0;
+/// Least calls per second: enough to notice that the counter is back.
+const MIN_RATE: f64 = 0.2;
+/// Most calls per second: more than any counter can take.
+const MAX_RATE: f64 = 10_000.0;
+/// Share of the rate that a failure leaves.
+const DECREASE_FACTOR: f64 = 0.75;
+/// Calls per second that a success adds, besides a share of the rate.
+const ADDITIVE_INCREASE: f64 = 0.02;
+/// That share below the rate that was borne before. With more, gateways soon overload the counter again.
+const FAST_INCREASE: f64 = 0.04;
+/// That share near the rate that was borne before, and above.
+const SLOW_INCREASE: f64 = 0.02;
+/// Share of the rate before the last failures from which on a rate is near it.
+const NEAR_SHARE: f64 = 0.9;
+/// Failures in a row after which the counter counts as down and requests no longer wait for it.
+const MAX_CONSECUTIVE_FAILURES: u32 = 3;
+/// Tokens of this time can be saved up, in ms: it evens out chance.
+const BURST_MS: f64 = 500.0;
+
+/// How much a call matters.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallPriority {
+    /// Takes the last token.
+    Required,
+    /// Leaves half of the tokens that can be saved up.
+    Optional,
+}
+
+/// A token bucket whose rate adapts.
+pub(crate) struct CallLimiter {
+    /// Calls per second.
+    rate: f64,
+    bucket: TokenBucket,
+    refilled_at: Millis,
+    /// The rate before the last failures; none before the first failure.
+    rate_before_failures: Option<f64>,
+    decreased_at: Millis,
+    consecutive_failures: u32,
+}
+
+impl CallLimiter {
+    pub(crate) fn new(now: Millis) -> Self {
+        CallLimiter {
+            rate: INITIAL_RATE,
+            bucket: TokenBucket::new(INITIAL_RATE),
+            refilled_at: now,
+            rate_before_failures: None,
+            decreased_at: f64::NEG_INFINITY,
+            consecutive_failures: 0,
+        }
+    }
+
+    /// Takes a token, if there is one for a call of this priority.
+    pub(crate) fn try_acquire(&mut self, now: Millis, priority: CallPriority) -> bool {
+        let capacity = (self.rate * BURST_MS / 1000.0).max(1.0);
+        let refill = (now - self.refilled_at).max(0.0) / 1000.0 * self.rate;
+        self.bucket.refill(refill, capacity);
+        self.refilled_at = now;
+        let needed = match priority {
+            CallPriority::Required => 1.0,
+            CallPriority::Optional => 1.0 + capacity / 2.0,
+        };
+        let acquired = self.bucket.has(needed);
+        if acquired {
+            self.bucket.take(1.0);
+        }
+        acquired
+    }
+
+    /// Whether no token was left when it was last asked.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        !self.bucket.has(1.0)
+    }
+
+    /// Whether the counter counts as down.
+    pub(crate) fn is_down(&self) -> bool {
+        self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
+    }
+
+    /// A call has succeeded.
+    pub(crate) fn on_success(&mut self) {
+        // When the counter is back, half of the former rate returns at once.
+        if let Some(before) = self.rate_before_failures.filter(|_| self.is_down()) {
+            self.rate = self.rate.max(before / 2.0);
+        }
+        self.consecutive_failures = 0;
+        let is_near = self.rate_before_failures.is_some_and(|before| self.rate > before * NEAR_SHARE);
+        let increase = if is_near { SLOW_INCREASE } else { FAST_INCREASE };
+        self.rate = (self.rate * (1.0 + increase) + ADDITIVE_INCREASE).min(MAX_RATE);
+    }
+
+    /// A call that began at `started_at` has failed.
+    pub(crate) fn on_failure(&mut self, now: Millis, started_at: Millis) {
+        if self.consecutive_failures == 0 {
+            self.rate_before_failures = Some(self.rate);
+        }
+        self.consecutive_failures = self.consecutive_failures.saturating_add(1);
+        // Calls that queued together are slow together: one decrease for all of them.
+        if started_at >= self.decreased_at {
+            self.rate = (self.rate * DECREASE_FACTOR).max(MIN_RATE);
+            self.decreased_at = now;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/aimd/tests.rs
+++ b/src/policy/call_limiter/tests.rs
@@ -1,45 +1,34 @@
 use super::*;
 
-const PARAMETERS: AimdParameters = AimdParameters {
-    initial_rate: 10.0,
-    min_rate: 1.0,
-    max_rate: 100.0,
-    decrease_factor: 0.5,
-    additive_increase: 0.1,
-    fast_increase: 0.1,
-    slow_increase: 0.01,
-    near_share: 0.9,
-    max_consecutive_failures: 3,
-    burst_ms: 1000.0,
-};
-
-fn acquired(limiter: &mut AimdLimiter, now: f64, priority: CallPriority) -> usize {
+/// Calls of this priority that are permitted now.
+fn acquired(limiter: &mut CallLimiter, now: f64, priority: CallPriority) -> usize {
     (0..1000).take_while(|_| limiter.try_acquire(now, priority)).count()
 }
 
 #[test]
 fn optional_calls_leave_half_of_the_tokens_to_required_ones() {
-    let mut limiter = AimdLimiter::new(&PARAMETERS, 0.0);
-    assert_eq!(acquired(&mut limiter, 0.0, CallPriority::Optional), 5);
+    let mut limiter = CallLimiter::new(0.0);
+    assert_eq!(acquired(&mut limiter, 0.0, CallPriority::Optional), 2);
     assert!(!limiter.is_exhausted());
-    assert_eq!(acquired(&mut limiter, 0.0, CallPriority::Required), 5);
+    assert_eq!(acquired(&mut limiter, 0.0, CallPriority::Required), 3);
     assert!(limiter.is_exhausted());
 }
 
 #[test]
 fn failures_of_calls_that_were_made_together_decrease_the_rate_once() {
-    let mut limiter = AimdLimiter::new(&PARAMETERS, 0.0);
+    let mut limiter = CallLimiter::new(0.0);
     acquired(&mut limiter, 0.0, CallPriority::Required);
     limiter.on_failure(100.0, 0.0);
     limiter.on_failure(101.0, 1.0);
-    assert_eq!(acquired(&mut limiter, 2000.0, CallPriority::Required), 5);
+    assert_eq!(limiter.rate, INITIAL_RATE * DECREASE_FACTOR);
+    assert_eq!(acquired(&mut limiter, 2000.0, CallPriority::Required), 3);
     limiter.on_failure(2100.0, 2000.0);
     assert_eq!(acquired(&mut limiter, 4000.0, CallPriority::Required), 2);
 }
 
 #[test]
-fn the_service_is_down_after_failures_in_a_row_and_half_of_the_rate_returns_with_it() {
-    let mut limiter = AimdLimiter::new(&PARAMETERS, 0.0);
+fn the_counter_is_down_after_failures_in_a_row_and_half_of_the_rate_returns_with_it() {
+    let mut limiter = CallLimiter::new(0.0);
     for failure in 1..=3 {
         assert!(!limiter.is_down());
         let now = f64::from(failure) * 100.0;
@@ -48,5 +37,5 @@
     assert!(limiter.is_down());
     limiter.on_success();
     assert!(!limiter.is_down());
-    assert_eq!(acquired(&mut limiter, 9000.0, CallPriority::Required), 5);
+    assert_eq!(limiter.rate, INITIAL_RATE / 2.0 * (1.0 + FAST_INCREASE) + ADDITIVE_INCREASE);
 }
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -1,4 +1,4 @@
-//! What an update of the endpoint list changes.
+//! What an update of the endpoint list changes, and when a failed poll of it is repeated.
 
 use crate::api::*;
 use crate::policy::{connections::usable_idle_ms, slow_start};
@@ -6,6 +6,25 @@
 use crate::state::{ConnectionEstimate, EndpointTable, TrackedEndpoint};
 use fastrand::Rng;
 
+/// A failed poll is repeated after this time and up to as much again by chance, in ms: a service that comes
+/// back is not polled by all gateways at once.
+const POLL_RETRY_MS: f64 = 500.0;
+
+/// When a failed poll of the endpoint list is repeated.
+#[derive(Default)]
+pub(crate) struct PollRetry(Option<Millis>);
+
+impl PollRetry {
+    pub(crate) fn poll_failed(&mut self, now: Millis, rng: &mut Rng) {
+        self.0 = Some(now + POLL_RETRY_MS * (1.0 + rng.f64()));
+    }
+
+    /// Whether a retry is due; it is then taken as made.
+    pub(crate) fn take_due(&mut self, now: Millis) -> bool {
+        self.0.take_if(|at| *at <= now).is_some()
+    }
+}
+
 /// Takes in the complete list, or the entries that changed.
 pub(super) fn update(
     endpoints: &mut EndpointTable, subset: &mut RingArc, now: Millis, settings: &Settings, complete: bool,
--- a/src/policy/load_balancer.rs
+++ b/src/policy/load_balancer.rs
@@ -2,6 +2,7 @@
 //! random members of the subset are compared ("power of two choices").
 
 use crate::api::*;
+use crate::policy::candidate::{Candidate, DeduplicationScope, Preference};
 use crate::policy::{connections, endpoints, latency, outlier, slow_start, subset};
 use crate::primitives::{decay::DecayingRate, ring::RingArc, running_mean::RunningMean};
 use crate::state::*;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,14 +1,15 @@
-//! The decisions of a gateway: what it admits, where it sends it, what it retries, when it calls the counter.
+//! Every decision of the gateway: what it admits, where it sends it, what it retries, when it calls the counter.
 //!
-//! [`gateway`] hands a request to [`admission`], which checks the customer's [`quota`] and the fleet's
-//! [`overload`]. [`forwarding`] sends it to the endpoint that [`load_balancer`] chooses, retries and ends it.
+//! A request comes to [`admission`], which checks the customer's [`quota`] and the fleet's [`overload`].
+//! [`forwarding`] sends it to the endpoint that [`load_balancer`] chooses, retries and ends it.
 
-mod admission;
+pub(crate) mod admission;
+mod call_limiter;
+mod candidate;
 mod connections;
 mod counter_calls;
 mod endpoints;
 mod forwarding;
-pub(crate) mod gateway;
 mod latency;
 mod load_balancer;
 mod outlier;
@@ -16,4 +17,6 @@
 mod quota;
 mod slow_start;
 mod subset;
-mod usage_gossip;
+
+pub(crate) use endpoints::PollRetry;
+pub(crate) use forwarding::Forwarder;
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -1,9 +1,9 @@
 //! The customers' quotas, which all gateways enforce together by means of a shared counter.
 
 use crate::api::{Action, Millis, RequestId, Settings};
+use crate::gossip::UsageExchange;
+use crate::policy::call_limiter::CallPriority;
 use crate::policy::counter_calls::CounterCalls;
-use crate::policy::usage_gossip::UsageGossip;
-use crate::primitives::aimd::CallPriority;
 use crate::primitives::mean::ExponentialMean;
 use crate::primitives::shared_bucket::{BucketLimits, RemoteUsage, SharedBucket, SharedBucketParameters};
 use crate::primitives::token_bucket::TokenBucket;
@@ -43,7 +43,7 @@
     started_at: Millis,
     pub(crate) customers: Customers,
     counter: CounterCalls,
-    pub(crate) gossip: UsageGossip,
+    pub(crate) gossip: UsageExchange,
     pending_calls: PendingCounterCalls,
     mean_units: ExponentialMean,
 }
@@ -54,7 +54,7 @@
             started_at: now,
             customers: Customers::default(),
             counter: CounterCalls::new(now),
-            gossip: UsageGossip::default(),
+            gossip: UsageExchange::default(),
             pending_calls: PendingCounterCalls::default(),
             mean_units: ExponentialMean::new(INITIAL_MEAN_UNITS, MEAN_UNITS_GAIN),
         }
--- a/src/primitives/mod.rs
+++ b/src/primitives/mod.rs
@@ -1,7 +1,6 @@
 //! General building blocks that know nothing of settings, customers or endpoints.
 
 pub(crate) mod adaptive_timeout;
-pub(crate) mod aimd;
 pub(crate) mod decay;
 pub(crate) mod ejection;
 pub(crate) mod load_estimate;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,7 +1,6 @@
 //! What the gateway remembers: plain records with their constructors, and the tables that hold them. Nothing here
 //! decides about a request.
 
-mod candidate;
 mod connections;
 mod context;
 mod counter_call;
@@ -13,7 +12,6 @@
 mod timer;
 mod warming_members;
 
-pub(crate) use candidate::{Candidate, DeduplicationScope, Preference};
 pub(crate) use connections::ConnectionEstimate;
 pub(crate) use context::Context;
 pub(crate) use counter_call::{counter_key, Account, CounterCall, CounterReply, PendingCounterCalls};
