--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -1,8 +1,8 @@
 //! What an update of the endpoint list changes.
 
 use crate::api::*;
-use crate::policy::{connections::usable_idle_ms, latency::RELATIVE_LATENCY_MEMORY_MS, slow_start};
-use crate::primitives::{decay::DecayingRatio, ramp::WarmUp, ring::RingArc};
+use crate::policy::{connections::usable_idle_ms, slow_start};
+use crate::primitives::{ramp::WarmUp, ring::RingArc};
 use crate::state::{ConnectionEstimate, EndpointTable, TrackedEndpoint};
 use fastrand::Rng;
 
@@ -35,9 +35,8 @@
 fn new_endpoint(now: Millis, settings: &Settings, entry: Endpoint, rng: &mut Rng) -> TrackedEndpoint {
     let ramp = slow_start::ramp(now, &settings.rules, &entry, false);
     let warm_up = WarmUp::new(ramp, rng.f64(), now);
-    let relative_latency = DecayingRatio::new(RELATIVE_LATENCY_MEMORY_MS, now);
     let connections = ConnectionEstimate::new(&settings.limits, usable_idle_ms(&settings.limits), now);
-    TrackedEndpoint::new(entry, relative_latency, connections, warm_up, now)
+    TrackedEndpoint::new(entry, connections, warm_up, now)
 }
 
 fn replace(tracked: &mut TrackedEndpoint, now: Millis, rules: &Rules, entry: Endpoint, rng: &mut Rng) {
--- a/src/policy/latency.rs
+++ b/src/policy/latency.rs
@@ -7,7 +7,7 @@
 /// Weight of one response in an endpoint's relative latency: about the last ten count.
 const RELATIVE_LATENCY_WEIGHT: f64 = 0.1;
 /// Time constant with which a relative latency returns to the fleet's, in ms.
-pub(super) const RELATIVE_LATENCY_MEMORY_MS: f64 = 10_000.0;
+const RELATIVE_LATENCY_MEMORY_MS: f64 = 10_000.0;
 /// Most that one response may say of an endpoint's relative latency.
 const MAX_RELATIVE_LATENCY: f64 = 10.0;
 /// Least latency, in ms, and least relative latency that are divided by.
@@ -33,14 +33,14 @@
     ) {
         let idle_latency_ms = latency_ms.max(MIN_DIVISOR) / load_factor(in_flight);
         let sample = (idle_latency_ms / baseline.value().max(MIN_DIVISOR)).min(MAX_RELATIVE_LATENCY);
-        let relative_before = self.relative_latency.current(now).max(MIN_DIVISOR);
-        self.relative_latency.record(now, sample, RELATIVE_LATENCY_WEIGHT);
-        baseline.record(idle_latency_ms / relative_before, BASELINE_WEIGHT);
+        let relative = self.relative_latency.current(now, RELATIVE_LATENCY_MEMORY_MS);
+        self.relative_latency.record(now, relative, sample, RELATIVE_LATENCY_WEIGHT);
+        baseline.record(idle_latency_ms / relative.max(MIN_DIVISOR), BASELINE_WEIGHT);
     }
 
     /// Time that one more attempt is expected to take, in ms.
     pub(super) fn expected_latency(&self, now: Millis, baseline_ms: Millis) -> Millis {
-        let mut relative = self.relative_latency.current(now);
+        let mut relative = self.relative_latency.current(now, RELATIVE_LATENCY_MEMORY_MS);
         if self.in_flight > 0 {
             let silent_ms = now - self.last_response_at;
             relative = relative.max(silent_ms / (baseline_ms * MAX_SILENT_BASELINES));
--- a/src/primitives/decay.rs
+++ b/src/primitives/decay.rs
@@ -31,23 +31,21 @@
 
 /// A ratio that returns to 1 while no sample comes.
 pub(crate) struct DecayingRatio {
-    time_constant_ms: f64,
     value: f64,
     updated_at: f64,
 }
 
 impl DecayingRatio {
-    pub(crate) fn new(time_constant_ms: f64, now: f64) -> Self {
-        DecayingRatio { time_constant_ms, value: 1.0, updated_at: now }
+    pub(crate) fn new(now: f64) -> Self {
+        DecayingRatio { value: 1.0, updated_at: now }
     }
 
-    pub(crate) fn current(&self, now: f64) -> f64 {
-        1.0 + (self.value - 1.0) * remaining_share(now - self.updated_at, self.time_constant_ms)
+    pub(crate) fn current(&self, now: f64, time_constant_ms: f64) -> f64 {
+        1.0 + (self.value - 1.0) * remaining_share(now - self.updated_at, time_constant_ms)
     }
 
-    /// Moves the current ratio towards the sample, by `weight` of their difference.
-    pub(crate) fn record(&mut self, now: f64, sample: f64, weight: f64) {
-        let current = self.current(now);
+    /// Moves the ratio from its current value towards the sample, by `weight` of their difference.
+    pub(crate) fn record(&mut self, now: f64, current: f64, sample: f64, weight: f64) {
         self.value = current + weight * (sample - current);
         self.updated_at = now;
     }
--- a/src/primitives/ejection.rs
+++ b/src/primitives/ejection.rs
@@ -17,19 +17,21 @@
 #[derive(Default)]
 pub(crate) struct Ejection {
     consecutive_failures: u32,
-    until: Option<f64>,
+    is_ejected: bool,
+    /// End of the ejection time.
+    until: f64,
 }
 
 impl Ejection {
     /// A server stays ejected until it succeeds, also after the ejection time.
     pub(crate) fn is_ejected(&self) -> bool {
-        self.until.is_some()
+        self.is_ejected
     }
 
     /// Whether a request may be sent: always without an ejection; after the ejection time if the server is idle, so
     /// that this one request tests it.
     pub(crate) fn admits(&self, now: f64, is_idle: bool) -> bool {
-        self.until.is_none_or(|until| now >= until && is_idle)
+        !self.is_ejected || now >= self.until && is_idle
     }
 
     pub(crate) fn record_success(&mut self) {
@@ -41,7 +43,8 @@
         if self.consecutive_failures >= parameters.failures {
             let doublings = (self.consecutive_failures - parameters.failures).min(parameters.max_doublings);
             let ejection_ms = parameters.base_ms * f64::from(1u32 << doublings);
-            self.until = Some(now + ejection_ms * (1.0 + parameters.jitter * rng.f64()));
+            self.is_ejected = true;
+            self.until = now + ejection_ms * (1.0 + parameters.jitter * rng.f64());
         }
     }
 }
--- a/src/primitives/ramp.rs
+++ b/src/primitives/ramp.rs
@@ -22,7 +22,8 @@
 
 /// A token bucket that fills at a rate which rises with the server's capacity. It holds one token.
 pub(crate) struct WarmUp {
-    ramp: Option<LinearRamp>,
+    /// Boxed to keep the records of warm servers, which are nearly all, small.
+    ramp: Option<Box<LinearRamp>>,
     tokens: f64,
     refilled_at: f64,
 }
@@ -30,7 +31,7 @@
 impl WarmUp {
     /// Without a ramp the server is warm.
     pub(crate) fn new(ramp: Option<LinearRamp>, tokens: f64, now: f64) -> Self {
-        WarmUp { ramp, tokens, refilled_at: now }
+        WarmUp { ramp: ramp.map(Box::new), tokens, refilled_at: now }
     }
 
     /// Whether the server had a ramp, though it may have come to its end.
--- a/src/primitives/ring.rs
+++ b/src/primitives/ring.rs
@@ -45,6 +45,7 @@
     }
 
     /// Puts `new` in the place of `old`; either may be absent.
+    #[inline]
     pub(crate) fn replace(&mut self, old: Option<Node>, new: Option<Node>) {
         if old == new {
             return;
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -27,15 +27,14 @@
 impl TrackedEndpoint {
     /// An endpoint of which only its entry in the endpoint list is known.
     pub(crate) fn new(
-        endpoint: Endpoint, relative_latency: DecayingRatio, connections: ConnectionEstimate,
-        warm_up: WarmUp, now: Millis,
+        endpoint: Endpoint, connections: ConnectionEstimate, warm_up: WarmUp, now: Millis,
     ) -> Self {
         TrackedEndpoint {
             endpoint,
             last_update: 0,
             in_flight: 0,
             last_response_at: now,
-            relative_latency,
+            relative_latency: DecayingRatio::new(now),
             connections,
             warm_up,
             health: EndpointHealth::default(),
