--- a/emulator/src/clients.rs
+++ b/emulator/src/clients.rs
@@ -114,7 +114,9 @@
     /// Whether a client retries after a request that was not served, and after which delay. `retry_after_ms` is the
     /// advice that it got, 0 for none.
     pub(crate) fn retry(
-        &mut self, request: &ClientRequest, retry_after_ms: f64,
+        &mut self,
+        request: &ClientRequest,
+        retry_after_ms: f64,
     ) -> Option<(ClientRequest, Micros)> {
         if request.retry + 1 >= MAX_REQUESTS_PER_CLIENT || self.rng.random::<f64>() >= self.retry_share {
             return None;
--- a/emulator/src/real/clients.rs
+++ b/emulator/src/real/clients.rs
@@ -35,7 +35,9 @@
 
 /// Makes requests at all gateways for some time, at each `requests_per_s`.
 pub(super) async fn run_clients(
-    gateways: &[SocketAddr], requests_per_s: u32, duration: Duration,
+    gateways: &[SocketAddr],
+    requests_per_s: u32,
+    duration: Duration,
 ) -> ResponseFigures {
     let interval = Duration::from_secs_f64(f64::from(CLIENTS_PER_GATEWAY) / f64::from(requests_per_s));
     let mut clients = JoinSet::new();
--- a/emulator/src/real/figures.rs
+++ b/emulator/src/real/figures.rs
@@ -54,7 +54,9 @@
 impl RealRunFigures {
     /// From the snapshots at the start, after the time without load, and after the time under load.
     pub(super) fn new(
-        run: &RealRun, ready_s: f64, [at_start, at_rest, after_load]: [Snapshot; 3],
+        run: &RealRun,
+        ready_s: f64,
+        [at_start, at_rest, after_load]: [Snapshot; 3],
         responses: ResponseFigures,
     ) -> Self {
         let gateway_seconds = f64::from(run.seconds) * f64::from(run.gateways);
--- a/emulator/src/simulation/attempts.rs
+++ b/emulator/src/simulation/attempts.rs
@@ -37,7 +37,11 @@
 impl Simulation<'_> {
     /// A gateway sends an attempt. Returns the end of one that is not sent at all.
     pub(super) fn send_attempt(
-        &mut self, gateway: u32, request: u64, server: u32, timeout_ms: f64,
+        &mut self,
+        gateway: u32,
+        request: u64,
+        server: u32,
+        timeout_ms: f64,
     ) -> Option<GatewayEvent> {
         if !self.open_requests.contains_key(&request) {
             return Some(not_sent(request, 0, server, true));
--- a/emulator/src/simulation/recorder.rs
+++ b/emulator/src/simulation/recorder.rs
@@ -57,7 +57,10 @@
 
     /// Adds what is known at the end only.
     pub(super) fn finish(
-        mut self, gateways: &[EmulatedGateway], servers: &[Server], counter_keys: usize,
+        mut self,
+        gateways: &[EmulatedGateway],
+        servers: &[Server],
+        counter_keys: usize,
     ) -> Report {
         self.report.latency_ms = Distribution::of_micros(&self.latency);
         self.finish_gateways(gateways);
--- a/src/bin/quota-gateway/counter/mod.rs
+++ b/src/bin/quota-gateway/counter/mod.rs
@@ -20,7 +20,9 @@
 /// Starts a task for each queue. They end with the client at the other end of the queues. A new address is used at
 /// once.
 pub fn spawn(
-    queues: CounterQueues, addr: &watch::Receiver<SocketAddr>, timeout_ms: f64,
+    queues: CounterQueues,
+    addr: &watch::Receiver<SocketAddr>,
+    timeout_ms: f64,
     handler: Rc<dyn CounterReplyHandler>,
 ) {
     let context = Rc::new(ConnectionContext {
--- a/src/bin/quota-gateway/counter/worker.rs
+++ b/src/bin/quota-gateway/counter/worker.rs
@@ -12,7 +12,9 @@
 
 /// Runs until the sender of the queue is dropped. A new address is used at once.
 pub async fn run(
-    mut addr: watch::Receiver<SocketAddr>, mut queue: Receiver<CounterCall>, context: Rc<ConnectionContext>,
+    mut addr: watch::Receiver<SocketAddr>,
+    mut queue: Receiver<CounterCall>,
+    context: Rc<ConnectionContext>,
 ) {
     while let Some(first_call) = queue.recv().await {
         let current_addr = *addr.borrow_and_update();
@@ -34,7 +36,9 @@
 
 /// Without a connection nothing was added for any of the calls.
 fn fail_waiting_calls(
-    first_call: &CounterCall, queue: &mut Receiver<CounterCall>, context: &ConnectionContext,
+    first_call: &CounterCall,
+    queue: &mut Receiver<CounterCall>,
+    context: &ConnectionContext,
 ) {
     context.reporter.report(first_call, Outcome::ConnectFailed, 0.0);
     while let Ok(call) = queue.try_recv() {
--- a/src/bin/quota-gateway/discovery/call.rs
+++ b/src/bin/quota-gateway/discovery/call.rs
@@ -36,7 +36,9 @@
     }
 
     async fn fetch_list(
-        &self, reader: &mut Reader<TcpStream>, timeouts: CallTimeouts,
+        &self,
+        reader: &mut Reader<TcpStream>,
+        timeouts: CallTimeouts,
     ) -> Result<EndpointList, DiscoveryError> {
         self.write_request(reader, "/registry/instances").await?;
         let (head, body) = timeout(timeouts.response, reader.answer(MAX_LIST_BYTES)).await??;
@@ -45,7 +47,9 @@
     }
 
     async fn write_request(
-        &self, reader: &mut Reader<TcpStream>, target: &str,
+        &self,
+        reader: &mut Reader<TcpStream>,
+        target: &str,
     ) -> Result<(), DiscoveryError> {
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr);
         reader.io.write_all(request.as_bytes()).await?;
--- a/src/bin/quota-gateway/discovery/mod.rs
+++ b/src/bin/quota-gateway/discovery/mod.rs
@@ -28,7 +28,10 @@
 /// Keeps a watch open for as long as the program runs. While discovery can't be reached the last list remains in
 /// use. A new address is used at once.
 pub async fn run(
-    mut addr: Receiver<SocketAddr>, version: u64, policy: WatchPolicy, handler: Rc<dyn EndpointListHandler>,
+    mut addr: Receiver<SocketAddr>,
+    version: u64,
+    policy: WatchPolicy,
+    handler: Rc<dyn EndpointListHandler>,
 ) {
     let mut client = DiscoveryClient {
         policy,
--- a/src/bin/quota-gateway/discovery/open.rs
+++ b/src/bin/quota-gateway/discovery/open.rs
@@ -12,7 +12,9 @@
 /// Calls until one call succeeds. An unanswered call is not abandoned when the next one starts. Reports each failed
 /// call to `on_failure`. Calls still in flight at the end are aborted.
 pub async fn open_watch<W, C>(
-    policy: &mut WatchPolicy, call: impl Fn(CallTimeouts) -> C, on_failure: impl Fn(DiscoveryError),
+    policy: &mut WatchPolicy,
+    call: impl Fn(CallTimeouts) -> C,
+    on_failure: impl Fn(DiscoveryError),
 ) -> W
 where
     W: 'static,
@@ -69,7 +71,10 @@
     }
 
     fn schedule_after_failure(
-        &mut self, policy: &mut WatchPolicy, started_at: Instant, error: &DiscoveryError,
+        &mut self,
+        policy: &mut WatchPolicy,
+        started_at: Instant,
+        error: &DiscoveryError,
     ) {
         let retry_at = policy.next_call_after_failure(started_at, error.is_invalid_response());
         self.next_call_at = if self.set.is_empty() { retry_at } else { self.next_call_at.min(retry_at) };
--- a/src/bin/quota-gateway/discovery/watch.rs
+++ b/src/bin/quota-gateway/discovery/watch.rs
@@ -46,7 +46,9 @@
 
 /// Hands on what a watch reports until it ends; returns why it ended.
 pub async fn follow(
-    mut watch: Watch, state: &mut ListState, handler: &Rc<dyn EndpointListHandler>,
+    mut watch: Watch,
+    state: &mut ListState,
+    handler: &Rc<dyn EndpointListHandler>,
 ) -> DiscoveryError {
     let mut events = WatchEvents { framer: ObjectFramer::default(), state, handler };
     if let Some(list) = watch.complete_list.take() {
--- a/src/bin/quota-gateway/driver/mod.rs
+++ b/src/bin/quota-gateway/driver/mod.rs
@@ -237,8 +237,12 @@
 
 impl Driver {
     pub fn new(
-        settings: Settings, seed: u64, names: TopologyNames, backends: ConnectionPool,
-        lanes: Option<CounterClient>, peers: Option<Rc<GossipSocket>>,
+        settings: Settings,
+        seed: u64,
+        names: TopologyNames,
+        backends: ConnectionPool,
+        lanes: Option<CounterClient>,
+        peers: Option<Rc<GossipSocket>>,
     ) -> Rc<Self> {
         let clock = Clock::new();
         let (max_attempts, hedging) = (settings.limits.max_attempts as usize, settings.limits.hedging);
@@ -272,7 +276,9 @@
 
     /// A request came in. Its answer comes by the receiver.
     pub fn start_request(
-        self: &Rc<Self>, asked: &IncomingRequest, work: ForwardedRequest,
+        self: &Rc<Self>,
+        asked: &IncomingRequest,
+        work: ForwardedRequest,
     ) -> (RequestId, Instant, oneshot::Receiver<FinalResponse>) {
         let (answer, receiver) = oneshot::channel();
         let passed = asked.at.elapsed().as_secs_f64() * 1000.0;
@@ -316,8 +322,13 @@
     }
 
     fn attempt_ended(
-        self: &Rc<Self>, id: RequestId, attempt: usize, backend: EndpointId, elapsed_ms: f64,
-        result: Outcome, answer: Option<(Head, Bytes)>,
+        self: &Rc<Self>,
+        id: RequestId,
+        attempt: usize,
+        backend: EndpointId,
+        elapsed_ms: f64,
+        result: Outcome,
+        answer: Option<(Head, Bytes)>,
     ) {
         let inner = &mut *self.inner.borrow_mut();
         let Some(open) = inner.open.get_mut(&id) else { return };
@@ -442,7 +453,11 @@
     /// Starts an attempt. One that may not be sent is given back with its number: past the attempt limit,
     /// for a request that has ended, to a backend not listed, out of time, or while another one is out.
     fn send(
-        self: &Rc<Self>, inner: &mut Inner, id: RequestId, backend: EndpointId, timeout_ms: f64,
+        self: &Rc<Self>,
+        inner: &mut Inner,
+        id: RequestId,
+        backend: EndpointId,
+        timeout_ms: f64,
     ) -> Option<u8> {
         let Some(open) = inner.open.get_mut(&id) else { return Some(0) };
         let number = open.attempts.len();
--- a/src/bin/quota-gateway/gossip.rs
+++ b/src/bin/quota-gateway/gossip.rs
@@ -30,7 +30,9 @@
 
 impl GossipSocket {
     pub async fn bind(
-        listen: SocketAddr, peers: Vec<SocketAddr>, broadcast: Option<SocketAddr>,
+        listen: SocketAddr,
+        peers: Vec<SocketAddr>,
+        broadcast: Option<SocketAddr>,
     ) -> io::Result<Self> {
         let socket = UdpSocket::bind(listen).await?;
         Ok(GossipSocket { socket, peers, broadcast })
--- a/src/bin/quota-gateway/server/disconnect.rs
+++ b/src/bin/quota-gateway/server/disconnect.rs
@@ -114,7 +114,9 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(cx, bufs)
     }
--- a/src/bin/quota-gateway/server/mod.rs
+++ b/src/bin/quota-gateway/server/mod.rs
@@ -151,7 +151,10 @@
 
 impl Server {
     pub fn new(
-        driver: Rc<Driver>, settings: &Settings, classes: Vec<String>, plans: Vec<String>,
+        driver: Rc<Driver>,
+        settings: &Settings,
+        classes: Vec<String>,
+        plans: Vec<String>,
         places: Arc<Semaphore>,
     ) -> Rc<Self> {
         let class = |(name, class): (String, &quota_gateway::Class)| Class {
@@ -355,7 +358,10 @@
     }
 
     async fn answer(
-        &self, request: Request<Incoming>, ticket: &mut Ticket<'_>, whole_by: Instant,
+        &self,
+        request: Request<Incoming>,
+        ticket: &mut Ticket<'_>,
+        whole_by: Instant,
     ) -> Result<Reply, Fault> {
         let at = Instant::now();
         let (parts, body) = request.into_parts();
@@ -432,7 +438,11 @@
 
     /// Reads what a request says of itself. What is wrong with it is the client's fault, and never a refusal.
     fn read(
-        &self, method: &Method, uri: &Uri, headers: &HeaderMap, at: Instant,
+        &self,
+        method: &Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+        at: Instant,
     ) -> Result<(IncomingRequest, &Class), Fault> {
         let lane = uri.path().strip_prefix('/').and_then(|p| p.split('/').next()).unwrap_or("");
         let class = self.classes.iter().position(|c| c.name == lane);
--- a/src/bin/quota-gateway/startup.rs
+++ b/src/bin/quota-gateway/startup.rs
@@ -83,7 +83,8 @@
 }
 
 async fn bind_gossip(
-    config: GossipConfig, settings: &Settings,
+    config: GossipConfig,
+    settings: &Settings,
 ) -> Result<Option<Rc<GossipSocket>>, StartupError> {
     let Some(addr) = config.listen.filter(|_| settings.limits.gossip) else { return Ok(None) };
     match GossipSocket::bind(addr, config.peers, config.broadcast).await {
@@ -109,7 +110,9 @@
 
 /// Starts with the list that the configuration holds, if any.
 fn spawn_discovery(
-    addresses: &ReloadableAddresses, known_endpoints: Option<EndpointList>, policy: WatchPolicy,
+    addresses: &ReloadableAddresses,
+    known_endpoints: Option<EndpointList>,
+    policy: WatchPolicy,
     driver: &Rc<Driver>,
 ) {
     let version = known_endpoints.as_ref().map_or(0, |list| list.version);
--- a/src/bin/quota-gateway/upstream/mod.rs
+++ b/src/bin/quota-gateway/upstream/mod.rs
@@ -136,7 +136,11 @@
     /// between that and its first byte: finding a connection takes time, in which the client may leave and the
     /// backend be told to drain.
     pub async fn attempt(
-        &self, backend: EndpointId, addr: SocketAddr, until: Instant, leave: &dyn SendPermit,
+        &self,
+        backend: EndpointId,
+        addr: SocketAddr,
+        until: Instant,
+        leave: &dyn SendPermit,
     ) -> (Outcome, Option<(Head, Bytes)>) {
         let mut line = loop {
             let (line, used) = match self.reuse(backend) {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,11 +1,12 @@
 //! The entry point of the library: events in, actions out. Their types are in `src/api`, the decisions in `src/policy`.
 
 use crate::api::*;
-use crate::policy::{admission, Forwarder, PollRetry};
-use crate::state::{Context, CounterReply, OpenRequest, OpenRequests, Timer};
+use crate::policy::{Forwarder, PollRetry};
+use crate::state::{Context, CounterReply, OpenRequests, Timer};
 
 /// Time between two runs of the periodic housekeeping, in ms.
 const TICK_MS: f64 = 1000.0;
+
 /// The decisions of one gateway.
 pub struct Gateway {
     settings: Settings,
@@ -52,17 +53,14 @@
         }
         match event {
             Event::EndpointUpdate { complete, endpoints } => {
-                forwarder.load_balancer.update_endpoints(now, cx.settings, complete, endpoints, cx.rng);
+                forwarder.load_balancer.update_endpoints(cx, complete, endpoints);
             }
             Event::EndpointPollFailed => self.poll_retry.poll_failed(now, cx.rng),
             Event::Request(request) if requests.contains(request.id) => {}
             Event::Request(request) => {
-                let id = request.id;
-                let Some(mut open) = OpenRequest::new(request, cx.settings, now) else {
-                    return cx.actions.push(Action::Reject { id, retry_after_ms: 0.0 });
-                };
-                admission::admit(cx, forwarder, &mut open);
-                requests.insert(open);
+                if let Some(open) = forwarder.request_arrived(cx, request) {
+                    requests.insert(open);
+                }
             }
             Event::ResponseStarted { id, .. } => requests.update(id, |open| open.streaming = true),
             Event::AttemptEnded(end) => {
@@ -80,7 +78,7 @@
                     forwarder.tick(cx);
                 }
                 Timer::CounterWait(id) => {
-                    requests.update(id, |open| admission::counter_wait_expired(cx, forwarder, open))
+                    requests.update(id, |open| forwarder.counter_wait_expired(cx, open))
                 }
                 Timer::Gossip => forwarder.quota.gossip.send(cx),
             },
@@ -88,7 +86,7 @@
             Event::CounterReply { key, outcome, total, elapsed_ms } => {
                 let reply = CounterReply { key, outcome, total, elapsed_ms };
                 if let Some(id) = forwarder.quota.counter_replied(cx, &reply) {
-                    requests.update(id, |open| admission::counter_replied(cx, forwarder, open));
+                    requests.update(id, |open| forwarder.counter_replied(cx, open));
                 }
             }
             Event::Gossip { from, body } => forwarder.quota.receive_gossip(cx, from, &body),
--- a/src/policy/candidate.rs
+++ b/src/policy/candidate.rs
@@ -25,11 +25,7 @@
 
     /// Preference comes first, then cost.
     pub(crate) fn is_better_than(&self, other: Candidate) -> bool {
-        if self.preference == other.preference {
-            self.cost_ms < other.cost_ms
-        } else {
-            self.preference < other.preference
-        }
+        (self.preference, self.cost_ms) < (other.preference, other.cost_ms)
     }
 }
 
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -3,7 +3,7 @@
 use crate::api::*;
 use crate::policy::{connections::usable_idle_ms, slow_start};
 use crate::primitives::{ramp::WarmUp, ring::RingArc};
-use crate::state::{ConnectionEstimate, EndpointTable, TrackedEndpoint};
+use crate::state::{ConnectionEstimate, Context, EndpointTable, TrackedEndpoint};
 use fastrand::Rng;
 
 /// A failed poll is repeated after this time and up to as much again by chance, in ms: a service that comes
@@ -27,18 +27,21 @@
 
 /// Takes in the complete list, or the entries that changed.
 pub(super) fn update(
-    endpoints: &mut EndpointTable, subset: &mut RingArc, now: Millis, settings: &Settings, complete: bool,
-    entries: Vec<Endpoint>, rng: &mut Rng,
+    cx: &mut Context,
+    endpoints: &mut EndpointTable,
+    subset: &mut RingArc,
+    complete: bool,
+    entries: Vec<Endpoint>,
 ) {
     let is_first = endpoints.is_empty();
     endpoints.begin_update();
     for entry in entries {
         if let Some(endpoint) = endpoints.get_listed(entry.id) {
             let old_node = endpoint.ring_node();
-            replace(endpoint, now, &settings.rules, entry, rng);
+            replace(cx, endpoint, entry);
             subset.replace(old_node, endpoint.ring_node());
         } else if entry.state != EndpointState::Removed || !is_first {
-            let endpoint = new_endpoint(now, settings, entry, rng);
+            let endpoint = new_endpoint(cx, entry);
             subset.replace(None, endpoint.ring_node());
             endpoints.insert(endpoint);
         }
@@ -51,19 +54,20 @@
     }
 }
 
-fn new_endpoint(now: Millis, settings: &Settings, entry: Endpoint, rng: &mut Rng) -> TrackedEndpoint {
-    let ramp = slow_start::ramp(now, &settings.rules, &entry, false);
-    let warm_up = WarmUp::new(ramp, rng.f64(), now);
-    let connections = ConnectionEstimate::new(&settings.limits, usable_idle_ms(&settings.limits), now);
-    TrackedEndpoint::new(entry, connections, warm_up, now)
+fn new_endpoint(cx: &mut Context, entry: Endpoint) -> TrackedEndpoint {
+    let limits = &cx.settings.limits;
+    let connections = ConnectionEstimate::new(limits, usable_idle_ms(limits), cx.now);
+    let ramp = slow_start::ramp(cx.now, &cx.settings.rules, &entry, false);
+    let warm_up = WarmUp::new(ramp, cx.rng.f64(), cx.now);
+    TrackedEndpoint::new(entry, connections, warm_up, cx.now)
 }
 
-fn replace(tracked: &mut TrackedEndpoint, now: Millis, rules: &Rules, entry: Endpoint, rng: &mut Rng) {
+fn replace(cx: &mut Context, tracked: &mut TrackedEndpoint, entry: Endpoint) {
     let was_removed = tracked.endpoint.state == EndpointState::Removed;
     let is_back = was_removed && entry.state == EndpointState::Ready;
     if is_back || entry.started_at > tracked.endpoint.started_at {
-        let ramp = slow_start::ramp(now, rules, &entry, is_back);
-        tracked.restart(WarmUp::new(ramp, rng.f64(), now));
+        let ramp = slow_start::ramp(cx.now, &cx.settings.rules, &entry, is_back);
+        tracked.restart(WarmUp::new(ramp, cx.rng.f64(), cx.now));
     }
     tracked.endpoint = entry;
 }
--- a/src/policy/forwarding.rs
+++ b/src/policy/forwarding.rs
@@ -2,7 +2,7 @@
 
 use crate::api::*;
 use crate::policy::load_balancer::LoadBalancer;
-use crate::policy::overload::{self, FLEET_LOAD};
+use crate::policy::overload::FLEET_LOAD;
 use crate::policy::quota::QuotaLedger;
 use crate::primitives::load_estimate::LoadEstimate;
 use crate::primitives::token_bucket::TokenBucket;
@@ -23,7 +23,7 @@
 pub(crate) struct Forwarder {
     pub(crate) quota: QuotaLedger,
     pub(crate) load_balancer: LoadBalancer,
-    load: LoadEstimate,
+    pub(super) load: LoadEstimate,
     retry_budget: TokenBucket,
 }
 
@@ -40,15 +40,10 @@
     /// Periodic housekeeping.
     pub(crate) fn tick(&mut self, cx: &Context) {
         self.load.advance(cx.now);
-        self.load_balancer.tick(cx.now, cx.settings, self.load.mean_in_flight());
+        self.load_balancer.tick(cx, self.load.mean_in_flight());
         self.quota.forget_idle(cx.now, cx.settings);
     }
 
-    /// Expected latency of the request if it is admitted now, in ms.
-    pub(crate) fn expected_latency(&mut self, cx: &Context, open: &OpenRequest) -> Millis {
-        overload::expected_latency(cx, &mut self.load, &self.load_balancer, open.request.class as usize)
-    }
-
     /// Forwards a request within its quota.
     pub(crate) fn forward_within_quota(&mut self, cx: &mut Context, open: &mut OpenRequest) {
         self.quota.record_usage(cx, open.account(), open.request.units);
@@ -57,7 +52,7 @@
 
     /// Sends the request's next attempt, if it may have one and an endpoint is there for it.
     pub(crate) fn forward(&mut self, cx: &mut Context, open: &mut OpenRequest) {
-        let endpoint = self.load_balancer.choose(cx.now, cx.settings, open, cx.rng);
+        let endpoint = self.load_balancer.choose(cx, open);
         if let Some(endpoint) = endpoint.filter(|_| self.may_attempt(cx, open)) {
             return self.start_attempt(cx, open, endpoint);
         }
@@ -86,7 +81,7 @@
 
     fn start_attempt(&mut self, cx: &mut Context, open: &mut OpenRequest, endpoint: EndpointId) {
         let first = open.attempts.is_empty();
-        let endpoint_in_flight = self.load_balancer.attempt_started(cx.now, cx.settings, endpoint, first);
+        let endpoint_in_flight = self.load_balancer.attempt_started(cx.now, endpoint, first);
         self.quota.customers.attempt_started(&open.request, first);
         open.attempts.push(Attempt { endpoint, started_at: cx.now, endpoint_in_flight, in_flight: true });
         let timeout_ms = attempt_timeout(cx, open);
@@ -101,14 +96,12 @@
     pub(crate) fn attempt_ended(&mut self, cx: &mut Context, open: &mut OpenRequest, ended: AttemptEnd) {
         let Some(attempt) = open.end_attempt(&ended) else { return };
         let latency_ms = cx.now - attempt.started_at;
-        let endpoint_in_flight = attempt.endpoint_in_flight;
         self.settle_attempt(cx, open, ended.actual_units);
         self.load.request_ended(cx.now, ended.outcome == Outcome::Success);
         if matches!(ended.outcome, Outcome::Success | Outcome::Timeout) {
             self.load.record_latency(latency_ms, cx.class(&open.request).latency_objective_ms);
         }
-        let request = &open.request;
-        self.load_balancer.attempt_ended(cx.now, cx.settings, request, &ended, endpoint_in_flight, cx.rng);
+        self.load_balancer.attempt_ended(cx, open, &ended);
         if ended.request_answered || open.closed {
             self.close(cx, open);
         } else if !open.has_attempt_in_flight() {
--- a/src/policy/latency.rs
+++ b/src/policy/latency.rs
@@ -1,7 +1,7 @@
 //! Latency estimates: a baseline for each class of requests, and how each endpoint compares to it.
 
 use crate::api::Millis;
-use crate::primitives::running_mean::RunningMean;
+use crate::primitives::mean::RunningMean;
 use crate::state::TrackedEndpoint;
 
 /// Weight of one response in an endpoint's relative latency: about the last ten count.
@@ -13,9 +13,9 @@
 /// Least latency, in ms, and least relative latency that are divided by.
 const MIN_DIVISOR: f64 = 0.1;
 /// Weight of one response in a class's baseline: about the last hundred count.
-pub(crate) const BASELINE_WEIGHT: f64 = 0.01;
+const BASELINE_WEIGHT: f64 = 0.01;
 /// Baseline before the first response, as a share of the latency objective.
-pub(crate) const INITIAL_BASELINE_SHARE: f64 = 0.2;
+pub(super) const INITIAL_BASELINE_SHARE: f64 = 0.2;
 /// Attempts of other gateways assumed in flight at each endpoint.
 const ASSUMED_OTHERS_IN_FLIGHT: f64 = 1.0;
 /// An endpoint with attempts in flight counts as slower once it is silent for more than this many baselines.
@@ -26,16 +26,18 @@
     (in_flight + ASSUMED_OTHERS_IN_FLIGHT) / (1.0 + ASSUMED_OTHERS_IN_FLIGHT)
 }
 
+/// What a latency would have been without the other attempts that were in flight at the endpoint.
+pub(super) fn at_idle_endpoint(latency_ms: Millis, in_flight: f64) -> Millis {
+    latency_ms.max(MIN_DIVISOR) / load_factor(in_flight)
+}
+
 impl TrackedEndpoint {
-    /// Takes in the latency of a successful attempt; the endpoint had this many in flight when it was sent.
-    pub(super) fn record_latency(
-        &mut self, now: Millis, latency_ms: Millis, in_flight: f64, baseline: &mut RunningMean,
-    ) {
-        let idle_latency_ms = latency_ms.max(MIN_DIVISOR) / load_factor(in_flight);
-        let sample = (idle_latency_ms / baseline.value().max(MIN_DIVISOR)).min(MAX_RELATIVE_LATENCY);
+    /// Takes in the latency that a successful attempt would have had at an idle endpoint.
+    pub(super) fn record_latency(&mut self, now: Millis, idle_ms: Millis, baseline: &mut RunningMean) {
+        let sample = (idle_ms / baseline.value().max(MIN_DIVISOR)).min(MAX_RELATIVE_LATENCY);
         let relative = self.relative_latency.current(now, RELATIVE_LATENCY_MEMORY_MS);
         self.relative_latency.record(now, relative, sample, RELATIVE_LATENCY_WEIGHT);
-        baseline.record(idle_latency_ms / relative.max(MIN_DIVISOR), BASELINE_WEIGHT);
+        baseline.record(idle_ms / relative.max(MIN_DIVISOR), BASELINE_WEIGHT);
     }
 
     /// Time that one more attempt is expected to take, in ms.
--- a/src/policy/load_balancer.rs
+++ b/src/policy/load_balancer.rs
@@ -4,7 +4,8 @@
 use crate::api::*;
 use crate::policy::candidate::{Candidate, DeduplicationScope, Preference};
 use crate::policy::{connections, endpoints, latency, outlier, slow_start, subset};
-use crate::primitives::{decay::DecayingRate, ring::RingArc, running_mean::RunningMean};
+use crate::primitives::mean::{EventRate, RunningMean};
+use crate::primitives::ring::RingArc;
 use crate::state::*;
 use fastrand::Rng;
 
@@ -34,7 +35,7 @@
     /// By class.
     baselines: Vec<RunningMean>,
     /// First attempts of requests.
-    request_rate: DecayingRate,
+    request_rate: EventRate,
 }
 
 impl LoadBalancer {
@@ -48,7 +49,7 @@
             connected_members: Vec::new(),
             outliers: outlier::OutlierDetector::default(),
             baselines: settings.classes.iter().map(|class| RunningMean::new(baseline(class))).collect(),
-            request_rate: DecayingRate::new(REQUEST_RATE_MEMORY_MS, now),
+            request_rate: EventRate::new(now, REQUEST_RATE_MEMORY_MS),
         }
     }
 
@@ -68,40 +69,36 @@
     }
 
     /// Periodic housekeeping; `mean_in_flight` attempts of this gateway are in flight on average.
-    pub(crate) fn tick(&mut self, now: Millis, settings: &Settings, mean_in_flight: f64) {
-        self.endpoints.forget_removed(now, FORGET_REMOVED_MS);
+    pub(crate) fn tick(&mut self, cx: &Context, mean_in_flight: f64) {
+        self.endpoints.forget_removed(cx.now, FORGET_REMOVED_MS);
         self.subset_load.mean_in_flight = mean_in_flight;
         if subset::is_partial(&self.subset) {
             self.subset();
             let members = self.endpoints.select(self.subset.members());
             self.subset_load.unhealthy_members =
-                members.clone().filter(|e| !e.health.is_healthy(now)).count();
-            let connected = members.filter(|e| e.has_free_connection(now));
+                members.clone().filter(|e| !e.health.is_healthy(cx.now)).count();
+            let connected = members.filter(|e| e.has_free_connection(cx.now));
             self.connected_members = connected.map(|e| e.endpoint.id).collect();
-            subset::resize(&mut self.subset, settings, &self.subset_load);
+            subset::resize(&mut self.subset, cx.settings, &self.subset_load);
         }
     }
 
     /// Takes in the complete endpoint list, or the entries that changed.
-    pub(crate) fn update_endpoints(
-        &mut self, now: Millis, settings: &Settings, complete: bool, entries: Vec<Endpoint>, rng: &mut Rng,
-    ) {
-        endpoints::update(&mut self.endpoints, &mut self.subset, now, settings, complete, entries, rng);
+    pub(crate) fn update_endpoints(&mut self, cx: &mut Context, complete: bool, entries: Vec<Endpoint>) {
+        endpoints::update(cx, &mut self.endpoints, &mut self.subset, complete, entries);
         self.warming_members.is_stale = true;
-        subset::resize(&mut self.subset, settings, &self.subset_load);
+        subset::resize(&mut self.subset, cx.settings, &self.subset_load);
     }
 
     /// The best endpoint for the request's next attempt. With many endpoints, members of the subset that are
     /// to be avoided come after the endpoints outside it.
-    pub(crate) fn choose(
-        &mut self, now: Millis, settings: &Settings, open: &OpenRequest, rng: &mut Rng,
-    ) -> Option<EndpointId> {
-        let mut rng = rng.fork();
-        self.refill_warming_members(now, &settings.rules);
-        let choice = Choice::new(now, settings, open, self);
+    pub(crate) fn choose(&mut self, cx: &mut Context, open: &OpenRequest) -> Option<EndpointId> {
+        let mut rng = cx.rng.fork();
+        self.refill_warming_members(cx);
+        let choice = Choice::new(cx, open, self);
         let mut best = None;
         if subset::is_partial(&self.subset) {
-            let sample = self.sample(now, &settings.limits, &mut rng);
+            let sample = self.sample(cx, &mut rng);
             best = choice.best(sample.iter().copied(), &mut rng).filter(Candidate::is_preferred);
             let members = self.endpoints.select(self.subset.members());
             best = best.or_else(|| choice.best(members, &mut rng).filter(Candidate::is_preferred));
@@ -109,55 +106,56 @@
         best.or_else(|| choice.best(self.endpoints.all(), &mut rng)).map(|candidate| candidate.endpoint)
     }
 
-    fn refill_warming_members(&mut self, now: Millis, rules: &Rules) {
+    fn refill_warming_members(&mut self, cx: &Context) {
         self.subset();
-        let capacity = self.warming_members.update(now, &self.endpoints, self.subset.members());
-        let rate = slow_start::rate_per_endpoint(rules, self.request_rate.per_second(), capacity);
-        self.warming_members.refill(now, &mut self.endpoints, rate);
+        let capacity = self.warming_members.update(cx.now, &self.endpoints, self.subset.members());
+        let request_rate = self.request_rate.per_second();
+        let rate = slow_start::rate_per_endpoint(&cx.settings.rules, request_rate, capacity);
+        self.warming_members.refill(cx.now, &mut self.endpoints, rate);
     }
 
     /// The members that are warming up and may be sent an attempt, and a few random ones.
-    fn sample(&self, now: Millis, limits: &Limits, rng: &mut Rng) -> Vec<&TrackedEndpoint> {
+    fn sample(&self, cx: &Context, rng: &mut Rng) -> Vec<&TrackedEndpoint> {
         let request_rate = self.request_rate.per_second();
         let mut members = self.subset.members();
-        if connections::keeps_to_connected(limits, request_rate, self.connected_members.len()) {
+        if connections::keeps_to_connected(&cx.settings.limits, request_rate, self.connected_members.len()) {
             members = &self.connected_members;
         }
         let warming = self.endpoints.select(&self.warming_members.ids);
         let mut sample: Vec<_> = warming.filter(|endpoint| endpoint.warm_up.has_token()).collect();
         let random = std::iter::repeat_with(|| members.get(rng.usize(..members.len().max(1))));
         let random = random.take(MAX_SAMPLE_DRAWS).filter_map(|id| self.endpoints.get(*id?));
-        sample.extend(random.filter(|endpoint| endpoint.is_available(now)).take(SAMPLE_SIZE));
+        sample.extend(random.filter(|endpoint| endpoint.is_available(cx.now)).take(SAMPLE_SIZE));
         sample
     }
 
     /// An attempt has been sent; returns how many of this gateway are now in flight at the endpoint.
-    pub(crate) fn attempt_started(&mut self, now: Millis, _: &Settings, id: EndpointId, first: bool) -> f64 {
+    pub(crate) fn attempt_started(&mut self, now: Millis, id: EndpointId, first: bool) -> f64 {
         if first {
-            self.request_rate.record_event(now);
+            self.request_rate.record(now, 1.0);
         }
         let Some(endpoint) = self.endpoints.get_mut(id) else { return 1.0 };
         endpoint.attempt_started(now);
         f64::from(endpoint.in_flight)
     }
 
-    /// An attempt has ended; `in_flight` is what `attempt_started` returned for it.
-    pub(crate) fn attempt_ended(
-        &mut self, now: Millis, settings: &Settings, request: &Request, end: &AttemptEnd, in_flight: f64,
-        rng: &mut Rng,
-    ) {
+    /// An attempt of the request has ended.
+    pub(crate) fn attempt_ended(&mut self, cx: &mut Context, open: &OpenRequest, end: &AttemptEnd) {
+        let Some(attempt) = open.attempts.get(usize::from(end.attempt)) else { return };
         let Some(endpoint) = self.endpoints.get_mut(end.endpoint) else { return };
-        self.outliers.record(now, end, endpoint, rng);
-        endpoint.attempt_ended(now, end.outcome);
-        let plan = request.plan as usize;
-        let baseline = &mut self.baselines[request.class as usize];
-        let avoided_until = now + outlier::avoidance_ms(self.request_rate.per_second());
+        self.outliers.record(cx, end, endpoint);
+        endpoint.attempt_ended(cx.now, end.outcome);
+        let plan = open.request.plan as usize;
+        let plans = cx.settings.plans.len();
+        let baseline = &mut self.baselines[open.request.class as usize];
+        let avoided_until = cx.now + outlier::avoidance_ms(self.request_rate.per_second());
         match end.outcome {
             Outcome::Success if end.elapsed_ms.is_finite() => {
-                endpoint.record_latency(now, end.elapsed_ms, in_flight, baseline);
+                let idle_ms = latency::at_idle_endpoint(end.elapsed_ms, attempt.endpoint_in_flight);
+                endpoint.record_latency(cx.now, idle_ms, baseline);
             }
             Outcome::Rejected => endpoint.health.set_rejecting(plan..plan + 1, avoided_until),
-            Outcome::ConnectFailed => endpoint.health.set_rejecting(0..settings.plans.len(), avoided_until),
+            Outcome::ConnectFailed => endpoint.health.set_rejecting(0..plans, avoided_until),
             _ => {}
         }
     }
@@ -173,17 +171,19 @@
 }
 
 impl<'a> Choice<'a> {
-    fn new(now: Millis, settings: &Settings, open: &'a OpenRequest, balancer: &LoadBalancer) -> Self {
-        let class = &settings.classes[open.request.class as usize];
+    fn new(cx: &Context, open: &'a OpenRequest, balancer: &LoadBalancer) -> Self {
+        let class = cx.class(&open.request);
         let first_executor = open.first_execution.and_then(|first| balancer.endpoints.get(first.endpoint));
         let scope = DeduplicationScope::new(class.idempotency, first_executor.map(|e| &e.endpoint));
         let baseline_ms = balancer.baseline_latency(open.request.class as usize);
-        let handshake_cost_ms = HANDSHAKE_FACTOR * settings.prices.handshake * class.latency_objective_ms;
-        Choice { now, open, scope, baseline_ms, handshake_cost_ms }
+        let handshake_cost_ms = HANDSHAKE_FACTOR * cx.settings.prices.handshake * class.latency_objective_ms;
+        Choice { now: cx.now, open, scope, baseline_ms, handshake_cost_ms }
     }
 
     fn best<'e>(
-        &self, endpoints: impl Iterator<Item = &'e TrackedEndpoint> + Clone, rng: &mut Rng,
+        &self,
+        endpoints: impl Iterator<Item = &'e TrackedEndpoint> + Clone,
+        rng: &mut Rng,
     ) -> Option<Candidate> {
         let ignore_ejections = outlier::in_panic_mode(endpoints.clone());
         let mut best: Option<Candidate> = None;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,7 +3,7 @@
 //! A request comes to [`admission`], which checks the customer's [`quota`] and the fleet's [`overload`].
 //! [`forwarding`] sends it to the endpoint that [`load_balancer`] chooses, retries and ends it.
 
-pub(crate) mod admission;
+mod admission;
 mod call_limiter;
 mod candidate;
 mod connections;
--- a/src/policy/outlier.rs
+++ b/src/policy/outlier.rs
@@ -2,8 +2,7 @@
 
 use crate::api::{AttemptEnd, Millis, Outcome};
 use crate::primitives::ejection::EjectionParameters;
-use crate::state::{EndpointHealth, TrackedEndpoint};
-use fastrand::Rng;
+use crate::state::{Context, EndpointHealth, TrackedEndpoint};
 
 /// The first ejection time, in ms.
 pub(crate) const BASE_EJECTION_MS: f64 = 500.0;
@@ -28,14 +27,12 @@
 
 impl OutlierDetector {
     /// To be called before the endpoint's `last_response_at` takes in this outcome.
-    pub(super) fn record(
-        &mut self, now: Millis, end: &AttemptEnd, endpoint: &mut TrackedEndpoint, rng: &mut Rng,
-    ) {
+    pub(super) fn record(&mut self, cx: &mut Context, end: &AttemptEnd, endpoint: &mut TrackedEndpoint) {
         self.record_validity(end.outcome, &mut endpoint.health);
         if end.outcome == Outcome::Success {
             endpoint.health.ejection.record_success();
-        } else if self.is_failure(now, end, endpoint) {
-            endpoint.health.ejection.record_failure(now, &EJECTION, rng);
+        } else if self.is_failure(cx.now, end, endpoint) {
+            endpoint.health.ejection.record_failure(cx.now, &EJECTION, cx.rng);
         }
     }
 
--- a/src/policy/overload.rs
+++ b/src/policy/overload.rs
@@ -1,12 +1,12 @@
 //! The expected latency of a request, from the load of the fleet as this gateway's own requests show it.
 
 use crate::api::Millis;
-use crate::policy::load_balancer::LoadBalancer;
-use crate::primitives::load_estimate::{LoadEstimate, LoadParameters};
-use crate::state::Context;
+use crate::policy::forwarding::Forwarder;
+use crate::primitives::load_estimate::LoadParameters;
+use crate::state::{Context, OpenRequest};
 
 /// How the load is estimated.
-pub(crate) const FLEET_LOAD: LoadParameters = LoadParameters {
+pub(super) const FLEET_LOAD: LoadParameters = LoadParameters {
     averaging_ms: 1500.0, // some dozens of requests
     responses_for_half_weight: 20.0,
     latency_share_gain: 0.1, // about the last ten count, however long ago
@@ -17,20 +17,20 @@
 /// make the gateway reject everything, and without responses it would learn nothing.
 const ALWAYS_ADMITTED_PER_ENDPOINT: f64 = 3.0;
 
-/// Expected time to the response of a request of this class if it is admitted now, in ms. It rises at once
-/// with what is admitted, whatever slows the fleet: other gateways, neighbours, costly requests.
-pub(crate) fn expected_latency(
-    cx: &Context, load: &mut LoadEstimate, load_balancer: &LoadBalancer, class: usize,
-) -> Millis {
-    load.advance(cx.now);
-    if load_balancer.ready_count() == 0 {
-        return f64::INFINITY;
+impl Forwarder {
+    /// Expected time to the response of the request if it is admitted now, in ms. It rises at once with what is
+    /// admitted, whatever slows the fleet: other gateways, neighbours, costly requests.
+    pub(super) fn expected_latency(&mut self, cx: &Context, open: &OpenRequest) -> Millis {
+        self.load.advance(cx.now);
+        let ready = self.load_balancer.ready_count() as f64;
+        if ready == 0.0 {
+            return f64::INFINITY;
+        }
+        let gateways = f64::from(cx.settings.gateway_count.max(1));
+        if self.load.in_flight() < (ready * ALWAYS_ADMITTED_PER_ENDPOINT / gateways).max(1.0) {
+            return 0.0;
+        }
+        let baseline_ms = self.load_balancer.baseline_latency(open.request.class as usize);
+        self.load.expected_latency(baseline_ms, cx.class(&open.request).latency_objective_ms)
     }
-    let ready = load_balancer.ready_count() as f64;
-    let gateways = f64::from(cx.settings.gateway_count.max(1));
-    if load.in_flight() < (ready * ALWAYS_ADMITTED_PER_ENDPOINT / gateways).max(1.0) {
-        return 0.0;
-    }
-    let objective_ms = cx.settings.classes[class].latency_objective_ms;
-    load.expected_latency(load_balancer.baseline_latency(class), objective_ms)
 }
--- a/src/primitives/decay.rs
+++ b/src/primitives/decay.rs
@@ -1,34 +1,10 @@
-//! Estimates that fade with time. Times are in ms.
+//! Exponential decay over time. Times are in ms.
 
 /// The share of a value that is left after this time, if it falls by a factor of e in each time constant.
-fn remaining_share(elapsed_ms: f64, time_constant_ms: f64) -> f64 {
+pub(super) fn remaining_share(elapsed_ms: f64, time_constant_ms: f64) -> f64 {
     (-elapsed_ms.max(0.0) / time_constant_ms).exp()
 }
 
-/// The rate of events, averaged with exponentially falling weights.
-pub(crate) struct DecayingRate {
-    time_constant_ms: f64,
-    per_second: f64,
-    updated_at: f64,
-}
-
-impl DecayingRate {
-    pub(crate) fn new(time_constant_ms: f64, now: f64) -> Self {
-        DecayingRate { time_constant_ms, per_second: 0.0, updated_at: now }
-    }
-
-    /// The rate as of the last event; it does not fall while no event comes.
-    pub(crate) fn per_second(&self) -> f64 {
-        self.per_second
-    }
-
-    pub(crate) fn record_event(&mut self, now: f64) {
-        let remaining = remaining_share(now - self.updated_at, self.time_constant_ms);
-        self.per_second = self.per_second * remaining + 1000.0 / self.time_constant_ms;
-        self.updated_at = now;
-    }
-}
-
 /// A ratio that returns to 1 while no sample comes.
 pub(crate) struct DecayingRatio {
     value: f64,
--- a/src/primitives/mean.rs
+++ b/src/primitives/mean.rs
@@ -1,5 +1,7 @@
 //! Moving averages that forget the past exponentially.
 
+use super::decay::remaining_share;
+
 /// A mean in which each sample has the same weight, however far apart the samples come.
 pub(crate) struct ExponentialMean {
     value: f64,
@@ -21,6 +23,30 @@
     }
 }
 
+/// A mean that adapts quickly at first and slowly later: it weighs its first samples alike, and once there are many,
+/// all samples with exponentially falling weights.
+pub(crate) struct RunningMean {
+    value: f64,
+    samples: f64,
+}
+
+impl RunningMean {
+    /// `initial` stands in until the first sample.
+    pub(crate) fn new(initial: f64) -> Self {
+        RunningMean { value: initial, samples: 0.0 }
+    }
+
+    pub(crate) fn value(&self) -> f64 {
+        self.value
+    }
+
+    /// Adds a sample, with `min_weight` at least.
+    pub(crate) fn record(&mut self, sample: f64, min_weight: f64) {
+        self.samples += 1.0;
+        self.value += (sample - self.value) * min_weight.max(1.0 / self.samples);
+    }
+}
+
 /// A mean over time of a quantity that changes in steps.
 pub(crate) struct TimeAverage {
     value: f64,
@@ -36,8 +62,8 @@
 
     /// The quantity has had the value `current` since the last update.
     pub(crate) fn update(&mut self, now: f64, current: f64) {
-        let kept = kept_share(now - self.updated_at, self.time_constant_ms);
-        self.value = self.value * kept + current * (1.0 - kept);
+        let remaining = remaining_share(now - self.updated_at, self.time_constant_ms);
+        self.value = self.value * remaining + current * (1.0 - remaining);
         self.updated_at = now;
     }
 
@@ -61,8 +87,8 @@
 
     /// `events` have happened now; 0 lets the rate decay.
     pub(crate) fn record(&mut self, now: f64, events: f64) {
-        let kept = kept_share(now - self.updated_at, self.time_constant_ms);
-        self.per_second = self.per_second * kept + events * 1000.0 / self.time_constant_ms;
+        let remaining = remaining_share(now - self.updated_at, self.time_constant_ms);
+        self.per_second = self.per_second * remaining + events * 1000.0 / self.time_constant_ms;
         self.updated_at = now;
     }
 
@@ -71,10 +97,5 @@
     }
 }
 
-/// The share of a past value that still counts after `elapsed_ms`.
-fn kept_share(elapsed_ms: f64, time_constant_ms: f64) -> f64 {
-    (-elapsed_ms.max(0.0) / time_constant_ms).exp()
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/primitives/mod.rs
+++ b/src/primitives/mod.rs
@@ -7,7 +7,6 @@
 pub(crate) mod mean;
 pub(crate) mod ramp;
 pub(crate) mod ring;
-pub(crate) mod running_mean;
 pub(crate) mod shared_bucket;
 pub(crate) mod token_bucket;
 pub(crate) mod window;
--- a/src/state/customer.rs
+++ b/src/state/customer.rs
@@ -80,7 +80,9 @@
     }
 
     pub(crate) fn get_or_insert_with(
-        &mut self, id: CustomerId, new: impl FnOnce() -> Customer,
+        &mut self,
+        id: CustomerId,
+        new: impl FnOnce() -> Customer,
     ) -> &mut Customer {
         if self.0.len() >= MAX_CUSTOMERS && !self.0.contains_key(&id) {
             self.forget_longest_idle_half();
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -27,7 +27,10 @@
 impl TrackedEndpoint {
     /// An endpoint of which only its entry in the endpoint list is known.
     pub(crate) fn new(
-        endpoint: Endpoint, connections: ConnectionEstimate, warm_up: WarmUp, now: Millis,
+        endpoint: Endpoint,
+        connections: ConnectionEstimate,
+        warm_up: WarmUp,
+        now: Millis,
     ) -> Self {
         TrackedEndpoint {
             endpoint,
--- a/src/state/endpoint_table.rs
+++ b/src/state/endpoint_table.rs
@@ -32,7 +32,8 @@
 
     /// Those of these endpoints that are known, in the order given.
     pub(crate) fn select<'a>(
-        &'a self, ids: &'a [EndpointId],
+        &'a self,
+        ids: &'a [EndpointId],
     ) -> impl Iterator<Item = &'a TrackedEndpoint> + Clone {
         ids.iter().filter_map(|id| self.endpoints.get(id))
     }
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -97,7 +97,12 @@
     }
 
     pub fn attempt_ended(
-        &mut self, id: u64, attempt: u8, endpoint: u32, outcome: Outcome, actual_units: Option<f64>,
+        &mut self,
+        id: u64,
+        attempt: u8,
+        endpoint: u32,
+        outcome: Outcome,
+        actual_units: Option<f64>,
     ) -> Vec<Action> {
         self.handle(Event::AttemptEnded(AttemptEnd {
             id,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -264,7 +264,9 @@
 
 /// The endpoints of the first attempts of `requests` requests, one per second, which end as `outcome` says.
 fn endpoints_chosen(
-    gateway: &mut TestGateway, requests: u64, outcome: impl Fn(u64, u32) -> Outcome,
+    gateway: &mut TestGateway,
+    requests: u64,
+    outcome: impl Fn(u64, u32) -> Outcome,
 ) -> Vec<u32> {
     let mut shared = SharedCounter::default();
     let mut chosen = Vec::new();
--- a/tests/policy_files.rs
+++ b/tests/policy_files.rs
@@ -21,10 +21,21 @@
     line.split('"').skip(1).step_by(2).map(|name| root().join(name)).collect()
 }
 
-/// The files below `src/policy`.
+/// The source files in `src/policy` and its folders, without those of tests.
 fn policy_files() -> BTreeSet<PathBuf> {
-    let entries = fs::read_dir(root().join("src/policy")).expect("src/policy is a folder");
-    entries.map(|entry| entry.expect("an entry of src/policy").path()).collect()
+    let mut files = BTreeSet::new();
+    let mut folders = vec![root().join("src/policy")];
+    while let Some(folder) = folders.pop() {
+        for entry in fs::read_dir(folder).expect("a folder of src/policy") {
+            let path = entry.expect("an entry of src/policy").path();
+            if path.is_dir() {
+                folders.push(path);
+            } else if path.file_name().is_some_and(|name| name != "tests.rs") {
+                files.insert(path);
+            }
+        }
+    }
+    files
 }
 
 #[test]
@@ -45,6 +56,6 @@
 
 #[test]
 fn the_entry_point_says_where_its_types_are() {
-    let text = fs::read_to_string(root().join("src/policy/gateway.rs")).expect("gateway.rs can be read");
+    let text = fs::read_to_string(root().join("src/gateway.rs")).expect("gateway.rs can be read");
     assert!(text.lines().take(3).any(|line| line.contains("src/api")));
 }
