--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -13,7 +13,7 @@
 const MAX_EXPECTED_SHARE_OVER_QUOTA: f64 = 0.35;
 
 impl Forwarder {
-    /// A request has come in. One of an unknown class or plan, or without time left, is rejected and not kept.
+    /// A request has come in. One with an unknown class or plan, or no time left, is rejected at once.
     pub(crate) fn request_arrived(&mut self, cx: &mut Context, request: Request) -> Option<OpenRequest> {
         let id = request.id;
         let Some(mut open) = OpenRequest::new(request, cx.settings, cx.now) else {
--- a/src/policy/call_limiter.rs
+++ b/src/policy/call_limiter.rs
@@ -1,5 +1,5 @@
-//! Paces the calls to the shared counter. All gateways share its capacity and none knows it, so each finds its part:
-//! its rate grows with each success and is cut with each failure (additive increase, multiplicative decrease).
+//! Paces the calls to the counter. All gateways share its capacity and none knows it: the rate grows with
+//! each success and is cut with each failure (additive increase, multiplicative decrease).
 
 use crate::api::Millis;
 use crate::primitives::token_bucket::TokenBucket;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,4 +1,4 @@
-//! Every decision of the gateway: what it admits, where it sends it, what it retries, when it calls the counter.
+//! Every decision: what is admitted, where it is sent, what is retried, and when the counter is called.
 //!
 //! A request comes to [`admission`], which checks the customer's [`quota`] and the fleet's [`overload`].
 //! [`forwarding`] sends it to the endpoint that [`load_balancer`] chooses, retries and ends it.
--- a/src/policy/overload.rs
+++ b/src/policy/overload.rs
@@ -18,8 +18,8 @@
 const ALWAYS_ADMITTED_PER_ENDPOINT: f64 = 3.0;
 
 impl Forwarder {
-    /// Expected time to the response of the request if it is admitted now, in ms. It rises at once with what is
-    /// admitted, whatever slows the fleet: other gateways, neighbours, costly requests.
+    /// Expected time to the response of the request if it is admitted now, in ms. It rises at once with what
+    /// is admitted, whatever slows the fleet: other gateways, neighbours, costly requests.
     pub(super) fn expected_latency(&mut self, cx: &Context, open: &OpenRequest) -> Millis {
         self.load.advance(cx.now);
         let ready = self.load_balancer.ready_count() as f64;
