--- a/src/bin/quota-gateway/counter/connection.rs
+++ b/src/bin/quota-gateway/counter/connection.rs
@@ -77,8 +77,8 @@
     }
 
     /// Puts a call into the outgoing bytes.
-    pub fn enqueue(&mut self, call: CounterCall) {
-        let requests = codec::encode(&call, self.addr);
+    pub fn enqueue(&mut self, call: &CounterCall) {
+        let requests = codec::encode(call, self.addr);
         for (index, request) in requests.iter().enumerate() {
             self.outgoing.extend_from_slice(request.as_bytes());
             self.bytes_queued += request.len() as u64;
@@ -105,7 +105,7 @@
             let wake_at = self.wake_at();
             let flow = tokio::select! {
                 call = next_call(open_queue) => self.on_call(call),
-                written = self.writer.write(&self.outgoing), if !self.outgoing.is_empty() => self.on_written(written),
+                written = self.writer.write(&self.outgoing), if !self.outgoing.is_empty() => self.on_written(written.ok()),
                 response = self.reader.answer(MAX_RESPONSE_BYTES) => self.on_response(response),
                 () = sleep_until(wake_at) => self.on_timer(),
             };
@@ -135,19 +135,19 @@
 
     fn enqueue_waiting_calls(&mut self, queue: &mut Receiver<CounterCall>) {
         while let Ok(call) = queue.try_recv() {
-            self.enqueue(call);
+            self.enqueue(&call);
         }
     }
 
     fn on_call(&mut self, call: Option<CounterCall>) -> ControlFlow<()> {
         let Some(call) = call else { return ControlFlow::Break(()) };
-        self.enqueue(call);
+        self.enqueue(&call);
         ControlFlow::Continue(())
     }
 
-    fn on_written(&mut self, written: io::Result<usize>) -> ControlFlow<()> {
+    fn on_written(&mut self, written: Option<usize>) -> ControlFlow<()> {
         match written {
-            Ok(bytes) if bytes > 0 => {
+            Some(bytes) if bytes > 0 => {
                 self.outgoing.advance(bytes);
                 self.bytes_written += bytes as u64;
                 ControlFlow::Continue(())
--- a/src/bin/quota-gateway/counter/worker.rs
+++ b/src/bin/quota-gateway/counter/worker.rs
@@ -24,7 +24,7 @@
             continue;
         };
         let mut connection = Connection::new(stream, current_addr, context.clone());
-        connection.enqueue(first_call);
+        connection.enqueue(&first_call);
         tokio::select! {
             () = connection.serve(Some(&mut queue)) => connection.close(),
             // Calls in flight still get their responses from the old address; new calls don't wait for them. The
--- a/src/bin/quota-gateway/discovery/policy.rs
+++ b/src/bin/quota-gateway/discovery/policy.rs
@@ -63,7 +63,7 @@
     pub fn new(settings: &Settings, seed: u64) -> Self {
         let source = if settings.endpoints_polled { Source::SharedService } else { Source::LocalAgent };
         let agent_timeout = agent_call_timeout(settings.rules.drain_grace_ms);
-        let service_interval = PROPAGATION_LIMIT - RESPONSE_ALLOWANCE;
+        let service_interval = PROPAGATION_LIMIT.saturating_sub(RESPONSE_ALLOWANCE);
         let timeouts = match source {
             Source::LocalAgent => CallTimeouts { connect: agent_timeout, response: agent_timeout },
             Source::SharedService => CallTimeouts {
@@ -138,7 +138,7 @@
 }
 
 fn agent_call_timeout(drain_grace_ms: f64) -> Duration {
-    let drain_grace_s = drain_grace_ms.clamp(0.0, MAX_DRAIN_GRACE_MS) / 1000.0;
-    let timeout = Duration::from_secs_f64(drain_grace_s * AGENT_CALL_SHARE_OF_DRAIN_GRACE);
+    let grace_s = drain_grace_ms.clamp(0.0, MAX_DRAIN_GRACE_MS) / 1000.0;
+    let timeout = Duration::from_secs_f64(grace_s * AGENT_CALL_SHARE_OF_DRAIN_GRACE);
     timeout.max(AGENT_RETRY_PAUSE).min(CONNECT_TIMEOUT)
 }
--- a/src/bin/quota-gateway/shutdown.rs
+++ b/src/bin/quota-gateway/shutdown.rs
@@ -19,7 +19,7 @@
 const ACCEPT_PERIOD: Duration = Duration::from_millis(600);
 /// From this time after SIGTERM only clients with an open request are waited for: others that connected in time have
 /// long sent their requests.
-const QUIET_PERIOD: Duration = Duration::from_millis(1000);
+const QUIET_PERIOD: Duration = Duration::from_secs(1);
 /// SIGKILL follows SIGTERM no sooner than after the longest request deadline, capped at this ...
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
 /// ... plus this.
@@ -81,7 +81,7 @@
 pub fn open_request_limit(settings: &Settings) -> Duration {
     let longest_ms = settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
     let longest = Duration::from_secs_f64(longest_ms.clamp(0.0, MAX_DEADLINE_MS) / 1000.0);
-    longest.min(MAX_COUNTED_DEADLINE) + KILL_GRACE - FAILURE_RESERVE
+    longest.min(MAX_COUNTED_DEADLINE) + KILL_GRACE.saturating_sub(FAILURE_RESERVE)
 }
 
 /// The task that accepts clients.
--- a/src/bin/simulator-adapter/adapter.rs
+++ b/src/bin/simulator-adapter/adapter.rs
@@ -75,7 +75,12 @@
     }
 
     fn handle_event(
-        &mut self, now: f64, code: u8, number: u32, fields: &mut Fields, reply: &mut Reply,
+        &mut self,
+        now: f64,
+        code: u8,
+        number: u32,
+        fields: &mut Fields,
+        reply: &mut Reply,
     ) -> Result<(), RecordError> {
         let record = fields.position();
         let Some(instance) = self.instances.get_mut(&number) else {
--- a/src/bin/simulator-adapter/events.rs
+++ b/src/bin/simulator-adapter/events.rs
@@ -85,7 +85,10 @@
 
 /// Decodes the fields that follow the instance in a record of this code.
 pub fn decode(
-    code: u8, fields: &mut Fields, lists: &EndpointLists, load_fields: &[LoadField],
+    code: u8,
+    fields: &mut Fields,
+    lists: &EndpointLists,
+    load_fields: &[LoadField],
 ) -> Result<Event, RecordError> {
     match code {
         code::HEALTH => health(fields, load_fields),
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,7 +1,7 @@
 //! The entry point of the library: events in, actions out. Their types are in `src/api`, the decisions in `src/policy`.
 
-use crate::api::*;
-use crate::policy::{Forwarder, PollRetry};
+use crate::api::{Action, EndpointId, Event, Millis, Settings};
+use crate::policy::{endpoints::PollRetry, forwarding::Forwarder};
 use crate::state::{Context, CounterReply, OpenRequests, Timer};
 
 /// Time between two runs of the periodic housekeeping, in ms.
@@ -19,6 +19,7 @@
 
 impl Gateway {
     /// A gateway that starts now and knows its settings alone.
+    #[must_use]
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Self {
         Gateway {
             forwarder: Forwarder::new(&settings, now),
@@ -31,6 +32,7 @@
     }
 
     /// The number of customers remembered now.
+    #[must_use]
     pub fn customer_count(&self) -> usize {
         self.forwarder.quota.customers.len()
     }
@@ -64,10 +66,10 @@
             }
             Event::ResponseStarted { id, .. } => requests.update(id, |open| open.streaming = true),
             Event::AttemptEnded(end) => {
-                requests.update(end.id, |open| forwarder.attempt_ended(cx, open, end))
+                requests.update(end.id, |open| forwarder.attempt_ended(cx, open, &end));
             }
             Event::ClientDisconnected { id } => {
-                requests.update(id, |open| forwarder.client_disconnected(cx, open))
+                requests.update(id, |open| forwarder.client_disconnected(cx, open));
             }
             Event::TimerFired { token } => match Timer::from_token(token) {
                 Timer::Housekeeping => {
@@ -78,7 +80,7 @@
                     forwarder.tick(cx);
                 }
                 Timer::CounterWait(id) => {
-                    requests.update(id, |open| forwarder.counter_wait_expired(cx, open))
+                    requests.update(id, |open| forwarder.counter_wait_expired(cx, open));
                 }
                 Timer::Gossip => forwarder.quota.gossip.send(cx),
             },
--- a/src/policy/call_limiter.rs
+++ b/src/policy/call_limiter.rs
@@ -85,7 +85,6 @@
         self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
     }
 
-    /// A call has succeeded.
     pub(crate) fn on_success(&mut self) {
         // When the counter is back, half of the former rate returns at once.
         if let Some(before) = self.rate_before_failures.filter(|_| self.is_down()) {
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -1,6 +1,6 @@
 //! What an update of the endpoint list changes, and when a failed poll of it is repeated.
 
-use crate::api::*;
+use crate::api::{Endpoint, EndpointState, Millis};
 use crate::policy::{connections::usable_idle_ms, slow_start};
 use crate::primitives::{ramp::WarmUp, ring::RingArc};
 use crate::state::{ConnectionEstimate, Context, EndpointTable, TrackedEndpoint};
@@ -25,32 +25,28 @@
     }
 }
 
-/// Takes in the complete list, or the entries that changed.
-pub(super) fn update(
-    cx: &mut Context,
-    endpoints: &mut EndpointTable,
-    subset: &mut RingArc,
-    complete: bool,
-    entries: Vec<Endpoint>,
-) {
-    let is_first = endpoints.is_empty();
-    endpoints.begin_update();
-    for entry in entries {
-        if let Some(endpoint) = endpoints.get_listed(entry.id) {
+/// Takes in entries of the list.
+pub(super) fn update(cx: &mut Context, table: &mut EndpointTable, ring: &mut RingArc, list: Vec<Endpoint>) {
+    let is_first = table.is_empty();
+    table.begin_update();
+    for entry in list {
+        if let Some(endpoint) = table.get_listed(entry.id) {
             let old_node = endpoint.ring_node();
             replace(cx, endpoint, entry);
-            subset.replace(old_node, endpoint.ring_node());
+            ring.replace(old_node, endpoint.ring_node());
         } else if entry.state != EndpointState::Removed || !is_first {
             let endpoint = new_endpoint(cx, entry);
-            subset.replace(None, endpoint.ring_node());
-            endpoints.insert(endpoint);
+            ring.replace(None, endpoint.ring_node());
+            table.insert(endpoint);
         }
     }
-    if complete {
-        for endpoint in endpoints.unlisted() {
-            subset.replace(endpoint.ring_node(), None);
-            endpoint.endpoint.state = EndpointState::Removed;
-        }
+}
+
+/// Removes the endpoints that the complete list no longer names.
+pub(super) fn remove_unlisted(table: &mut EndpointTable, ring: &mut RingArc) {
+    for endpoint in table.unlisted() {
+        ring.replace(endpoint.ring_node(), None);
+        endpoint.endpoint.state = EndpointState::Removed;
     }
 }
 
--- a/src/policy/forwarding.rs
+++ b/src/policy/forwarding.rs
@@ -1,6 +1,6 @@
 //! What becomes of an admitted request: its attempts, retries, and its final answer.
 
-use crate::api::*;
+use crate::api::{Action, AttemptEnd, EndpointId, Idempotency, KeyScope, Millis, Outcome, Settings};
 use crate::policy::load_balancer::LoadBalancer;
 use crate::policy::overload::FLEET_LOAD;
 use crate::policy::quota::QuotaLedger;
@@ -93,15 +93,15 @@
     }
 
     /// An attempt has ended: its request is settled, and retried unless it has its answer.
-    pub(crate) fn attempt_ended(&mut self, cx: &mut Context, open: &mut OpenRequest, ended: AttemptEnd) {
-        let Some(attempt) = open.end_attempt(&ended) else { return };
+    pub(crate) fn attempt_ended(&mut self, cx: &mut Context, open: &mut OpenRequest, ended: &AttemptEnd) {
+        let Some(attempt) = open.end_attempt(ended) else { return };
         let latency_ms = cx.now - attempt.started_at;
         self.settle_attempt(cx, open, ended.actual_units);
         self.load.request_ended(cx.now, ended.outcome == Outcome::Success);
         if matches!(ended.outcome, Outcome::Success | Outcome::Timeout) {
             self.load.record_latency(latency_ms, cx.class(&open.request).latency_objective_ms);
         }
-        self.load_balancer.attempt_ended(cx, open, &ended);
+        self.load_balancer.attempt_ended(cx, open, ended);
         if ended.request_answered || open.closed {
             self.close(cx, open);
         } else if !open.has_attempt_in_flight() {
--- a/src/policy/load_balancer.rs
+++ b/src/policy/load_balancer.rs
@@ -1,12 +1,12 @@
 //! The choice of endpoint for an attempt: the one with the least expected latency. With many endpoints, two
 //! random members of the subset are compared ("power of two choices").
 
-use crate::api::*;
+use crate::api::{AttemptEnd, Class, Endpoint, EndpointId, Millis, Outcome, Settings};
 use crate::policy::candidate::{Candidate, DeduplicationScope, Preference};
 use crate::policy::{connections, endpoints, latency, outlier, slow_start, subset};
 use crate::primitives::mean::{EventRate, RunningMean};
 use crate::primitives::ring::RingArc;
-use crate::state::*;
+use crate::state::{Context, EndpointTable, OpenRequest, SubsetLoad, TrackedEndpoint, WarmingMembers};
 use fastrand::Rng;
 
 /// Random part of a cost, in baseline latencies: gateways that know equally little choose differently.
@@ -85,7 +85,10 @@
 
     /// Takes in the complete endpoint list, or the entries that changed.
     pub(crate) fn update_endpoints(&mut self, cx: &mut Context, complete: bool, entries: Vec<Endpoint>) {
-        endpoints::update(cx, &mut self.endpoints, &mut self.subset, complete, entries);
+        endpoints::update(cx, &mut self.endpoints, &mut self.subset, entries);
+        if complete {
+            endpoints::remove_unlisted(&mut self.endpoints, &mut self.subset);
+        }
         self.warming_members.is_stale = true;
         subset::resize(&mut self.subset, cx.settings, &self.subset_load);
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,8 +8,8 @@
 mod candidate;
 mod connections;
 mod counter_calls;
-mod endpoints;
-mod forwarding;
+pub(crate) mod endpoints;
+pub(crate) mod forwarding;
 mod latency;
 mod load_balancer;
 mod outlier;
@@ -17,6 +17,3 @@
 mod quota;
 mod slow_start;
 mod subset;
-
-pub(crate) use endpoints::PollRetry;
-pub(crate) use forwarding::Forwarder;
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -7,7 +7,8 @@
 use crate::primitives::mean::ExponentialMean;
 use crate::primitives::shared_bucket::{BucketLimits, RemoteUsage, SharedBucket, SharedBucketParameters};
 use crate::primitives::token_bucket::TokenBucket;
-use crate::state::*;
+use crate::state::{counter_key, CounterCall, CounterReply, OpenRequest, PendingCounterCalls};
+use crate::state::{Account, Context, Customer, Customers};
 
 /// How a customer's quota is rebuilt from the counter.
 const QUOTA_COUNT: SharedBucketParameters = SharedBucketParameters {
--- a/src/primitives/ring.rs
+++ b/src/primitives/ring.rs
@@ -89,7 +89,7 @@
     /// Makes the arc this share of a ring. Changes by up to `min_change` of its length are left out, except the last
     /// one to the whole ring.
     pub(crate) fn resize(&mut self, share: f64, min_change: f64) {
-        let becomes_whole = share == 1.0 && self.share < 1.0;
+        let becomes_whole = share >= 1.0 && self.share < 1.0;
         if becomes_whole || (share - self.share).abs() > self.share * min_change {
             self.share = share;
             self.length = arc_length(share);
@@ -144,7 +144,7 @@
     arc_length((u64::from(index) * step % count) as f64 / count as f64)
 }
 
-/// Mixes the bits of a key, as keys may be consecutive numbers (the finalizer of SplitMix64).
+/// Mixes the bits of a key, as keys may be consecutive numbers (the finalizer of `SplitMix64`).
 fn position_of_key(key: u64) -> u64 {
     let mixed = (key ^ key >> 30).wrapping_mul(0xBF58_476D_1CE4_E5B9);
     let mixed = (mixed ^ mixed >> 27).wrapping_mul(0x94D0_49BB_1331_11EB);
--- a/src/primitives/token_bucket.rs
+++ b/src/primitives/token_bucket.rs
@@ -16,7 +16,7 @@
         self.tokens = (self.tokens + tokens).min(capacity);
     }
 
-    pub(crate) fn has(&self, tokens: f64) -> bool {
+    pub(crate) fn has(self, tokens: f64) -> bool {
         self.tokens >= tokens
     }
 
