--- a/tests/gateway/backends.rs
+++ b/tests/gateway/backends.rs
@@ -1,6 +1,6 @@
 //! Attempts on backends and what comes back.
 
-use crate::play::*;
+use crate::stand_ins::*;
 use std::io::Write;
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -8,9 +8,9 @@
 
 #[test]
 fn passes_a_request_on_and_its_answer_back_unchanged() {
-    let (backend, got) = good();
-    let gateway = Gateway::new(&calm(&[backend]));
-    let answer = gateway.ask(&post("order", KEY, "two pallets"));
+    let (backend, got) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+    let answer = gateway.exchange(&post_request("order", IDEMPOTENCY_KEY_HEADER, "two pallets"));
     assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"stock: 12"[..]));
     let got = got.lock().unwrap();
     assert_eq!(got.len(), 1);
@@ -24,13 +24,13 @@
 
 #[test]
 fn what_never_ran_goes_to_another_backend() {
-    let (backend, got) = good();
-    let full = serve(|_| Play::Say(say(503, "X-Turned-Away: 1\r\n", "")));
+    let (backend, got) = healthy_endpoint();
+    let full = start_server(|_| Reply::Send(response(503, "X-Turned-Away: 1\r\n", "")));
     // An unsafe request may be sent again only if it is known not to have run.
-    for bad in [nobody(), full] {
-        let gateway = Gateway::new(&calm(&[bad, backend]));
+    for bad in [unused_address(), full] {
+        let gateway = Gateway::new(&config_with_silent_discovery(&[bad, backend]));
         for _ in 0..2 {
-            assert_eq!(gateway.ask(&post("once", "", "x")).status(), 200);
+            assert_eq!(gateway.exchange(&post_request("once", "", "x")).status(), 200);
         }
     }
     assert_eq!(got.lock().unwrap().len(), 4);
@@ -38,22 +38,22 @@
 
 #[test]
 fn what_may_have_run_is_not_sent_again_if_unsafe() {
-    for play in [
-        || Play::Say(say(500, "", "")),
+    for reply in [
+        || Reply::Send(response(500, "", "")),
         // Without the header a 503 proves nothing.
-        || Play::Say(say(503, "", "")),
-        || Play::End(String::new()),
+        || Reply::Send(response(503, "", "")),
+        || Reply::SendAndClose(String::new()),
         // A body that ends too early is a reset, and no answer.
-        || Play::End("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsto".to_owned()),
+        || Reply::SendAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsto".to_owned()),
     ] {
         let count = Arc::new(Mutex::new(0));
         let seen = count.clone();
-        let addr = serve(move |_| {
+        let addr = start_server(move |_| {
             *seen.lock().unwrap() += 1;
-            play()
+            reply()
         });
-        let gateway = Gateway::new(&calm(&[addr, addr]));
-        assert_eq!(gateway.ask(&post("once", "", "x")).status(), 502);
+        let gateway = Gateway::new(&config_with_silent_discovery(&[addr, addr]));
+        assert_eq!(gateway.exchange(&post_request("once", "", "x")).status(), 502);
         assert_eq!(*count.lock().unwrap(), 1);
     }
 }
@@ -61,14 +61,15 @@
 #[test]
 fn an_attempt_given_up_ends_its_connection_and_is_answered_in_time() {
     let (closed_to, closed) = channel();
-    let addr = serve(move |_| Play::Hush(closed_to.clone()));
-    let gateway = Gateway::new(&calm(&[addr, addr]));
+    let addr = start_server(move |_| Reply::StaySilent(closed_to.clone()));
+    let gateway = Gateway::new(&config_with_silent_discovery(&[addr, addr]));
     let start = Instant::now();
-    let answer = gateway.ask(&post("once", "", "x").replace("Remaining-Ms: 3000", "Remaining-Ms: 600"));
+    let answer =
+        gateway.exchange(&post_request("once", "", "x").replace("Remaining-Ms: 3000", "Remaining-Ms: 600"));
     // It may have run, so nothing is promised.
     assert_eq!(answer.status(), 502);
     assert!(start.elapsed() < Duration::from_millis(1400), "{:?}", start.elapsed());
-    closed.recv_timeout(LONG).expect("the attempt's connection ends");
+    closed.recv_timeout(TEST_TIMEOUT).expect("the attempt's connection ends");
     assert!(closed.try_recv().is_err(), "sent again");
 }
 
@@ -76,14 +77,14 @@
 fn a_connection_that_broke_while_idle_is_not_used() {
     let count = Arc::new(Mutex::new(0));
     let seen = count.clone();
-    let addr = serve(move |_| {
+    let addr = start_server(move |_| {
         *seen.lock().unwrap() += 1;
-        Play::End(say(200, "", "ok"))
+        Reply::SendAndClose(response(200, "", "ok"))
     });
-    let gateway = Gateway::new(&calm(&[addr]));
+    let gateway = Gateway::new(&config_with_silent_discovery(&[addr]));
     for _ in 0..3 {
         // Sent into a broken connection it might have run, and would fail.
-        assert_eq!(gateway.ask(&post("once", "", "x")).status(), 200);
+        assert_eq!(gateway.exchange(&post_request("once", "", "x")).status(), 200);
         // The end of the connection has to arrive.
         std::thread::sleep(Duration::from_millis(50));
     }
@@ -100,10 +101,10 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nstock\r\n0\r\n\r\n",
         "HTTP/1.1 101 Switching Protocols\r\n\r\n",
     ] {
-        let addr = serve(move |_| Play::Say(spoilt.to_owned()));
-        let gateway = Gateway::new(&calm(&[addr]));
+        let addr = start_server(move |_| Reply::Send(spoilt.to_owned()));
+        let gateway = Gateway::new(&config_with_silent_discovery(&[addr]));
         let start = Instant::now();
-        assert_eq!(gateway.ask(&post("once", "", "x")).status(), 502, "{spoilt}");
+        assert_eq!(gateway.exchange(&post_request("once", "", "x")).status(), 502, "{spoilt}");
         assert!(start.elapsed() < Duration::from_secs(1), "it is known at once");
     }
 }
@@ -112,16 +113,16 @@
 #[test]
 fn what_comes_behind_an_answer_is_nobodys() {
     let number = Mutex::new(0);
-    let addr = serve(move |_| {
+    let addr = start_server(move |_| {
         *number.lock().unwrap() += 1;
-        let answer = say(200, "", &format!("answer {}", number.lock().unwrap()));
-        Play::Say(answer.repeat(2))
+        let answer = response(200, "", &format!("answer {}", number.lock().unwrap()));
+        Reply::Send(answer.repeat(2))
     });
-    let gateway = Gateway::new(&calm(&[addr]));
-    let mut open = gateway.open();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[addr]));
+    let mut open = gateway.connect();
     for round in 1..=10 {
-        open.get_mut().write_all(look(round, 1, 3000).as_bytes()).unwrap();
-        assert_eq!(read(&mut open).unwrap().body, format!("answer {round}").into_bytes());
+        open.get_mut().write_all(get_request(round, 1, 3000).as_bytes()).unwrap();
+        assert_eq!(read_message(&mut open).unwrap().body, format!("answer {round}").into_bytes());
     }
 }
 
@@ -131,25 +132,26 @@
     let (begun_to, begun) = channel();
     let (go_on, wait) = channel::<()>();
     let wait = Mutex::new(wait);
-    let old = serve(move |_| {
+    let old = start_server(move |_| {
         begun_to.send(()).unwrap();
         wait.lock().unwrap().recv().unwrap();
-        Play::Say(say(200, "", "old"))
+        Reply::Send(response(200, "", "old"))
     });
-    let (new, _) = good();
+    let (new, _) = healthy_endpoint();
     let discovery = Discovery::new();
-    let gateway = Gateway::new(&config(&[old], counter(Arc::default()), discovery.addr));
-    let (_, mut watch) = discovery.watch();
-    let mut open = gateway.open();
-    open.get_mut().write_all(look(1, 1, 3000).as_bytes()).unwrap();
-    begun.recv_timeout(LONG).unwrap();
+    let gateway = Gateway::new(&config(&[old], start_counter(Arc::default()), discovery.addr));
+    let (_, mut watch) = discovery.next_watch();
+    let mut open = gateway.connect();
+    open.get_mut().write_all(get_request(1, 1, 3000).as_bytes()).unwrap();
+    begun.recv_timeout(TEST_TIMEOUT).unwrap();
     let bad = serde_json::json!({"id": 7});
-    let moved = serde_json::json!({"version": 8, "full": false, "servers": [bad, entry(0, new, "Ready")]});
-    tell(&mut watch, &moved.to_string());
+    let moved =
+        serde_json::json!({"version": 8, "full": false, "servers": [bad, list_entry(0, new, "Ready")]});
+    push_update(&mut watch, &moved.to_string());
     // The line is in once the warning of its other entry is.
-    gateway.logged("an entry of the list");
+    gateway.wait_for_log("an entry of the list");
     go_on.send(()).unwrap();
-    assert_eq!(read(&mut open).unwrap().body, b"old");
+    assert_eq!(read_message(&mut open).unwrap().body, b"old");
     for customer in 2..6 {
         std::thread::sleep(Duration::from_millis(10));
         assert_eq!(gateway.get(customer, 1).body, b"stock: 12");
--- a/tests/gateway/clients.rs
+++ b/tests/gateway/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: their requests, good and bad.
 
-use crate::play::*;
+use crate::stand_ins::*;
 use std::io::{Read, Write};
 use std::sync::mpsc::channel;
 use std::sync::Mutex;
@@ -8,8 +8,8 @@
 
 #[test]
 fn refuses_at_once_beyond_the_quota_with_advice() {
-    let (backend, got) = good();
-    let gateway = Gateway::new(&calm(&[backend]));
+    let (backend, got) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
     let statuses = [2, 1, 4].map(|units| gateway.get(9, units));
     assert_eq!([statuses[0].status(), statuses[1].status()], [200, 200]);
     assert_eq!(statuses[2].status(), 429);
@@ -22,41 +22,41 @@
 fn a_client_that_goes_frees_its_attempt() {
     let (closed_to, closed) = channel();
     let (begun_to, begun) = channel();
-    let addr = serve(move |_| {
+    let addr = start_server(move |_| {
         let _ = begun_to.send(());
-        Play::Hush(closed_to.clone())
+        Reply::StaySilent(closed_to.clone())
     });
-    let gateway = Gateway::new(&calm(&[addr]));
+    let gateway = Gateway::new(&config_with_silent_discovery(&[addr]));
     let start = Instant::now();
-    let mut open = gateway.open();
-    open.get_mut().write_all(look(3, 1, 3000).as_bytes()).unwrap();
-    begun.recv_timeout(LONG).unwrap();
+    let mut open = gateway.connect();
+    open.get_mut().write_all(get_request(3, 1, 3000).as_bytes()).unwrap();
+    begun.recv_timeout(TEST_TIMEOUT).unwrap();
     drop(open);
-    closed.recv_timeout(LONG).expect("the attempt is withdrawn");
+    closed.recv_timeout(TEST_TIMEOUT).expect("the attempt is withdrawn");
     assert!(start.elapsed() < Duration::from_millis(1400), "only at its time-out");
 }
 
 /// With few descriptors clients wait to be accepted; connections kept idle must not starve them.
 #[test]
 fn few_descriptors_serve_many_clients() {
-    let (backend, _) = good();
-    let mut config = calm(&[backend]);
+    let (backend, _) = healthy_endpoint();
+    let mut config = config_with_silent_discovery(&[backend]);
     config["limits"]["sockets"] = 48.into();
     let gateway = Gateway::new(&config);
     let mut kept = Vec::new();
     for customer in 0..30 {
-        let mut open = gateway.open();
-        open.get_mut().write_all(look(customer, 1, 3000).as_bytes()).unwrap();
-        assert_eq!(read(&mut open).unwrap().status(), 200);
+        let mut open = gateway.connect();
+        open.get_mut().write_all(get_request(customer, 1, 3000).as_bytes()).unwrap();
+        assert_eq!(read_message(&mut open).unwrap().status(), 200);
         kept.push(open);
     }
 }
 
 #[test]
 fn bad_requests_are_the_clients_fault() {
-    let (backend, got) = good();
-    let gateway = Gateway::new(&calm(&[backend]));
-    let fine = look(1, 1, 3000);
+    let (backend, got) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+    let fine = get_request(1, 1, 3000);
     for (text, status) in [
         (fine.replace("/look", "/else"), 404),
         (fine.replace("GET", "DELETE"), 405),
@@ -84,35 +84,36 @@
         (fine.replace("HTTP/1.1\r\n", "HTTP/1.1\r\nContent-Length: 7\r\n") + "1234567", 400),
         (fine.replace("HTTP/1.1\r\n", "HTTP/1.1\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n", 411),
         (fine.replace("HTTP/1.1\r\n", &format!("HTTP/1.1\r\nX: {}\r\n", "x".repeat(20_000))), 431),
-        (post("order", "Idempotency-Key: a key\r\n", "x"), 400),
-        (post("order", &format!("Idempotency-Key: {}\r\n", "k".repeat(65)), "x"), 400),
+        (post_request("order", "Idempotency-Key: a key\r\n", "x"), 400),
+        (post_request("order", &format!("Idempotency-Key: {}\r\n", "k".repeat(65)), "x"), 400),
         (fine.replace("X-Quota", "X-Other"), 400),
         (fine.replace("account=0", "account=z"), 400),
         (fine.replace("account=0000", "account="), 400),
-        (post("order", "", "x"), 400),
-        (post("order", KEY, &"x".repeat(65 * 1024)), 413),
+        (post_request("order", "", "x"), 400),
+        (post_request("order", IDEMPOTENCY_KEY_HEADER, &"x".repeat(65 * 1024)), 413),
         ("rubbish\r\n\r\n".to_owned(), 400),
     ] {
-        assert_eq!(gateway.ask(&text).status(), status, "{}", text.lines().next().unwrap());
+        assert_eq!(gateway.exchange(&text).status(), status, "{}", text.lines().next().unwrap());
     }
     assert_eq!(got.lock().unwrap().len(), 0);
-    assert_eq!(gateway.ask(&fine).status(), 200);
+    assert_eq!(gateway.exchange(&fine).status(), 200);
 }
 
 /// Silent clients, heads without end and bodies that never come end within 3 s in all.
 #[test]
 fn slow_clients_are_let_go() {
-    let (backend, got) = good();
-    let gateway = Gateway::new(&calm(&[backend]));
-    let texts = [String::new(), "GET /look".to_owned(), post("once", "", "four").replace("four", "fo")];
+    let (backend, got) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+    let texts =
+        [String::new(), "GET /look".to_owned(), post_request("once", "", "four").replace("four", "fo")];
     let start = Instant::now();
     let opens = texts.map(|text| {
-        let mut open = gateway.open();
+        let mut open = gateway.connect();
         open.get_mut().write_all(text.as_bytes()).unwrap();
         open
     });
     for (number, mut open) in opens.into_iter().enumerate() {
-        let answer = read(&mut open).map_or(0, |answer| answer.status());
+        let answer = read_message(&mut open).map_or(0, |answer| answer.status());
         assert_eq!(answer, if number == 2 { 408 } else { 0 });
         assert_eq!(open.read(&mut [0]).unwrap_or(0), 0, "closed");
         assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
@@ -123,45 +124,45 @@
 /// Closed while the client still sends, the connection would be reset and the answer lost.
 #[test]
 fn a_client_still_sending_gets_its_answer() {
-    let (backend, _) = good();
-    let gateway = Gateway::new(&calm(&[backend]));
+    let (backend, _) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
     for head in [
-        post("once", "", "").replace("Content-Length: 0", "Content-Length: 60000000"),
-        post("once", "", "")
+        post_request("once", "", "").replace("Content-Length: 0", "Content-Length: 60000000"),
+        post_request("once", "", "")
             .replace("Content-Length: 0", "Content-Length: 60000000")
             .replace("small", "none"),
         "noise\r\n\r\n".to_owned(),
     ] {
-        let mut open = gateway.open();
+        let mut open = gateway.connect();
         open.get_mut().write_all(head.as_bytes()).unwrap();
         for _ in 0..600 {
             open.get_mut().write_all(&[b'x'; 100_000]).expect("it is read on");
         }
-        assert!([400, 413].contains(&read(&mut open).expect("an answer").status()));
+        assert!([400, 413].contains(&read_message(&mut open).expect("an answer").status()));
         assert_eq!(open.read(&mut [0]).unwrap(), 0, "closed");
     }
 }
 
 #[test]
 fn silent_connections_by_the_hundred_keep_nobody_out() {
-    let (backend, _) = good();
-    let mut config = calm(&[backend]);
+    let (backend, _) = healthy_endpoint();
+    let mut config = config_with_silent_discovery(&[backend]);
     config["limits"]["sockets"] = 64.into();
     let gateway = Gateway::new(&config);
     let mut silent = Vec::new();
     for customer in 0..20 {
-        silent.extend((0..10).map(|_| gateway.open()));
+        silent.extend((0..10).map(|_| gateway.connect()));
         // In the first moments one is told that there is no place, and comes again.
         let start = Instant::now();
         loop {
-            let mut open = gateway.open();
-            open.get_mut().write_all(look(customer, 1, 3000).as_bytes()).unwrap();
-            match read(&mut open).map(|answer| answer.status()) {
+            let mut open = gateway.connect();
+            open.get_mut().write_all(get_request(customer, 1, 3000).as_bytes()).unwrap();
+            match read_message(&mut open).map(|answer| answer.status()) {
                 Some(200) => break,
                 None | Some(503) => {}
                 Some(other) => panic!("{other}"),
             }
-            assert!(start.elapsed() < LONG, "starved");
+            assert!(start.elapsed() < TEST_TIMEOUT, "starved");
             std::thread::sleep(Duration::from_millis(5));
         }
     }
@@ -172,18 +173,18 @@
 /// The request in the body of one with two framings must not be taken for one of the client's.
 #[test]
 fn nothing_is_smuggled_in_a_body() {
-    let (backend, got) = good();
-    let gateway = Gateway::new(&calm(&[backend]));
+    let (backend, got) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
     for (one, two) in [
         ("Content-Length: 4", "Transfer-Encoding: chunked"),
         ("transfer-encoding: chunked", "content-length: 4"),
     ] {
-        let hidden = look(2, 1, 3000);
+        let hidden = get_request(2, 1, 3000);
         let body = format!("0\r\n\r\n{hidden}");
-        let head = post("once", "", "").replace("Content-Length: 0", &format!("{one}\r\n{two}"));
-        let mut open = gateway.open();
+        let head = post_request("once", "", "").replace("Content-Length: 0", &format!("{one}\r\n{two}"));
+        let mut open = gateway.connect();
         open.get_mut().write_all(format!("{head}{body}").as_bytes()).unwrap();
-        let answer = read(&mut open).unwrap();
+        let answer = read_message(&mut open).unwrap();
         assert_eq!((answer.status(), answer.headers["connection"].as_str()), (411, "close"));
         assert_eq!(open.read(&mut [0]).unwrap(), 0, "nothing more is answered");
     }
@@ -195,18 +196,18 @@
     let (begun_to, begun) = channel();
     let (go_on, wait) = channel::<()>();
     let wait = Mutex::new(wait);
-    let addr = serve(move |_| {
+    let addr = start_server(move |_| {
         begun_to.send(()).unwrap();
         wait.lock().unwrap().recv().unwrap();
-        Play::Say(say(200, "", "done"))
+        Reply::Send(response(200, "", "done"))
     });
-    let gateway = Gateway::new(&calm(&[addr]));
-    let mut open = gateway.open();
-    open.get_mut().write_all(look(5, 1, 3000).as_bytes()).unwrap();
-    begun.recv_timeout(LONG).unwrap();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[addr]));
+    let mut open = gateway.connect();
+    open.get_mut().write_all(get_request(5, 1, 3000).as_bytes()).unwrap();
+    begun.recv_timeout(TEST_TIMEOUT).unwrap();
     assert_eq!(gateway.get(5, 1).status(), 409);
     go_on.send(()).unwrap();
-    assert_eq!(read(&mut open).unwrap().body, b"done");
+    assert_eq!(read_message(&mut open).unwrap().body, b"done");
     go_on.send(()).unwrap();
     assert_eq!(gateway.get(5, 1).status(), 200, "ended, it is free");
     assert_eq!(begun.try_iter().count(), 1);
@@ -218,19 +219,19 @@
     for (told, longest, advice) in
         [(true, 2000.0, Some("1.000")), (true, 500.0, Some("0.500")), (false, 0.0, None)]
     {
-        let mut config = calm(&[nobody()]);
+        let mut config = config_with_silent_discovery(&[unused_address()]);
         config["limits"]["sockets"] = 40.into();
         config["settings"]["limits"]["retry-after"] = told.into();
         config["settings"]["limits"]["max-retry-after-ms"] = longest.into();
         let gateway = Gateway::new(&config);
         // Asked to go on with its body, a client's request is open, and its place is its own.
-        let head = post("once", "", "x").replace("\r\n\r\nx", "\r\nExpect: 100-continue\r\n\r\n");
+        let head = post_request("once", "", "x").replace("\r\n\r\nx", "\r\nExpect: 100-continue\r\n\r\n");
         let mut opens = Vec::new();
         let refused = loop {
-            let mut open = gateway.open();
+            let mut open = gateway.connect();
             let number = opens.len();
             open.get_mut().write_all(head.replace("9b1f03aa", &format!("{number:08x}")).as_bytes()).unwrap();
-            let answer = read(&mut open).expect("an answer");
+            let answer = read_message(&mut open).expect("an answer");
             if answer.status() != 100 {
                 break answer;
             }
--- a/tests/gateway/counter.rs
+++ b/tests/gateway/counter.rs
@@ -1,6 +1,6 @@
 //! The shared counter.
 
-use crate::play::*;
+use crate::stand_ins::*;
 use std::io::Write;
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -8,15 +8,15 @@
 /// Totals come back with three decimals: an amount below that is lost and leaves a window unchecked.
 #[test]
 fn charges_stay_above_what_the_counter_rounds_away() {
-    let (backend, _) = good();
+    let (backend, _) = healthy_endpoint();
     let amounts = Arc::new(Mutex::new(Vec::new()));
-    let silent = serve(|_| Play::Hush(channel().0));
-    let gateway = Gateway::new(&config(&[backend], counter(amounts.clone()), silent));
+    let silent = start_server(|_| Reply::StaySilent(channel().0));
+    let gateway = Gateway::new(&config(&[backend], start_counter(amounts.clone()), silent));
     // Customers' windows roll at different times, so these stand anywhere in theirs.
-    let mut open = gateway.open();
+    let mut open = gateway.connect();
     for customer in 0..8 {
-        open.get_mut().write_all(look(customer * 0x1234_5671, 2, 3000).as_bytes()).unwrap();
-        assert_eq!(read(&mut open).unwrap().status(), 200);
+        open.get_mut().write_all(get_request(customer * 0x1234_5671, 2, 3000).as_bytes()).unwrap();
+        assert_eq!(read_message(&mut open).unwrap().status(), 200);
     }
     let amounts = amounts.lock().unwrap();
     assert!(!amounts.is_empty());
@@ -25,12 +25,13 @@
 
 #[test]
 fn requests_pass_while_the_counter_is_silent_broken_or_gone() {
-    let (backend, _) = good();
-    let silent = serve(|_| Play::Hush(channel().0));
-    let nonsense = serve(|_| Play::Say(say(200, "", "many")));
-    let broken = serve(|_| Play::End("no HTTP\r\n\r\n".to_owned()));
-    for counter in [silent, nonsense, broken, nobody()] {
-        let gateway = Gateway::new(&config(&[backend], counter, serve(|_| Play::Hush(channel().0))));
+    let (backend, _) = healthy_endpoint();
+    let silent = start_server(|_| Reply::StaySilent(channel().0));
+    let nonsense = start_server(|_| Reply::Send(response(200, "", "many")));
+    let broken = start_server(|_| Reply::SendAndClose("no HTTP\r\n\r\n".to_owned()));
+    for counter in [silent, nonsense, broken, unused_address()] {
+        let gateway =
+            Gateway::new(&config(&[backend], counter, start_server(|_| Reply::StaySilent(channel().0))));
         for customer in 0..6 {
             assert_eq!(gateway.get(customer, 1).status(), 200);
         }
--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/crossings.rs
@@ -1,6 +1,6 @@
 //! What happens between two steps: the played peer stops exactly there.
 
-use crate::play::*;
+use crate::stand_ins::*;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -35,7 +35,7 @@
     fn wait_for(&self, number: usize) {
         let start = Instant::now();
         while self.waiting() != number {
-            assert!(start.elapsed() < LONG, "{} connections wait", self.waiting());
+            assert!(start.elapsed() < TEST_TIMEOUT, "{} connections wait", self.waiting());
             std::thread::yield_now();
         }
     }
@@ -43,14 +43,14 @@
     /// Lets the next connection come up.
     fn let_in(&self) -> TcpStream {
         drop(self.socket.accept().unwrap());
-        self.socket.set_read_timeout(Some(LONG)).unwrap();
+        self.socket.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
         self.socket.accept().unwrap().0.into()
     }
 }
 
 /// Connections come up whenever they like, here.
 fn patient(backends: &[SocketAddr], discovery: SocketAddr) -> serde_json::Value {
-    let mut config = config(backends, counter(Arc::default()), discovery);
+    let mut config = config(backends, start_counter(Arc::default()), discovery);
     config["settings"]["limits"]["connect-timeout-ms"] = 20_000.into();
     config["settings"]["categories"][2]["aim-ms"] = 4000.into();
     config
@@ -60,19 +60,23 @@
 #[test]
 fn a_drain_told_while_connecting_is_kept() {
     let stalled = Stalled::new();
-    let (two, _) = good();
+    let (two, _) = healthy_endpoint();
     let discovery = Discovery::new();
     let gateway = Gateway::new(&patient(&[stalled.addr], discovery.addr));
-    let (_, mut watch) = discovery.watch();
-    let mut open = gateway.open();
-    open.get_mut().write_all(post("once", "", "x").as_bytes()).unwrap();
+    let (_, mut watch) = discovery.next_watch();
+    let mut open = gateway.connect();
+    open.get_mut().write_all(post_request("once", "", "x").as_bytes()).unwrap();
     stalled.wait_for(1);
     let bad = serde_json::json!({"id": 7});
-    let servers = serde_json::json!([bad, entry(0, stalled.addr, "Terminating"), entry(1, two, "Ready")]);
-    tell(&mut watch, &serde_json::json!({"version": 8, "full": false, "servers": servers}).to_string());
-    gateway.logged("an entry of the list");
+    let servers =
+        serde_json::json!([bad, list_entry(0, stalled.addr, "Terminating"), list_entry(1, two, "Ready")]);
+    push_update(
+        &mut watch,
+        &serde_json::json!({"version": 8, "full": false, "servers": servers}).to_string(),
+    );
+    gateway.wait_for_log("an entry of the list");
     let mut late = stalled.let_in();
-    assert_eq!(read(&mut open).unwrap().body, b"stock: 12");
+    assert_eq!(read_message(&mut open).unwrap().body, b"stock: 12");
     late.set_nonblocking(true).unwrap();
     assert!(late.read(&mut [0]).map_or(true, |bytes| bytes == 0), "sent to a draining backend");
 }
@@ -104,8 +108,9 @@
         client.shutdown(Shutdown::Write).unwrap();
         kept.push(client);
     };
-    let many = |bytes: usize| look(1, 1, 3000).repeat(bytes / look(1, 1, 3000).len());
-    let ahead = [look(1, 1, 3000), look(1, 1, 3000).repeat(200), "noise".to_owned(), many(300_000)];
+    let many = |bytes: usize| get_request(1, 1, 3000).repeat(bytes / get_request(1, 1, 3000).len());
+    let ahead =
+        [get_request(1, 1, 3000), get_request(1, 1, 3000).repeat(200), "noise".to_owned(), many(300_000)];
     let leave: [(&str, &mut dyn FnMut(TcpStream)); 8] = [
         ("", &mut { close }),
         ("", &mut { reset }),
@@ -118,12 +123,12 @@
     ];
     for (number, (ahead, leave)) in leave.into_iter().enumerate() {
         let mut client = TcpStream::connect(gateway.addr).unwrap();
-        client.write_all((post("once", "", "x") + ahead).as_bytes()).unwrap();
+        client.write_all((post_request("once", "", "x") + ahead).as_bytes()).unwrap();
         stalled.wait_for(1);
         // What was sent ahead has arrived: a client that goes before it has all been sent is not seen to go.
         let start = Instant::now();
         while queued(&client) > 0 {
-            assert!(start.elapsed() < LONG, "{number}: {} bytes wait", queued(&client));
+            assert!(start.elapsed() < TEST_TIMEOUT, "{number}: {} bytes wait", queued(&client));
             std::thread::yield_now();
         }
         let start = Instant::now();
@@ -136,13 +141,16 @@
 /// Requests sent at once on one connection are answered one after the other, each with its own answer.
 #[test]
 fn requests_sent_at_once_are_answered_in_turn() {
-    let backend = serve(|m| Play::Say(say(200, "", &m.headers["x-txn"])));
-    let gateway = Gateway::new(&calm(&[backend]));
-    let mut client = gateway.open();
-    let texts: Vec<_> = (1..=50).map(|customer| look(customer, 1, 3000)).collect();
+    let backend = start_server(|m| Reply::Send(response(200, "", &m.headers["x-txn"])));
+    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+    let mut client = gateway.connect();
+    let texts: Vec<_> = (1..=50).map(|customer| get_request(customer, 1, 3000)).collect();
     client.get_mut().write_all(texts.concat().as_bytes()).unwrap();
     for customer in 1..=50 {
-        assert_eq!(read(&mut client).expect("an answer").body, format!("0000{customer:012x}").as_bytes());
+        assert_eq!(
+            read_message(&mut client).expect("an answer").body,
+            format!("0000{customer:012x}").as_bytes()
+        );
     }
 }
 
@@ -150,11 +158,11 @@
 /// later on, is all that the backend gets.
 #[test]
 fn a_client_that_leaves_while_the_counter_is_asked_is_not_sent_for() {
-    let (backend, got) = good();
+    let (backend, got) = healthy_endpoint();
     let (called, calls) = channel();
-    let silent = serve(move |_| {
+    let silent = start_server(move |_| {
         let _ = called.send(());
-        Play::Hush(channel().0)
+        Reply::StaySilent(channel().0)
     });
     let discovery = Discovery::new();
     let mut config = config(&[backend], silent, discovery.addr);
@@ -163,11 +171,11 @@
     config["settings"]["domain"]["counter-timeout-ms"] = 20_000.into();
     let gateway = Gateway::new(&config);
     let mut client = TcpStream::connect(gateway.addr).unwrap();
-    client.write_all(post("once", "", "left").as_bytes()).unwrap();
-    calls.recv_timeout(LONG).expect("a call to the counter");
+    client.write_all(post_request("once", "", "left").as_bytes()).unwrap();
+    calls.recv_timeout(TEST_TIMEOUT).expect("a call to the counter");
     drop(client);
-    let stays = post("once", "", "stays").replace("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42");
-    assert_eq!(gateway.ask(&stays).status(), 200);
+    let stays = post_request("once", "", "stays").replace("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42");
+    assert_eq!(gateway.exchange(&stays).status(), 200);
     let bodies: Vec<_> = got.lock().unwrap().iter().map(|m| m.body.clone()).collect();
     assert_eq!(bodies, [b"stays"]);
 }
@@ -177,12 +185,12 @@
 fn an_attempt_tells_the_time_that_is_left_when_it_is_sent() {
     let stalled = Stalled::new();
     let gateway = Gateway::new(&patient(&[stalled.addr], Discovery::new().addr));
-    let mut open = gateway.open();
-    open.get_mut().write_all(post("once", "", "x").as_bytes()).unwrap();
+    let mut open = gateway.connect();
+    open.get_mut().write_all(post_request("once", "", "x").as_bytes()).unwrap();
     stalled.wait_for(1);
     std::thread::sleep(Duration::from_millis(800));
     let late = stalled.let_in();
-    let message = read(&mut BufReader::new(late)).expect("a request");
+    let message = read_message(&mut BufReader::new(late)).expect("a request");
     let left: u64 = message.headers["x-remaining-ms"].parse().unwrap();
     assert!(left <= 2200, "{left} ms of 3000 are left after 800");
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,4 +1,4 @@
-//! The gateway on loopback sockets, against backends, a counter and discovery that the tests play.
+//! The gateway on loopback sockets, against stand-ins for endpoints, the counter and discovery.
 #![allow(missing_docs)]
 
 mod backends;
@@ -7,5 +7,5 @@
 mod crossings;
 mod discovery;
 mod peers;
-mod play;
 mod service;
+mod stand_ins;
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -1,19 +1,19 @@
 //! Messages between gateways.
 
-use crate::play::*;
+use crate::stand_ins::*;
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
 #[test]
 fn strangers_and_long_messages_between_gateways_are_dropped() {
-    let (backend, _) = good();
+    let (backend, _) = healthy_endpoint();
     let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
     let at = {
         // A port that was free a moment ago.
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
         socket.local_addr().unwrap()
     };
-    let mut config = calm(&[backend]);
+    let mut config = config_with_silent_discovery(&[backend]);
     config["settings"]["balancers"] = 2.into();
     config["peer_listen"] = at.to_string().into();
     config["peers"] = serde_json::json!([at, peer.local_addr().unwrap()]);
@@ -31,7 +31,7 @@
     peer.set_nonblocking(true).unwrap();
     let mut customer = 100;
     while peer.recv(&mut [0; 300]).is_err() {
-        assert!(start.elapsed() < LONG, "nothing is told");
+        assert!(start.elapsed() < TEST_TIMEOUT, "nothing is told");
         customer += 1;
         assert_eq!(gateway.get(customer, 1).status(), 200);
         std::thread::sleep(Duration::from_millis(10));
--- a/tests/gateway/play.rs
+++ b/tests/gateway/stand_ins.rs
@@ -1,4 +1,4 @@
-//! What the tests play, and the gateway under test.
+//! Stand-ins for the services around the gateway, and the gateway under test.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -10,9 +10,9 @@
 use std::time::{Duration, Instant};
 
 /// Waits are on conditions; this only ends a test that has failed.
-pub const LONG: Duration = Duration::from_secs(20);
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
-// ---- What the tests play ----------------------------------------------------------------------------------
+// ---- Stand-ins ---------------------------------------------------------------------------------------------
 
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -29,7 +29,7 @@
 }
 
 /// Reads one message; none if the connection ends before it is whole.
-pub fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
+pub fn read_message(from: &mut BufReader<TcpStream>) -> Option<Message> {
     let mut message = Message::default();
     let mut line = String::new();
     from.read_line(&mut line).ok().filter(|n| *n > 0)?;
@@ -46,39 +46,40 @@
     Some(message)
 }
 
-/// What a played server does with a message.
-pub enum Play {
+/// What a stand-in server does with a message.
+pub enum Reply {
     /// Writes this and keeps the connection.
-    Say(String),
+    Send(String),
     /// Writes this and closes the connection.
-    End(String),
+    SendAndClose(String),
     /// Says nothing until the other side has closed, then notes that by the sender.
-    Hush(Sender<Instant>),
+    StaySilent(Sender<Instant>),
 }
 
-pub fn say(status: u16, headers: &str, body: &str) -> String {
+pub fn response(status: u16, headers: &str, body: &str) -> String {
     format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
 /// Serves on a port of its own, each connection in a thread.
-pub fn serve(play: impl Fn(&Message) -> Play + Send + Sync + 'static) -> SocketAddr {
+pub fn start_server(handler: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
-    let play = Arc::new(play);
+    let handler = Arc::new(handler);
     std::thread::spawn(move || {
         for stream in listener.incoming() {
-            let (mut stream, play) = (stream.unwrap(), play.clone());
+            let mut stream = stream.unwrap();
+            let handler = handler.clone();
             std::thread::spawn(move || {
                 let mut from = BufReader::new(stream.try_clone().unwrap());
-                while let Some(message) = read(&mut from) {
-                    match play(&message) {
-                        Play::Say(text) => stream.write_all(text.as_bytes()).unwrap(),
-                        Play::End(text) => {
+                while let Some(message) = read_message(&mut from) {
+                    match handler(&message) {
+                        Reply::Send(text) => stream.write_all(text.as_bytes()).unwrap(),
+                        Reply::SendAndClose(text) => {
                             stream.write_all(text.as_bytes()).unwrap();
                             stream.shutdown(Shutdown::Both).unwrap();
                             return;
                         }
-                        Play::Hush(closed) => {
+                        Reply::StaySilent(closed) => {
                             let _ = from.read(&mut [0]);
                             let _ = closed.send(Instant::now());
                             return;
@@ -92,9 +93,9 @@
 }
 
 /// A counter as the real one: totals with three decimals. Notes the amounts.
-pub fn counter(amounts: Arc<Mutex<Vec<f64>>>) -> SocketAddr {
+pub fn start_counter(amounts: Arc<Mutex<Vec<f64>>>) -> SocketAddr {
     let totals = Mutex::new(HashMap::<String, f64>::new());
-    serve(move |call| {
+    start_server(move |call| {
         let target = call.line.split(' ').nth(1).unwrap();
         let (name, query) = target.split_once("?by=").unwrap();
         let by: f64 = query.split('&').next().unwrap().parse().unwrap();
@@ -102,7 +103,7 @@
         let mut totals = totals.lock().unwrap();
         let total = totals.entry(name.to_owned()).or_default();
         *total += by;
-        Play::Say(say(200, "", &format!("{total:.3}")))
+        Reply::Send(response(200, "", &format!("{total:.3}")))
     })
 }
 
@@ -125,7 +126,7 @@
             for stream in listener.incoming() {
                 let mut stream = stream.unwrap();
                 let mut from = BufReader::new(stream.try_clone().unwrap());
-                let Some(asked) = read(&mut from) else { continue };
+                let Some(asked) = read_message(&mut from) else { continue };
                 if asked.line.contains("stream=1") {
                     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
                 }
@@ -136,28 +137,29 @@
     }
 
     /// The watch that follows the list on the same connection.
-    pub fn watch_on(&self, stream: TcpStream) -> (String, TcpStream) {
-        let asked = read(&mut BufReader::new(stream.try_clone().unwrap())).expect("a watch follows the list");
+    pub fn watch_after_list(&self, stream: TcpStream) -> (String, TcpStream) {
+        let asked =
+            read_message(&mut BufReader::new(stream.try_clone().unwrap())).expect("a watch follows the list");
         (asked.line, stream)
     }
 
-    pub fn watch(&self) -> (String, TcpStream) {
-        self.watches.recv_timeout(LONG).expect("the gateway opens a watch")
+    pub fn next_watch(&self) -> (String, TcpStream) {
+        self.watches.recv_timeout(TEST_TIMEOUT).expect("the gateway opens a watch")
     }
 }
 
-pub fn tell(watch: &mut TcpStream, line: &str) {
+pub fn push_update(watch: &mut TcpStream, line: &str) {
     watch.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).unwrap();
 }
 
-pub fn entry(number: usize, addr: SocketAddr, state: &str) -> serde_json::Value {
+pub fn list_entry(number: usize, addr: SocketAddr, state: &str) -> serde_json::Value {
     serde_json::json!({"id": format!("s-{number:08x}"), "addr": addr, "zone": "room-a", "kind": "std-2c",
         "cell": 0, "state": state, "weight": 1.0, "started_ms": 0})
 }
 
 /// A configuration with these backends known.
 pub fn config(backends: &[SocketAddr], counter: SocketAddr, discovery: SocketAddr) -> serde_json::Value {
-    let servers: Vec<_> = backends.iter().enumerate().map(|(i, a)| entry(i, *a, "Ready")).collect();
+    let servers: Vec<_> = backends.iter().enumerate().map(|(i, a)| list_entry(i, *a, "Ready")).collect();
     let class = |name: &str, effect: &str| {
         serde_json::json!({"name": name, "aim-ms": 1500.0, "give-up-ms": 4000.0, "value": 1.0, "late-worth": 0.0,
             "effect": effect, "group": "zone", "stream": false, "window-ms": 2500.0})
@@ -195,7 +197,7 @@
     path: PathBuf,
 }
 
-pub fn start(config: &serde_json::Value) -> (Child, PathBuf) {
+pub fn spawn_program(config: &serde_json::Value) -> (Child, PathBuf) {
     static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("quota-gateway-{}-{number}.json", std::process::id()));
@@ -211,19 +213,19 @@
 impl Gateway {
     /// Starts the program and waits until it is ready.
     pub fn new(config: &serde_json::Value) -> Self {
-        let gateway = Gateway::starting(config);
-        gateway.until_ready();
+        let gateway = Gateway::spawn(config);
+        gateway.wait_until_ready();
         gateway
     }
 
     /// Starts the program and waits until it listens.
-    pub fn starting(config: &serde_json::Value) -> Self {
-        let (mut child, path) = start(config);
+    pub fn spawn(config: &serde_json::Value) -> Self {
+        let (mut child, path) = spawn_program(config);
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (to, log) = channel();
         std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| to.send(l)));
         let addr = loop {
-            let line = log.recv_timeout(LONG).expect("the gateway starts");
+            let line = log.recv_timeout(TEST_TIMEOUT).expect("the gateway starts");
             if let Some((_, addr)) = line.split_once("listening on ") {
                 break addr.parse().unwrap();
             }
@@ -231,43 +233,43 @@
         Gateway { child, addr, log, path }
     }
 
-    pub fn until_ready(&self) {
+    pub fn wait_until_ready(&self) {
         let start = Instant::now();
-        while self.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
-            assert!(start.elapsed() < LONG, "never ready");
+        while self.exchange("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
+            assert!(start.elapsed() < TEST_TIMEOUT, "never ready");
             std::thread::sleep(Duration::from_millis(20));
         }
     }
 
-    pub fn open(&self) -> BufReader<TcpStream> {
+    pub fn connect(&self) -> BufReader<TcpStream> {
         let stream = TcpStream::connect(self.addr).unwrap();
-        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
         BufReader::new(stream)
     }
 
-    pub fn ask(&self, text: &str) -> Message {
-        let mut open = self.open();
-        open.get_mut().write_all(text.as_bytes()).unwrap();
-        read(&mut open).expect("an answer")
+    pub fn exchange(&self, text: &str) -> Message {
+        let mut connection = self.connect();
+        connection.get_mut().write_all(text.as_bytes()).unwrap();
+        read_message(&mut connection).expect("an answer")
     }
 
     pub fn get(&self, customer: u64, units: u32) -> Message {
-        self.ask(&look(customer, units, 3000))
+        self.exchange(&get_request(customer, units, 3000))
     }
 
     /// Replaces the configuration's file, sends SIGHUP and waits until the program has said so.
     pub fn reload(&self, config: &str) -> String {
         std::fs::write(&self.path, config).unwrap();
         self.signal("-HUP");
-        std::iter::from_fn(|| self.log.recv_timeout(LONG).ok())
+        std::iter::from_fn(|| self.log.recv_timeout(TEST_TIMEOUT).ok())
             .find(|l| l.contains("SIGHUP"))
             .expect("a line")
     }
 
     /// Waits until the program has logged a line with these words.
-    pub fn logged(&self, words: &str) {
+    pub fn wait_for_log(&self, words: &str) {
         let start = Instant::now();
-        while let Ok(line) = self.log.recv_timeout(LONG.saturating_sub(start.elapsed())) {
+        while let Ok(line) = self.log.recv_timeout(TEST_TIMEOUT.saturating_sub(start.elapsed())) {
             if line.contains(words) {
                 return;
             }
@@ -288,14 +290,14 @@
     }
 }
 
-pub fn look(customer: u64, units: u32, remaining: u32) -> String {
+pub fn get_request(customer: u64, units: u32, remaining: u32) -> String {
     format!(
         "GET /look?account={customer:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: 0000{customer:012x}\r\n\
          X-Lane: look\r\nX-Plan: small\r\nX-Remaining-Ms: {remaining}\r\nX-Quota: units={units},spread=1,first=0\r\n\r\n"
     )
 }
 
-pub fn post(lane: &str, key: &str, body: &str) -> String {
+pub fn post_request(lane: &str, key: &str, body: &str) -> String {
     format!(
         "POST /{lane}?account=0000000000000007 HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: 9b1f03aa5c7e2d41\r\n\
          X-Lane: {lane}\r\nX-Plan: small\r\nX-Remaining-Ms: 3000\r\n{key}X-Quota: units=1,spread=1,first=0\r\n\
@@ -304,25 +306,25 @@
     )
 }
 
-pub const KEY: &str = "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
+pub const IDEMPOTENCY_KEY_HEADER: &str = "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
 
 /// A calm counter and discovery that is silent.
-pub fn calm(backends: &[SocketAddr]) -> serde_json::Value {
-    config(backends, counter(Arc::default()), serve(|_| Play::Hush(channel().0)))
+pub fn config_with_silent_discovery(backends: &[SocketAddr]) -> serde_json::Value {
+    config(backends, start_counter(Arc::default()), start_server(|_| Reply::StaySilent(channel().0)))
 }
 
 /// A backend that answers all well, and what it got.
-pub fn good() -> (SocketAddr, Arc<Mutex<Vec<Message>>>) {
+pub fn healthy_endpoint() -> (SocketAddr, Arc<Mutex<Vec<Message>>>) {
     let got = Arc::new(Mutex::new(Vec::new()));
     let seen = got.clone();
-    let addr = serve(move |m| {
+    let addr = start_server(move |m| {
         seen.lock().unwrap().push(m.clone());
-        Play::Say(say(200, "X-Units-Charged: 2\r\n", "stock: 12"))
+        Reply::Send(response(200, "X-Units-Charged: 2\r\n", "stock: 12"))
     });
     (addr, got)
 }
 
 /// A port on which nobody listens.
-pub fn nobody() -> SocketAddr {
+pub fn unused_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
