--- a/src/bin/quota-gateway/counter/mod.rs
+++ b/src/bin/quota-gateway/counter/mod.rs
@@ -210,7 +210,7 @@
                     }
                     _ => return,
                 },
-                answer = self.reader.answer(ANSWER_MOST) => {
+                answer = self.reader.read_response(ANSWER_MOST) => {
                     self.heard = Instant::now();
                     let Ok((head, body)) = answer else { return };
                     let Some(pending) = self.waiting.pop_front() else { return };
@@ -220,8 +220,8 @@
                     }
                     // Behind an answer that can't be read the connection is of no use: what follows could be
                     // taken for another call's. The same goes for bytes that no call awaits.
-                    let spoilt = ended == Outcome::ErrorResponse || self.waiting.is_empty() && self.reader.has_more();
-                    if !head.keep || spoilt {
+                    let spoilt = ended == Outcome::ErrorResponse || self.waiting.is_empty() && self.reader.has_unread_bytes();
+                    if !head.keep_alive || spoilt {
                         return;
                     }
                 }
--- a/src/bin/quota-gateway/discovery/mod.rs
+++ b/src/bin/quota-gateway/discovery/mod.rs
@@ -221,14 +221,14 @@
     if whole {
         let get = format!("GET /registry/instances HTTP/1.1\r\nHost: {addr}\r\n\r\n");
         reader.io.write_all(get.as_bytes()).await?;
-        let (head, body) = timeout(answer, reader.answer(LIST_MOST)).await??;
+        let (head, body) = timeout(answer, reader.read_response(LIST_MOST)).await??;
         well(&head)?;
         list = Some(registry(&body)?);
     }
     let version = list.as_ref().map_or(version, |list| list.version);
     let get = format!("GET /registry/instances?stream=1&index={version} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
     reader.io.write_all(get.as_bytes()).await?;
-    well(&timeout(answer, reader.head()).await??)?;
+    well(&timeout(answer, reader.read_head()).await??)?;
     Ok(Watch { reader, list })
 }
 
@@ -247,7 +247,7 @@
     let mut objects = Objects::default();
     let mut due = Instant::now() + SILENT;
     let mut came = 0;
-    while let Some(piece) = timeout_at(due, watch.reader.piece()).await?? {
+    while let Some(piece) = timeout_at(due, watch.reader.read_body_chunk()).await?? {
         let begun = objects.begun();
         objects.text.extend_from_slice(&piece);
         came += piece.len();
--- a/src/bin/quota-gateway/http/mod.rs
+++ b/src/bin/quota-gateway/http/mod.rs
@@ -19,9 +19,9 @@
 pub struct Head {
     pub status: u16,
     /// The connection may carry another request.
-    pub keep: bool,
+    pub keep_alive: bool,
     /// The backend says that the request never ran.
-    pub turned_away: bool,
+    pub rejected: bool,
     /// The request's true units.
     pub units: Option<f64>,
     pub content_type: Option<Bytes>,
@@ -60,7 +60,7 @@
     }
 
     /// True if bytes lie here that no request asked for.
-    pub fn has_more(&self) -> bool {
+    pub fn has_unread_bytes(&self) -> bool {
         !self.buf.is_empty()
     }
 
@@ -73,8 +73,8 @@
         }
     }
 
-    /// The next answer's head; its body follows by `piece`.
-    pub async fn head(&mut self) -> io::Result<Head> {
+    /// The next answer's head; its body follows by `read_body_chunk`.
+    pub async fn read_head(&mut self) -> io::Result<Head> {
         loop {
             if let Some((head, left, used)) = parse_head(&self.buf)? {
                 self.buf.advance(used);
@@ -98,7 +98,7 @@
     }
 
     /// The next bytes of the body, `None` at its proper end. A body that ends too early is an error.
-    pub async fn piece(&mut self) -> io::Result<Option<Bytes>> {
+    pub async fn read_body_chunk(&mut self) -> io::Result<Option<Bytes>> {
         loop {
             match self.left {
                 Left::Done | Left::Length(0) => return Ok(None),
@@ -163,15 +163,15 @@
     }
 
     /// A whole answer of at most `most` bytes.
-    pub async fn answer(&mut self, most: usize) -> io::Result<(Head, Bytes)> {
+    pub async fn read_response(&mut self, most: usize) -> io::Result<(Head, Bytes)> {
         if self.head.is_none() {
-            self.head = Some(self.head().await?);
+            self.head = Some(self.read_head().await?);
         }
         // An answer of gigabytes is not waited for.
         if matches!(self.left, Left::Length(length) if length > most) {
             return Err(bad("body too long"));
         }
-        while let Some(piece) = self.piece().await? {
+        while let Some(piece) = self.read_body_chunk().await? {
             self.body.extend_from_slice(&piece);
             if self.body.len() > most {
                 return Err(bad("body too long"));
@@ -193,8 +193,8 @@
     let status = response.code.unwrap_or(0);
     let mut head = Head {
         status,
-        keep: response.version == Some(1),
-        turned_away: false,
+        keep_alive: response.version == Some(1),
+        rejected: false,
         units: None,
         content_type: None,
     };
@@ -219,10 +219,10 @@
         } else if named("connection") {
             for word in value.split(',').map(str::trim) {
                 close |= word.eq_ignore_ascii_case("close");
-                head.keep |= word.eq_ignore_ascii_case("keep-alive");
+                head.keep_alive |= word.eq_ignore_ascii_case("keep-alive");
             }
         } else if named("x-turned-away") {
-            head.turned_away = value == "1";
+            head.rejected = value == "1";
         } else if named("x-units-charged") {
             head.units = value.parse().ok().filter(|units: &f64| units.is_finite() && *units >= 0.0);
         } else if named("content-type") {
@@ -230,7 +230,7 @@
         }
     }
     // Whoever says both, in one header or two, wants to close.
-    head.keep &= !close;
+    head.keep_alive &= !close;
     let left = match (status, chunked, length) {
         (100..=199 | 204 | 304, ..) => Left::Done,
         // Which of the two holds can't be known: the rest of the body would be read as the next answer.
@@ -240,7 +240,7 @@
         // Its end can't be told from a break, so it might be half a body.
         (200, ..) => return Err(bad("an answer without a length")),
         _ => {
-            head.keep = false;
+            head.keep_alive = false;
             Left::Close
         }
     };
@@ -254,8 +254,8 @@
     fn read(text: &str) -> io::Result<(Head, Bytes, bool)> {
         let runtime = tokio::runtime::Builder::new_current_thread().build()?;
         let mut reader = Reader::new(text.as_bytes());
-        let (head, body) = runtime.block_on(reader.answer(BODY_MOST))?;
-        Ok((head, body, reader.has_more()))
+        let (head, body) = runtime.block_on(reader.read_response(BODY_MOST))?;
+        Ok((head, body, reader.has_unread_bytes()))
     }
 
     #[test]
@@ -278,7 +278,7 @@
             ("HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nfine", false, false),
         ] {
             let (head, body, has_more) = read(text).unwrap();
-            assert_eq!((head.keep, &body[..], has_more), (keep, &b"fine"[..], more), "{text}");
+            assert_eq!((head.keep_alive, &body[..], has_more), (keep, &b"fine"[..], more), "{text}");
         }
     }
 
--- a/src/bin/quota-gateway/upstream/mod.rs
+++ b/src/bin/quota-gateway/upstream/mod.rs
@@ -39,7 +39,7 @@
     /// would be read as the next one. The system itself is asked, as the runtime may not have seen it yet.
     fn sound(&self) -> bool {
         let closed = SockRef::from(&self.reader.io).peek(&mut [MaybeUninit::uninit()]);
-        !self.reader.has_more() && closed.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        !self.reader.has_unread_bytes() && closed.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
 }
 
@@ -162,19 +162,19 @@
             }
         };
         leave.written();
-        let (head, body) = match timeout_at(until, line.reader.answer(BODY_MOST)).await {
+        let (head, body) = match timeout_at(until, line.reader.read_response(BODY_MOST)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => return (Outcome::ConnectionReset, None),
             Err(_) => return (Outcome::Timeout, None),
         };
         // Bytes behind the answer belong to no request.
-        if head.keep && !line.reader.has_more() {
+        if head.keep_alive && !line.reader.has_unread_bytes() {
             self.keep(backend, addr, line);
         }
         let ended = match head.status {
             200 => Outcome::Success,
             // Only these two with this header prove that the request never ran.
-            503 | 504 if head.turned_away => Outcome::Rejected,
+            503 | 504 if head.rejected => Outcome::Rejected,
             _ => Outcome::ErrorResponse,
         };
         (ended, Some((head, body)))
