--- /dev/null
+++ b/src/bin/quota-gateway/driver/actions.rs
@@ -0,0 +1,109 @@
+//! What the decision library asks for: feeds it events and carries out its actions, in order.
+
+use super::messages::FinalResponse;
+use super::requests::UnsentAttempt;
+use super::Driver;
+use crate::counter::CounterCall;
+use quota_gateway::{Action, AttemptEnd, EndpointId, Event, LoadReport, Outcome, RequestId};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, Instant};
+
+/// Longest timer or time-out; the library's milliseconds may be negative or huge.
+const MAX_TIMEOUT_S: f64 = 86_400.0;
+
+impl Driver {
+    /// Hands an event to the library, and then those that its own actions cause at once.
+    pub(super) fn dispatch(self: &Rc<Self>, event: Event) {
+        let mut events = VecDeque::from([event]);
+        let mut actions = self.actions.take();
+        while let Some(event) = events.pop_front() {
+            self.decisions.borrow_mut().handle(self.clock.now_ms(), event, &mut actions);
+            for action in actions.drain(..) {
+                events.extend(self.perform(action));
+            }
+        }
+        self.actions.replace(actions);
+    }
+
+    /// Carries out one action. Returns the event that reports an action which failed at once.
+    fn perform(self: &Rc<Self>, action: Action) -> Option<Event> {
+        match action {
+            Action::SendAttempt { id, endpoint, timeout_ms } => {
+                return self.send_attempt(id, endpoint, duration(timeout_ms));
+            }
+            Action::CancelAttempt { id, attempt } => {
+                self.requests.borrow_mut().cancel_attempt(id, attempt.into());
+            }
+            Action::Reject { id, retry_after_ms } => {
+                self.requests.borrow_mut().respond(id, FinalResponse::Rejected { retry_after_ms });
+            }
+            Action::Fail { id } => self.requests.borrow_mut().respond(id, FinalResponse::Failed),
+            Action::SetTimer { token, after_ms } => self.set_timer(token, duration(after_ms)),
+            Action::CheckHealth { endpoint } => self.check_health(endpoint),
+            Action::AddToCounter { key, amount, ttl_ms } => {
+                return self.add_to_counter(key, amount, ttl_ms);
+            }
+            // The watch on discovery is held open in any case.
+            Action::WatchEndpoints => {}
+            Action::Gossip { to, body } => {
+                if let Some(gossip) = &self.gossip {
+                    gossip.send(to, &body);
+                }
+            }
+            Action::Log { message } => tracing::info!("{message}"),
+        }
+        None
+    }
+
+    /// Starts the request's next attempt, or reports that it was not sent.
+    fn send_attempt(
+        self: &Rc<Self>, id: RequestId, endpoint: EndpointId, timeout: Duration,
+    ) -> Option<Event> {
+        let addr = self.pool.addr(endpoint);
+        let started = self.requests.borrow_mut().start_attempt(id, addr, timeout);
+        match started {
+            Ok(attempt) => {
+                self.spawn_attempt(id, endpoint, attempt);
+                None
+            }
+            Err(unsent) => Some(not_sent(id, endpoint, unsent)),
+        }
+    }
+
+    fn set_timer(self: &Rc<Self>, token: u64, after: Duration) {
+        let driver = self.clone();
+        tokio::task::spawn_local(async move {
+            sleep(after).await;
+            driver.timer_fired(token);
+        });
+    }
+
+    /// Calls the counter, or reports that there is no room for the call.
+    fn add_to_counter(&self, key: u64, amount: f64, ttl_ms: f64) -> Option<Event> {
+        let counter = self.counter.as_ref()?;
+        if counter.call(CounterCall { name: key, amount, lifetime_ms: ttl_ms, at: Instant::now() }) {
+            return None;
+        }
+        Some(Event::CounterReply { key, outcome: Outcome::Rejected, total: 0.0, elapsed_ms: 0.0 })
+    }
+}
+
+fn not_sent(id: RequestId, endpoint: EndpointId, unsent: UnsentAttempt) -> Event {
+    Event::AttemptEnded(AttemptEnd {
+        id,
+        attempt: unsent.number as u8,
+        endpoint,
+        outcome: Outcome::NotSent,
+        request_answered: unsent.request_answered,
+        actual_units: None,
+        elapsed_ms: 0.0,
+        load: LoadReport::default(),
+    })
+}
+
+/// The library's milliseconds as a duration.
+fn duration(ms: f64) -> Duration {
+    Duration::from_secs_f64((ms / 1000.0).clamp(0.0, MAX_TIMEOUT_S))
+}
--- /dev/null
+++ b/src/bin/quota-gateway/driver/endpoints.rs
@@ -0,0 +1,155 @@
+//! The endpoints as the list names them: their ids and states. Their addresses are the connection pool's.
+
+use crate::discovery::list::{EndpointEntry, EndpointList, EntryState};
+use crate::upstream::ConnectionPool;
+use quota_gateway::{Endpoint, EndpointId, EndpointState};
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The id of a removed endpoint is remembered for this long: longer than the decision library remembers it.
+const REMOVED_ID_RETENTION: Duration = Duration::from_secs(90);
+
+/// The names of zones and kinds, in the order of the settings.
+pub struct TopologyNames {
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of servers.
+    pub kinds: Vec<String>,
+}
+
+/// The decision library's ids of endpoints, by the names in the list. No id is assigned twice. That of a removed
+/// endpoint is kept for as long as the library may remember it, and then dropped, as names are never reused.
+#[derive(Default)]
+struct EndpointIds {
+    last_id: EndpointId,
+    assigned: HashMap<String, AssignedId>,
+}
+
+struct AssignedId {
+    id: EndpointId,
+    /// When the endpoint was removed, if it was.
+    removed_at: Option<Instant>,
+}
+
+impl EndpointIds {
+    /// The id of an endpoint that the list names, as removed or not.
+    fn get_or_assign(&mut self, name: String, removed: bool) -> EndpointId {
+        let removed_at = removed.then(Instant::now);
+        let assigned = self.assigned.entry(name).or_insert_with(|| {
+            self.last_id += 1;
+            AssignedId { id: self.last_id, removed_at }
+        });
+        assigned.removed_at = removed_at;
+        assigned.id
+    }
+
+    /// Marks all endpoints as removed that a complete list does not name.
+    fn mark_unlisted_removed(&mut self, listed: &HashSet<EndpointId>) {
+        for assigned in self.assigned.values_mut() {
+            if assigned.removed_at.is_none() && !listed.contains(&assigned.id) {
+                assigned.removed_at = Some(Instant::now());
+            }
+        }
+    }
+
+    fn drop_expired(&mut self) {
+        let is_kept = |removed_at: Instant| removed_at.elapsed() < REMOVED_ID_RETENTION;
+        self.assigned.retain(|_, assigned| assigned.removed_at.is_none_or(is_kept));
+    }
+}
+
+/// All listed endpoints.
+pub struct Endpoints {
+    ids: EndpointIds,
+    /// The states of those that are listed with an address and not removed.
+    states: HashMap<EndpointId, EndpointState>,
+    topology: TopologyNames,
+}
+
+impl Endpoints {
+    /// None is known until a list comes.
+    pub fn new(topology: TopologyNames) -> Self {
+        Endpoints { ids: EndpointIds::default(), states: HashMap::new(), topology }
+    }
+
+    /// True if an endpoint takes new requests.
+    pub fn is_ready(&self, id: EndpointId) -> bool {
+        self.states.get(&id) == Some(&EndpointState::Ready)
+    }
+
+    /// True if any endpoint takes new requests.
+    pub fn any_ready(&self) -> bool {
+        self.states.values().any(|state| *state == EndpointState::Ready)
+    }
+
+    /// Forgets endpoints that were removed long ago.
+    pub fn drop_expired(&mut self) {
+        self.ids.drop_expired();
+    }
+
+    /// Takes in a list and tells the pool where each endpoint is. Returns the entries in the library's terms.
+    pub fn update(&mut self, list: EndpointList, pool: &ConnectionPool) -> Vec<Endpoint> {
+        let mut endpoints = Vec::with_capacity(list.servers.good.len());
+        for entry in list.servers.good {
+            endpoints.push(self.update_entry(entry, pool));
+        }
+        if list.full {
+            self.remove_unlisted(&endpoints, pool);
+        }
+        endpoints
+    }
+
+    fn update_entry(&mut self, entry: EndpointEntry, pool: &ConnectionPool) -> Endpoint {
+        let state = endpoint_state(entry.state);
+        let hash_key = xxh3_64(entry.id.as_bytes());
+        let id = self.ids.get_or_assign(entry.id, state == EndpointState::Removed);
+        match entry.addr {
+            Some(addr) if state != EndpointState::Removed => {
+                self.states.insert(id, state);
+                pool.settle(id, addr);
+            }
+            _ => {
+                self.states.remove(&id);
+                pool.forget(id);
+            }
+        }
+        Endpoint {
+            id,
+            hash_key,
+            zone: index_of(&self.topology.zones, &entry.zone),
+            kind: index_of(&self.topology.kinds, &entry.kind),
+            cell: entry.cell,
+            state,
+            weight: entry.weight,
+            started_at: entry.started_ms,
+        }
+    }
+
+    /// What a complete list does not name is gone.
+    fn remove_unlisted(&mut self, listed: &[Endpoint], pool: &ConnectionPool) {
+        let listed: HashSet<_> = listed.iter().map(|endpoint| endpoint.id).collect();
+        self.ids.mark_unlisted_removed(&listed);
+        self.states.retain(|id, _| {
+            let is_listed = listed.contains(id);
+            if !is_listed {
+                pool.forget(*id);
+            }
+            is_listed
+        });
+    }
+}
+
+fn endpoint_state(state: EntryState) -> EndpointState {
+    match state {
+        EntryState::Ready => EndpointState::Ready,
+        EntryState::Terminating => EndpointState::Draining,
+        EntryState::Gone => EndpointState::Removed,
+    }
+}
+
+/// The place of a name in the settings; one beyond the last for a name that they don't have.
+fn index_of(names: &[String], name: &str) -> u32 {
+    names.iter().position(|known| known == name).unwrap_or(names.len()) as u32
+}
--- /dev/null
+++ b/src/bin/quota-gateway/driver/events.rs
@@ -0,0 +1,128 @@
+//! What comes in: each method turns something that happened into an event of the decision library.
+
+use super::messages::{ForwardedRequest, IncomingRequest, StartedRequest};
+use super::requests::EndpointResponse;
+use super::{Driver, FinalResponse};
+use crate::counter::CounterReplyHandler;
+use crate::discovery::list::EndpointList;
+use crate::discovery::EndpointListHandler;
+use crate::gossip::GossipHandler;
+use quota_gateway::{AttemptEnd, EndpointId, Event, LoadReport, Outcome, Request, RequestId};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// A final response leaves this long before the client stops waiting: it has a way to go, and the request had one.
+const RESPONSE_MARGIN_MS: f64 = 10.0;
+
+/// The end of one attempt, as its task reports it.
+pub(super) struct AttemptReport {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt's number among the request's.
+    pub number: usize,
+    /// Where it was sent.
+    pub endpoint: EndpointId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since it began.
+    pub elapsed_ms: f64,
+    /// The response, if the outcome is success.
+    pub served: Option<EndpointResponse>,
+}
+
+impl Driver {
+    /// A request came in. Its final response comes by the receiver that is returned.
+    pub fn start_request(
+        self: &Rc<Self>, incoming: &IncomingRequest, forwarded: ForwardedRequest,
+    ) -> StartedRequest {
+        let (client, response) = oneshot::channel();
+        let elapsed_ms = incoming.received_at.elapsed().as_secs_f64() * 1000.0;
+        let timeout_ms = (incoming.remaining_ms - elapsed_ms - RESPONSE_MARGIN_MS).max(0.0);
+        let deadline = Instant::now() + Duration::from_secs_f64(timeout_ms / 1000.0);
+        let id = self.requests.borrow_mut().insert(forwarded, deadline, client);
+        self.dispatch(Event::Request(Request {
+            id,
+            customer: incoming.customer,
+            plan: incoming.plan,
+            class: incoming.class,
+            units: incoming.units,
+            timeout_ms,
+            gateway_set_size: incoming.gateway_set_size,
+            is_retry: incoming.is_retry,
+        }));
+        StartedRequest { id, deadline, response }
+    }
+
+    /// The client has gone, or its time is up: nothing more is sent for the request.
+    pub fn cancel_request(self: &Rc<Self>, id: RequestId) {
+        if self.requests.borrow().is_answered(id) {
+            return;
+        }
+        self.requests.borrow_mut().respond(id, FinalResponse::Failed);
+        self.dispatch(Event::ClientDisconnected { id });
+    }
+
+    /// Fails all open requests, when the program has to end.
+    pub fn fail_open_requests(self: &Rc<Self>) {
+        let ids = self.requests.borrow().ids();
+        for id in ids {
+            self.cancel_request(id);
+        }
+    }
+
+    pub(super) fn attempt_ended(self: &Rc<Self>, report: AttemptReport) {
+        let finished =
+            self.requests.borrow_mut().finish_attempt(report.request, report.number, report.served);
+        let Some(finished) = finished else { return };
+        self.dispatch(Event::AttemptEnded(AttemptEnd {
+            id: report.request,
+            attempt: report.number as u8,
+            endpoint: report.endpoint,
+            outcome: report.outcome,
+            request_answered: finished.request_answered,
+            actual_units: finished.actual_units,
+            elapsed_ms: report.elapsed_ms,
+            load: LoadReport::default(),
+        }));
+    }
+
+    pub(super) fn health_check_ended(
+        self: &Rc<Self>, endpoint: EndpointId, outcome: Outcome, elapsed_ms: f64,
+    ) {
+        let load = LoadReport::default();
+        self.dispatch(Event::HealthCheckEnded { endpoint, outcome, elapsed_ms, load });
+    }
+
+    pub(super) fn timer_fired(self: &Rc<Self>, token: u64) {
+        self.dispatch(Event::TimerFired { token });
+    }
+}
+
+impl CounterReplyHandler for Driver {
+    fn counter_reply(self: Rc<Self>, key: u64, outcome: Outcome, total: f64, elapsed_ms: f64) {
+        self.dispatch(Event::CounterReply { key, outcome, total, elapsed_ms });
+    }
+}
+
+impl GossipHandler for Driver {
+    fn gossip_received(self: Rc<Self>, from: u32, body: Vec<u8>) {
+        self.dispatch(Event::Gossip { from, body });
+    }
+}
+
+impl EndpointListHandler for Driver {
+    fn endpoint_list_changed(self: Rc<Self>, list: EndpointList) {
+        if list.servers.bad > 0 {
+            self.bad_entry_warning.warn("discovery", "an entry of the list can't be read and is passed over");
+        }
+        let complete = list.full;
+        let endpoints = self.endpoints.borrow_mut().update(list, &self.pool);
+        self.dispatch(Event::EndpointUpdate { complete, endpoints });
+    }
+
+    fn discovery_synced(&self) {
+        self.discovery_synced.set(true);
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/driver/requests.rs
@@ -0,0 +1,230 @@
+//! Open requests and their attempts. The one owner of who still waits for a response.
+
+use super::messages::{FinalResponse, ForwardedRequest};
+use bytes::Bytes;
+use quota_gateway::RequestId;
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// Limits on what is sent for one request, whatever the decision library asks for.
+pub struct AttemptLimits {
+    /// Attempts of one request.
+    pub max_attempts: usize,
+    /// Two attempts of one request may be in flight at once.
+    pub hedging: bool,
+    /// Units that one request can take.
+    pub max_units: f64,
+}
+
+/// A request from its arrival until it has its final response and its last attempt has ended.
+struct OpenRequest {
+    /// Where the final response goes. Taken when that is given, or when the client has gone.
+    client: Option<oneshot::Sender<FinalResponse>>,
+    forwarded: Rc<ForwardedRequest>,
+    deadline: Instant,
+    /// One entry for each attempt, in the order of sending: the index is the attempt's number. `None` once the
+    /// attempt has ended, or where it was never sent.
+    attempts: Vec<Option<Attempt>>,
+}
+
+/// An attempt in flight.
+struct Attempt {
+    /// Tells the attempt's task to end; taken once used.
+    cancel: Option<oneshot::Sender<()>>,
+    /// The last byte is written: the endpoint may have begun on it. Set by the attempt's task.
+    written: Rc<Cell<bool>>,
+}
+
+/// What the task of a new attempt needs.
+pub struct StartedAttempt {
+    /// Its number among the request's attempts.
+    pub number: usize,
+    /// Where to.
+    pub addr: SocketAddr,
+    /// When it began.
+    pub started_at: Instant,
+    /// When it times out.
+    pub deadline: Instant,
+    /// What is sent.
+    pub forwarded: Rc<ForwardedRequest>,
+    /// Yields once the attempt is cancelled.
+    pub cancelled: oneshot::Receiver<()>,
+    /// To be set once the last byte is written.
+    pub written: Rc<Cell<bool>>,
+}
+
+/// An attempt that must not be sent.
+pub struct UnsentAttempt {
+    /// Its number among the request's attempts.
+    pub number: usize,
+    /// The request has its final response.
+    pub request_answered: bool,
+}
+
+/// A complete response of an endpoint that reports success.
+pub struct EndpointResponse {
+    /// The request's true units, if told.
+    pub units: Option<f64>,
+    /// Its `Content-Type`.
+    pub content_type: Option<Bytes>,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// What the end of an attempt meant for its request.
+pub struct FinishedAttempt {
+    /// The request has its final response.
+    pub request_answered: bool,
+    /// The request's true units, if this attempt served it and told them.
+    pub actual_units: Option<f64>,
+}
+
+impl Attempt {
+    fn cancel(&mut self) {
+        if let Some(cancel) = self.cancel.take() {
+            // An attempt that has just ended needs no cancelling.
+            let _ = cancel.send(());
+        }
+    }
+}
+
+impl OpenRequest {
+    fn is_answered(&self) -> bool {
+        self.client.is_none()
+    }
+
+    fn has_attempt_in_flight(&self) -> bool {
+        self.attempts.iter().any(Option::is_some)
+    }
+
+    fn may_start_attempt(&self, limits: &AttemptLimits, now: Instant, deadline: Instant) -> bool {
+        if self.is_answered() || deadline <= now {
+            return false;
+        }
+        if self.attempts.len() >= limits.max_attempts {
+            return false;
+        }
+        limits.hedging || !self.has_attempt_in_flight()
+    }
+
+    fn respond(&mut self, response: FinalResponse) {
+        if let Some(client) = self.client.take() {
+            // A client that has just gone needs no response.
+            let _ = client.send(response);
+        }
+        // What is not written yet is not sent any more, whether or not the site permits cancelling what is.
+        for attempt in self.attempts.iter_mut().flatten() {
+            if !attempt.written.get() {
+                attempt.cancel();
+            }
+        }
+    }
+}
+
+/// All open requests.
+pub struct OpenRequests {
+    open: HashMap<RequestId, OpenRequest>,
+    next_id: RequestId,
+    limits: AttemptLimits,
+}
+
+impl OpenRequests {
+    /// Ids are given out in order from `first_id`.
+    pub fn new(first_id: RequestId, limits: AttemptLimits) -> Self {
+        OpenRequests { open: HashMap::new(), next_id: first_id, limits }
+    }
+
+    /// Adds a request. Its final response goes to `client`.
+    pub fn insert(
+        &mut self, forwarded: ForwardedRequest, deadline: Instant, client: oneshot::Sender<FinalResponse>,
+    ) -> RequestId {
+        let id = self.next_id;
+        self.next_id += 1;
+        let request = OpenRequest {
+            client: Some(client),
+            forwarded: Rc::new(forwarded),
+            deadline,
+            attempts: Vec::new(),
+        };
+        self.open.insert(id, request);
+        id
+    }
+
+    /// The ids of all open requests.
+    pub fn ids(&self) -> Vec<RequestId> {
+        self.open.keys().copied().collect()
+    }
+
+    /// True once a request has its final response or is no longer open.
+    pub fn is_answered(&self, id: RequestId) -> bool {
+        self.open.get(&id).is_none_or(OpenRequest::is_answered)
+    }
+
+    /// Gives a request its final response, unless it has one, and cancels what is not written yet.
+    pub fn respond(&mut self, id: RequestId, response: FinalResponse) {
+        if let Some(request) = self.open.get_mut(&id) {
+            request.respond(response);
+            self.remove_if_finished(id);
+        }
+    }
+
+    /// Registers a request's next attempt. It must not be sent past the attempt limit, for a request that is
+    /// answered, to an endpoint without an address, out of time, or (without hedging) beside another one.
+    pub fn start_attempt(
+        &mut self, id: RequestId, addr: Option<SocketAddr>, timeout: Duration,
+    ) -> Result<StartedAttempt, UnsentAttempt> {
+        let Some(request) = self.open.get_mut(&id) else {
+            return Err(UnsentAttempt { number: 0, request_answered: true });
+        };
+        let number = request.attempts.len();
+        let now = Instant::now();
+        let deadline = request.deadline.min(now + timeout);
+        let may_start = request.may_start_attempt(&self.limits, now, deadline);
+        let Some(addr) = addr.filter(|_| may_start) else {
+            request.attempts.push(None);
+            return Err(UnsentAttempt { number, request_answered: request.is_answered() });
+        };
+        let (cancel, cancelled) = oneshot::channel();
+        let written = Rc::new(Cell::new(false));
+        request.attempts.push(Some(Attempt { cancel: Some(cancel), written: written.clone() }));
+        let forwarded = request.forwarded.clone();
+        Ok(StartedAttempt { number, addr, started_at: now, deadline, forwarded, cancelled, written })
+    }
+
+    /// Cancels an attempt. Its task closes the connection, then reports the end; it counts as in flight until then.
+    pub fn cancel_attempt(&mut self, id: RequestId, number: usize) {
+        let Some(request) = self.open.get_mut(&id) else { return };
+        if let Some(Some(attempt)) = request.attempts.get_mut(number) {
+            attempt.cancel();
+        }
+    }
+
+    /// Records the end of an attempt. The first one that was served answers the request.
+    pub fn finish_attempt(
+        &mut self, id: RequestId, number: usize, served: Option<EndpointResponse>,
+    ) -> Option<FinishedAttempt> {
+        let request = self.open.get_mut(&id)?;
+        request.attempts[number] = None;
+        let mut actual_units = None;
+        if let Some(served) = served.filter(|_| !request.is_answered()) {
+            // A number beyond what one request can take is as good as none.
+            actual_units = served.units.filter(|units| *units <= self.limits.max_units);
+            request.respond(FinalResponse::Success { content_type: served.content_type, body: served.body });
+        }
+        let request_answered = request.is_answered();
+        self.remove_if_finished(id);
+        Some(FinishedAttempt { request_answered, actual_units })
+    }
+
+    fn remove_if_finished(&mut self, id: RequestId) {
+        let Some(request) = self.open.get(&id) else { return };
+        if request.is_answered() && !request.has_attempt_in_flight() {
+            self.open.remove(&id);
+        }
+    }
+}
--- a/src/bin/quota-gateway/server/mod.rs
+++ b/src/bin/quota-gateway/server/mod.rs
@@ -381,10 +381,10 @@
             return Err(Fault::new(StatusCode::BAD_REQUEST, "a body where none belongs\n"));
         }
         // Guards against a second copy of a request that is out. The open one is not touched.
-        if !self.open.borrow_mut().insert(asked.txn) {
+        if !self.open.borrow_mut().insert(asked.transaction_id) {
             return Err(Fault::new(StatusCode::CONFLICT, "X-Txn is that of an open request\n"));
         }
-        ticket.txn = Some(asked.txn);
+        ticket.txn = Some(asked.transaction_id);
         let until = whole_by.min(at + Duration::from_secs_f64(asked.remaining_ms / 1000.0));
         let body = match body.size_hint().exact() {
             Some(0) => Bytes::new(),
@@ -398,11 +398,12 @@
             },
         };
         let work = work(class, &parts.uri, &parts.headers, &body);
-        let (id, ends, answer) = self.driver.start_request(&asked, work);
+        let started = self.driver.start_request(&asked, work);
+        let id = started.id;
         ticket.open = Some(id);
         ticket.client.whole.set(true);
         // The module ends a request in time; this guards against one that it would not.
-        let answer = match timeout_at(ends + Duration::from_millis(5), answer).await {
+        let answer = match timeout_at(started.deadline + Duration::from_millis(5), started.response).await {
             Ok(answer) => answer.unwrap_or(FinalResponse::Failed),
             Err(_) => {
                 self.driver.cancel_request(id);
@@ -410,7 +411,7 @@
             }
         };
         Ok(match answer {
-            FinalResponse::Served { content_type, body } => {
+            FinalResponse::Success { content_type, body } => {
                 let mut reply = Response::new(Full::new(body));
                 let content_type = content_type.and_then(|t| HeaderValue::from_maybe_shared(t).ok());
                 if let Some(content_type) = content_type {
@@ -418,7 +419,7 @@
                 }
                 reply
             }
-            FinalResponse::Refused { retry_after_ms } => {
+            FinalResponse::Rejected { retry_after_ms } => {
                 let mut reply = plain(StatusCode::TOO_MANY_REQUESTS, "refused; trying again is harmless\n");
                 if retry_after_ms > 0.0 {
                     let seconds = format!("{:.3}", retry_after_ms / 1000.0);
@@ -481,15 +482,15 @@
             return Err(bad("X-Quota is missing, malformed or out of range\n"));
         };
         let asked = IncomingRequest {
-            txn,
+            transaction_id: txn,
             customer,
             plan: plan as u32,
             class: number as u32,
             units,
-            spread: spread as f64,
-            repeat: text("x-resent") == Some("1"),
+            gateway_set_size: spread as f64,
+            is_retry: text("x-resent") == Some("1"),
             remaining_ms: (remaining as f64).min(class.give_up_ms),
-            at,
+            received_at: at,
         };
         Ok((asked, class))
     }
@@ -539,7 +540,7 @@
     if class.method == Method::POST || !body.is_empty() {
         line(&[CONTENT_LENGTH.as_str().as_bytes(), b": ", body.len().to_string().as_bytes(), b"\r\n"]);
     }
-    ForwardedRequest { head, rest: [b"\r\n", body].concat() }
+    ForwardedRequest { head, body: [b"\r\n", body].concat() }
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Reply {
