--- /dev/null
+++ b/src/bin/quota-gateway/server/accept.rs
@@ -0,0 +1,91 @@
+//! The listener, and the slots that keep the program from running out of descriptors.
+
+use super::client::Client;
+use super::Server;
+use crate::rate_limited_warning::RateLimitedWarning;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, OwnedSemaphorePermit};
+use tokio::task::yield_now;
+use tokio::time::{sleep, timeout};
+
+/// Pause after an error of the listener, such as a lack of descriptors in the whole system.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+/// A new connection keeps its slot for this long in any case: its request may be on the way.
+const NEW_CLIENT_GRACE: Duration = Duration::from_millis(20);
+/// A client that was evicted has gone by then.
+const EVICTION_TIMEOUT: Duration = Duration::from_millis(5);
+
+impl Server {
+    /// Accepts clients until told to close, at most as many as there are slots. With all taken, the client that has
+    /// been longest without a request gives up its slot: hundreds of silent ones must not keep others out. At the
+    /// end those who have connected by then are still taken in: their connections came up, and closed unseen their
+    /// requests would be lost.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, close: watch::Receiver<bool>) {
+        let warning = RateLimitedWarning::default();
+        let mut closing = close.clone();
+        for number in 0.. {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                _ = closing.wait_for(|close| *close) => return,
+            };
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) if *close.borrow() => return,
+                Err(e) => {
+                    warning.warn("accept", e);
+                    sleep(ACCEPT_RETRY).await;
+                    continue;
+                }
+            };
+            let Some(slot) = self.acquire_slot().await else {
+                let _ = stream.try_write(self.no_slot_response.as_bytes());
+                continue;
+            };
+            self.spawn_client(number, stream, slot, close.clone());
+            // Its request is read before it can be taken for an idle client.
+            yield_now().await;
+        }
+    }
+
+    /// Starts the task of one client. It holds the slot and ends with the connection, which ends by itself, by
+    /// eviction, or after `close`.
+    fn spawn_client(
+        self: &Rc<Self>, number: u64, stream: TcpStream, slot: OwnedSemaphorePermit,
+        close: watch::Receiver<bool>,
+    ) {
+        let server = self.clone();
+        tokio::task::spawn_local(async move {
+            let client = Rc::new(Client::new());
+            server.clients.borrow_mut().insert(number, client.clone());
+            server.serve_until_evicted(stream, &client, close).await;
+            server.clients.borrow_mut().remove(&number);
+            drop(slot);
+        });
+    }
+
+    /// A slot for one more client; none if all clients have requests open or are new.
+    async fn acquire_slot(&self) -> Option<OwnedSemaphorePermit> {
+        loop {
+            if self.slots.available_permits() == 0 && !self.evict_idle_client() {
+                return None;
+            }
+            // The evicted client may turn out to have sent a request: then another one is evicted.
+            if let Ok(slot) = timeout(EVICTION_TIMEOUT, self.slots.clone().acquire_owned()).await {
+                return slot.ok();
+            }
+        }
+    }
+
+    /// Evicts the client that has been longest without a request, one that never sent any first. False if there is
+    /// none.
+    fn evict_idle_client(&self) -> bool {
+        let clients = self.clients.borrow();
+        let evictable = clients.values().filter(|client| client.is_evictable(NEW_CLIENT_GRACE));
+        let Some(oldest) = evictable.min_by_key(|client| client.eviction_order()) else { return false };
+        oldest.evict();
+        true
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/server/disconnect/tests.rs
@@ -0,0 +1,35 @@
+//! The end of a client's connection is seen behind bytes that nobody reads.
+
+use super::{ClientStream, ReadAheadBudget, MAX_READ_AHEAD_TOTAL, POLL_INTERVAL};
+use std::future::poll_fn;
+use std::io::Write;
+use std::net::Shutdown;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// With no room for what it sent ahead, a client that closes its side or breaks off is seen to go, and one that
+/// stays is not. On the paused clock; what a socket has sent on loopback has arrived.
+#[tokio::test(start_paused = true)]
+async fn a_disconnect_is_seen_behind_bytes_that_nobody_reads() {
+    for reset in [false, true] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (stream, _) = listener.accept().unwrap();
+        stream.set_nonblocking(true).unwrap();
+        let budget = ReadAheadBudget::default();
+        budget.add(MAX_READ_AHEAD_TOTAL);
+        let stream = ClientStream::new(TcpStream::from_std(stream).unwrap(), budget.clone());
+        client.write_all(b"GET /look").unwrap();
+        let client_gone = || poll_fn(|cx| stream.poll_client_gone(cx));
+        assert!(timeout(20 * POLL_INTERVAL, client_gone()).await.is_err(), "it has not gone");
+        if reset {
+            socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap();
+            drop(client);
+        } else {
+            client.shutdown(Shutdown::Write).unwrap();
+        }
+        timeout(3 * POLL_INTERVAL, client_gone()).await.expect("it has gone");
+        assert_eq!(budget.used(), MAX_READ_AHEAD_TOTAL, "nothing was read");
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/server/forward.rs
@@ -0,0 +1,43 @@
+//! The request as endpoints get it.
+
+use super::request::{header_names, ClassRoute};
+use crate::driver::ForwardedRequest;
+use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST};
+use hyper::{HeaderMap, Method, Uri};
+
+/// Room for a usual head.
+const HEAD_BYTES: usize = 256;
+
+/// Makes the request for endpoints out of a client's. Of its headers only those named here are forwarded.
+pub fn forwarded_request(
+    class: &ClassRoute, uri: &Uri, headers: &HeaderMap, body: &[u8],
+) -> ForwardedRequest {
+    let mut head = Vec::with_capacity(HEAD_BYTES);
+    let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    let method = class.method.as_str();
+    head.extend_from_slice(format!("{method} {target} HTTP/1.1\r\n").as_bytes());
+    let host = headers.get(HOST).map_or(&b"localhost"[..], HeaderValue::as_bytes);
+    push_header(&mut head, "Host", host);
+    for (name, value) in [
+        ("X-Txn", headers.get(header_names::TRANSACTION_ID)),
+        ("Idempotency-Key", headers.get(header_names::IDEMPOTENCY_KEY)),
+        ("X-Lane", headers.get(header_names::CLASS)),
+        ("X-Plan", headers.get(header_names::PLAN)),
+        ("Content-Type", headers.get(CONTENT_TYPE)),
+    ] {
+        if let Some(value) = value {
+            push_header(&mut head, name, value.as_bytes());
+        }
+    }
+    if class.method == Method::POST || !body.is_empty() {
+        push_header(&mut head, CONTENT_LENGTH.as_str(), body.len().to_string().as_bytes());
+    }
+    ForwardedRequest { head, body: [b"\r\n", body].concat() }
+}
+
+fn push_header(head: &mut Vec<u8>, name: &str, value: &[u8]) {
+    head.extend_from_slice(name.as_bytes());
+    head.extend_from_slice(b": ");
+    head.extend_from_slice(value);
+    head.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -0,0 +1,149 @@
+//! One request, from its head to its response.
+
+use super::client::Client;
+use super::forward::forwarded_request;
+use super::request::{ParsedRequest, RequestError};
+use super::response::{self, Response};
+use super::Server;
+use crate::driver::{FinalResponse, ForwardedRequest, IncomingRequest};
+use crate::http::BODY_MOST;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::TRANSFER_ENCODING;
+use hyper::{Method, Request, StatusCode};
+use quota_gateway::RequestId;
+use std::time::Duration;
+use tokio::time::{timeout_at, Instant};
+
+/// A client has this long for a complete request, from the moment it connected or got its last response.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(2800);
+/// The decision library ends a request by its deadline; one that it has not ended this long after is failed.
+const DEADLINE_GRACE: Duration = Duration::from_millis(5);
+
+/// A request whose response is not made yet. Dropped without one, the client has gone: the driver is told.
+struct RequestInProgress<'a> {
+    server: &'a Server,
+    client: &'a Client,
+    transaction_id: Option<u64>,
+    /// Its id at the driver, from when that has taken it in until its final response.
+    driver_id: Option<RequestId>,
+}
+
+impl<'a> RequestInProgress<'a> {
+    fn new(server: &'a Server, client: &'a Client) -> Self {
+        server.requests_in_progress.set(server.requests_in_progress.get() + 1);
+        client.request_started();
+        RequestInProgress { server, client, transaction_id: None, driver_id: None }
+    }
+
+    /// Guards against a second copy of an open request. The open one is not touched.
+    fn claim_transaction_id(&mut self, transaction_id: u64) -> Result<(), RequestError> {
+        if !self.server.open_transactions.borrow_mut().insert(transaction_id) {
+            return Err(RequestError::DuplicateTransaction);
+        }
+        self.transaction_id = Some(transaction_id);
+        Ok(())
+    }
+}
+
+impl Drop for RequestInProgress<'_> {
+    fn drop(&mut self) {
+        self.server.requests_in_progress.set(self.server.requests_in_progress.get() - 1);
+        self.client.request_ended();
+        if let Some(transaction_id) = self.transaction_id {
+            self.server.open_transactions.borrow_mut().remove(&transaction_id);
+        }
+        if let Some(id) = self.driver_id {
+            self.server.driver.cancel_request(id);
+        }
+    }
+}
+
+impl Server {
+    /// Makes the response to one request.
+    pub(super) async fn respond(&self, request: Request<Incoming>, client: &Client) -> Response {
+        let complete_by = client.idle_since() + REQUEST_TIMEOUT;
+        let mut in_progress = RequestInProgress::new(self, client);
+        let has_body = !request.body().is_end_stream();
+        let mut response = match self.handle(request, &mut in_progress, complete_by).await {
+            Ok(response) => response,
+            Err(error) => response::request_error(&error, has_body),
+        };
+        in_progress.driver_id = None;
+        if self.draining.get() {
+            response::ask_to_close(&mut response);
+        }
+        response
+    }
+
+    async fn handle(
+        &self, request: Request<Incoming>, in_progress: &mut RequestInProgress<'_>, complete_by: Instant,
+    ) -> Result<Response, RequestError> {
+        let received_at = Instant::now();
+        let (parts, body) = request.into_parts();
+        // Beside a Content-Length hyper drops it unseen, and another request may hide in the body. The protocol
+        // has no such requests.
+        if parts.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(RequestError::TransferEncoding);
+        }
+        if let Some(response) = self.health_response(parts.uri.path()) {
+            return Ok(response);
+        }
+        let ParsedRequest { incoming, class } =
+            self.parser.parse(&parts.method, &parts.uri, &parts.headers, received_at)?;
+        if body.size_hint().lower() > BODY_MOST as u64 {
+            return Err(RequestError::BodyTooLarge);
+        }
+        if class.method == Method::GET && !body.is_end_stream() {
+            return Err(RequestError::UnexpectedBody);
+        }
+        in_progress.claim_transaction_id(incoming.transaction_id)?;
+        let remaining = Duration::from_secs_f64(incoming.remaining_ms / 1000.0);
+        let body = read_body(body, complete_by.min(received_at + remaining)).await?;
+        let forwarded = forwarded_request(class, &parts.uri, &parts.headers, &body);
+        let final_response = self.forward(&incoming, forwarded, in_progress).await;
+        Ok(response::final_response(final_response))
+    }
+
+    /// The response to the gateway's own health checks.
+    fn health_response(&self, path: &str) -> Option<Response> {
+        let healthy = match path {
+            "/health/ready" => self.driver.is_ready() && !self.draining.get(),
+            "/health/live" => true,
+            _ => return None,
+        };
+        let status = if healthy { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        Some(response::plain(status, ""))
+    }
+
+    /// Hands a complete request to the driver and waits for its final response.
+    async fn forward(
+        &self, incoming: &IncomingRequest, forwarded: ForwardedRequest,
+        in_progress: &mut RequestInProgress<'_>,
+    ) -> FinalResponse {
+        let started = self.driver.start_request(incoming, forwarded);
+        in_progress.driver_id = Some(started.id);
+        in_progress.client.request_complete();
+        match timeout_at(started.deadline + DEADLINE_GRACE, started.response).await {
+            Ok(response) => response.unwrap_or(FinalResponse::Failed),
+            Err(_) => {
+                self.driver.cancel_request(started.id);
+                FinalResponse::Failed
+            }
+        }
+    }
+}
+
+/// Reads a request's body, which has to be complete by the deadline.
+async fn read_body(body: Incoming, deadline: Instant) -> Result<Bytes, RequestError> {
+    if body.size_hint().exact() == Some(0) {
+        return Ok(Bytes::new());
+    }
+    match timeout_at(deadline, Limited::new(body, BODY_MOST).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(RequestError::BodyTooLarge),
+        Ok(Err(_)) => Err(RequestError::IncompleteBody),
+        Err(_) => Err(RequestError::BodyTimeout),
+    }
+}
