--- a/src/bin/quota-gateway/driver/actions.rs
+++ b/src/bin/quota-gateway/driver/actions.rs
@@ -61,7 +61,7 @@
     fn send_attempt(
         self: &Rc<Self>, id: RequestId, endpoint: EndpointId, timeout: Duration,
     ) -> Option<Event> {
-        let addr = self.pool.addr(endpoint);
+        let addr = self.pool.address(endpoint);
         let started = self.requests.borrow_mut().start_attempt(id, addr, timeout);
         match started {
             Ok(attempt) => {
--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -4,7 +4,7 @@
 use super::messages::ForwardedRequest;
 use super::requests::{EndpointResponse, StartedAttempt};
 use super::Driver;
-use crate::upstream::SendPermit;
+use crate::upstream::{AttemptResult, OutgoingRequest, Target};
 use quota_gateway::{EndpointId, Outcome, RequestId};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -13,23 +13,22 @@
 
 /// An attempt about to be written. It may be as long as its request still wants a response, and its endpoint still
 /// takes requests at the address that it had.
-struct AttemptPermit {
+struct AttemptRequest {
     driver: Rc<Driver>,
     request: RequestId,
-    endpoint: EndpointId,
-    addr: SocketAddr,
+    target: Target,
     forwarded: Rc<ForwardedRequest>,
     deadline: Instant,
     written: Rc<Cell<bool>>,
 }
 
-impl SendPermit for AttemptPermit {
+impl OutgoingRequest for AttemptRequest {
     fn refused(&self) -> Option<Outcome> {
         if self.driver.requests.borrow().is_answered(self.request) {
             return Some(Outcome::NotSent);
         }
-        let ready = self.driver.endpoints.borrow().is_ready(self.endpoint);
-        let at_same_address = self.driver.pool.addr(self.endpoint) == Some(self.addr);
+        let ready = self.driver.endpoints.borrow().is_ready(self.target.endpoint);
+        let at_same_address = self.driver.pool.address(self.target.endpoint) == Some(self.target.addr);
         if ready && at_same_address {
             return None;
         }
@@ -47,11 +46,11 @@
 }
 
 /// A health check belongs to no request and may always be sent.
-struct HealthCheckPermit {
+struct HealthCheckRequest {
     addr: SocketAddr,
 }
 
-impl SendPermit for HealthCheckPermit {
+impl OutgoingRequest for HealthCheckRequest {
     fn refused(&self) -> Option<Outcome> {
         None
     }
@@ -76,55 +75,58 @@
     async fn run_attempt(
         self: &Rc<Self>, request: RequestId, endpoint: EndpointId, mut attempt: StartedAttempt,
     ) -> AttemptReport {
-        let addr = attempt.addr;
-        let deadline = attempt.deadline;
-        let permit = AttemptPermit {
+        let target = Target { endpoint, addr: attempt.addr };
+        let outgoing = AttemptRequest {
             driver: self.clone(),
             request,
-            endpoint,
-            addr,
+            target,
             forwarded: attempt.forwarded,
-            deadline,
+            deadline: attempt.deadline,
             written: attempt.written.clone(),
         };
-        let (outcome, response) = tokio::select! {
+        let result = tokio::select! {
             biased;
-            ended = self.pool.attempt(endpoint, addr, deadline, &permit) => ended,
+            result = self.pool.attempt(target, attempt.deadline, &outgoing) => result,
             // Dropping the attempt closes its connection.
             Ok(()) = &mut attempt.cancelled => {
                 let outcome = if attempt.written.get() { Outcome::Cancelled } else { Outcome::NotSent };
-                (outcome, None)
+                AttemptResult::without_response(outcome)
             }
         };
-        let served = response.filter(|_| outcome == Outcome::Success).map(|(head, body)| EndpointResponse {
-            units: head.units,
-            content_type: head.content_type,
-            body,
-        });
         AttemptReport {
             request,
             number: attempt.number,
             endpoint,
-            outcome,
+            outcome: result.outcome,
             elapsed_ms: elapsed_ms(attempt.started_at),
-            served,
+            served: served_response(result),
         }
     }
 
     /// Starts a health check, unless the endpoint is not listed any more. Its task ends by its own time-out.
     pub(super) fn check_health(self: &Rc<Self>, endpoint: EndpointId) {
-        let Some(addr) = self.pool.addr(endpoint) else { return };
+        let Some(addr) = self.pool.address(endpoint) else { return };
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let started_at = Instant::now();
-            let deadline = started_at + driver.pool.connect_time();
-            let permit = HealthCheckPermit { addr };
-            let (outcome, _) = driver.pool.attempt(endpoint, addr, deadline, &permit).await;
-            driver.health_check_ended(endpoint, outcome, elapsed_ms(started_at));
+            let deadline = started_at + driver.pool.connect_timeout();
+            let target = Target { endpoint, addr };
+            let result = driver.pool.attempt(target, deadline, &HealthCheckRequest { addr }).await;
+            driver.health_check_ended(endpoint, result.outcome, elapsed_ms(started_at));
         });
     }
 }
 
+/// What the client gets of a successful attempt.
+fn served_response(result: AttemptResult) -> Option<EndpointResponse> {
+    match (result.outcome, result.response) {
+        (Outcome::Success, Some((head, body))) => {
+            Some(EndpointResponse { units: head.units, content_type: head.content_type, body })
+        }
+        _ => None,
+    }
+}
+
 fn elapsed_ms(since: Instant) -> f64 {
     since.elapsed().as_secs_f64() * 1000.0
 }
--- a/src/bin/quota-gateway/driver/endpoints.rs
+++ b/src/bin/quota-gateway/driver/endpoints.rs
@@ -108,11 +108,11 @@
         match entry.addr {
             Some(addr) if state != EndpointState::Removed => {
                 self.states.insert(id, state);
-                pool.settle(id, addr);
+                pool.set_address(id, addr);
             }
             _ => {
                 self.states.remove(&id);
-                pool.forget(id);
+                pool.remove(id);
             }
         }
         Endpoint {
@@ -134,7 +134,7 @@
         self.states.retain(|id, _| {
             let is_listed = listed.contains(id);
             if !is_listed {
-                pool.forget(*id);
+                pool.remove(*id);
             }
             is_listed
         });
--- a/src/bin/quota-gateway/driver/mod.rs
+++ b/src/bin/quota-gateway/driver/mod.rs
@@ -91,7 +91,7 @@
 
     /// Periodic clean-up: closes expired idle connections and forgets endpoints removed long ago.
     pub fn sweep(&self) {
-        self.pool.sweep();
+        self.pool.close_expired();
         self.endpoints.borrow_mut().drop_expired();
     }
 }
--- /dev/null
+++ b/src/bin/quota-gateway/upstream/attempt.rs
@@ -0,0 +1,93 @@
+//! One attempt: finds a connection, writes the request, reads the response.
+
+use super::connection::{Connection, Written};
+use super::pool::{ConnectError, ConnectionPool};
+use super::request::{OutgoingRequest, Target};
+use crate::http::{Head, BODY_MOST};
+use bytes::Bytes;
+use quota_gateway::Outcome;
+use tokio::time::{timeout_at, Instant};
+
+/// How an attempt ended.
+pub struct AttemptResult {
+    /// The outcome, as the decision library is told it.
+    pub outcome: Outcome,
+    /// The endpoint's complete response, whatever its status.
+    pub response: Option<(Head, Bytes)>,
+}
+
+impl AttemptResult {
+    /// An attempt that ended without a response.
+    pub fn without_response(outcome: Outcome) -> Self {
+        AttemptResult { outcome, response: None }
+    }
+}
+
+impl ConnectionPool {
+    /// Sends one request and waits for its response. Its connection is closed before this returns, unless the
+    /// response is complete; dropping the future closes it too. Whether the request may be sent is asked with
+    /// nothing between that and its first byte: finding a connection takes time, in which the client may leave and
+    /// the endpoint start draining.
+    pub async fn attempt(
+        &self, target: Target, deadline: Instant, request: &dyn OutgoingRequest,
+    ) -> AttemptResult {
+        let mut connection = match self.send(target, deadline, request).await {
+            Ok(connection) => connection,
+            Err(outcome) => return AttemptResult::without_response(outcome),
+        };
+        request.written();
+        let (head, body) = match timeout_at(deadline, connection.reader.read_response(BODY_MOST)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(_)) => return AttemptResult::without_response(Outcome::ConnectionReset),
+            Err(_) => return AttemptResult::without_response(Outcome::Timeout),
+        };
+        // Bytes behind the response belong to no request.
+        if head.keep_alive && !connection.reader.has_unread_bytes() {
+            self.put_back(target, connection);
+        }
+        AttemptResult { outcome: outcome_of(&head), response: Some((head, body)) }
+    }
+
+    /// Writes the request, on an idle connection if there is one. The error is the outcome of an attempt that got no
+    /// further. A request whose last byte is not written can't have begun; after that it may have.
+    async fn send(
+        &self, target: Target, deadline: Instant, request: &dyn OutgoingRequest,
+    ) -> Result<Connection, Outcome> {
+        loop {
+            let reused = self.take_idle(target.endpoint);
+            let is_reused = reused.is_some();
+            let connection = match reused {
+                Some(connection) => connection,
+                None => self.connect(target.addr, deadline).await.map_err(connect_outcome)?,
+            };
+            match timeout_at(deadline, connection.write(request)).await {
+                Ok(Ok(Written::Complete)) => return Ok(connection),
+                Ok(Ok(Written::NotPermitted(outcome))) => {
+                    // Nothing was written: the connection is as good as before.
+                    self.put_back(target, connection);
+                    return Err(outcome);
+                }
+                // A connection that broke while it was idle tells nothing of its endpoint.
+                Ok(Err(_)) if is_reused => {}
+                Ok(Err(_)) => return Err(Outcome::ConnectFailed),
+                Err(_) => return Err(Outcome::NotSent),
+            }
+        }
+    }
+}
+
+fn connect_outcome(error: ConnectError) -> Outcome {
+    match error {
+        ConnectError::Endpoint => Outcome::ConnectFailed,
+        ConnectError::Local => Outcome::NotSent,
+    }
+}
+
+fn outcome_of(head: &Head) -> Outcome {
+    match head.status {
+        200 => Outcome::Success,
+        // Only these two with this header prove that the request never ran.
+        503 | 504 if head.rejected => Outcome::Rejected,
+        _ => Outcome::ErrorResponse,
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/upstream/connection.rs
@@ -0,0 +1,101 @@
+//! One connection to an endpoint.
+
+use super::request::OutgoingRequest;
+use crate::http::Reader;
+use quota_gateway::Outcome;
+use socket2::SockRef;
+use std::cell::Cell;
+use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// The number of open connections, over all endpoints.
+#[derive(Clone, Default)]
+pub struct OpenConnections {
+    count: Rc<Cell<usize>>,
+}
+
+impl OpenConnections {
+    /// How many are open or being opened.
+    pub fn count(&self) -> usize {
+        self.count.get()
+    }
+
+    /// Counts one more until the permit is dropped.
+    pub fn acquire(&self) -> ConnectionPermit {
+        self.count.set(self.count.get() + 1);
+        ConnectionPermit { open: self.clone() }
+    }
+}
+
+/// Counts one open connection until it is dropped.
+pub struct ConnectionPermit {
+    open: OpenConnections,
+}
+
+impl Drop for ConnectionPermit {
+    fn drop(&mut self) {
+        self.open.count.set(self.open.count.get() - 1);
+    }
+}
+
+/// How writing a request ended.
+pub enum Written {
+    /// All of it is written.
+    Complete,
+    /// Nothing is: it was not permitted any more, with this as the attempt's outcome.
+    NotPermitted(Outcome),
+}
+
+/// A connection that is up.
+pub struct Connection {
+    /// Reads the responses.
+    pub reader: Reader<TcpStream>,
+    /// When it came up or last became idle.
+    pub idle_since: Instant,
+    _permit: ConnectionPermit,
+}
+
+impl Connection {
+    /// A connection that has just come up.
+    pub fn new(stream: TcpStream, permit: ConnectionPermit) -> Self {
+        Connection { reader: Reader::new(stream), idle_since: Instant::now(), _permit: permit }
+    }
+
+    /// Guards against sending on a connection that its endpoint closed or broke while it was idle: the request
+    /// would end as a reset, which may have run; and against bytes that came behind a response: they would be read
+    /// as the next one. The system itself is asked, as the runtime may not have seen it yet.
+    pub fn is_usable(&self) -> bool {
+        if self.reader.has_unread_bytes() {
+            return false;
+        }
+        let peeked = SockRef::from(&self.reader.io).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Writes a complete request, unless it is not permitted. Asks again before each try to write the first byte: a
+    /// write that stalls has not begun.
+    pub async fn write(&self, request: &dyn OutgoingRequest) -> io::Result<Written> {
+        let stream = &self.reader.io;
+        let mut message = Vec::new();
+        let mut written = 0;
+        while written == 0 || written < message.len() {
+            stream.writable().await?;
+            if written == 0 {
+                if let Some(outcome) = request.refused() {
+                    return Ok(Written::NotPermitted(outcome));
+                }
+                message = request.message();
+            }
+            match stream.try_write(&message[written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(bytes) => written += bytes,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(Written::Complete)
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/upstream/pool/tests.rs
@@ -0,0 +1,22 @@
+//! When a connection is used again.
+
+use super::{Connection, ConnectionPool, Target};
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// On the paused clock only what the test advances passes.
+#[tokio::test(start_paused = true)]
+async fn a_connection_is_not_reused_until_a_late_second_response_would_have_arrived() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let pool = ConnectionPool::new(8, 250.0, 30_000.0);
+    pool.set_address(1, addr);
+    let stream = std::net::TcpStream::connect(addr).unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let connection = Connection::new(TcpStream::from_std(stream).unwrap(), pool.open.acquire());
+    pool.put_back(Target { endpoint: 1, addr }, connection);
+    tokio::time::advance(Duration::from_millis(8)).await;
+    assert!(pool.take_idle(1).is_none(), "a second response may still be on its way");
+    tokio::time::advance(Duration::from_millis(4)).await;
+    assert!(pool.take_idle(1).is_some());
+}
