--- /dev/null
+++ b/src/bin/quota-gateway/http/body.rs
@@ -0,0 +1,125 @@
+//! The framing of bodies, without input or output: takes the bytes of a body out of a buffer.
+
+use super::error::MalformedResponse;
+use super::head::MAX_HEAD_BYTES;
+use bytes::{Buf, Bytes, BytesMut};
+use httparse::Status;
+
+/// The end of a line.
+const LINE_END: &[u8] = b"\r\n";
+
+/// What is still to come of a body.
+#[derive(Clone, Copy)]
+pub enum Body {
+    /// This many bytes.
+    Length(usize),
+    /// The line with a chunk's size.
+    ChunkSize,
+    /// This much of a chunk, and the line end behind it.
+    ChunkData(u64),
+    /// The lines behind the last chunk.
+    Trailers,
+    /// Whatever comes until the connection is closed.
+    UntilClose,
+    /// Nothing.
+    Complete,
+}
+
+/// What a buffer had of a body.
+pub enum Decoded {
+    /// Bytes of it.
+    Data(Bytes),
+    /// Its end.
+    End,
+    /// Not enough: the buffer has to be filled.
+    Incomplete,
+}
+
+impl Body {
+    /// True if only the end of the connection ends the body.
+    pub fn ends_with_connection(&self) -> bool {
+        matches!(self, Body::UntilClose)
+    }
+
+    /// Takes the next bytes out of the buffer. A claimed length is never waited for or stored: what is there is
+    /// handed on.
+    pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Decoded, MalformedResponse> {
+        loop {
+            let advanced = match *self {
+                Body::Complete | Body::Length(0) => return Ok(Decoded::End),
+                Body::ChunkSize => self.read_chunk_size(buffer)?,
+                Body::ChunkData(0) => self.read_chunk_end(buffer)?,
+                Body::Trailers => self.read_trailer(buffer)?,
+                Body::Length(_) | Body::ChunkData(_) | Body::UntilClose => {
+                    return Ok(self.take_data(buffer));
+                }
+            };
+            if !advanced {
+                return Ok(Decoded::Incomplete);
+            }
+        }
+    }
+
+    fn take_data(&mut self, buffer: &mut BytesMut) -> Decoded {
+        if buffer.is_empty() {
+            return Decoded::Incomplete;
+        }
+        let data = match *self {
+            Body::Length(left) => {
+                let length = left.min(buffer.len());
+                *self = Body::Length(left - length);
+                buffer.split_to(length)
+            }
+            Body::ChunkData(left) => {
+                let length = usize::try_from(left).unwrap_or(usize::MAX).min(buffer.len());
+                *self = Body::ChunkData(left - length as u64);
+                buffer.split_to(length)
+            }
+            _ => buffer.split(),
+        };
+        Decoded::Data(data.freeze())
+    }
+
+    /// Reads the line with a chunk's size; false while it is not complete.
+    fn read_chunk_size(&mut self, buffer: &mut BytesMut) -> Result<bool, MalformedResponse> {
+        match httparse::parse_chunk_size(buffer) {
+            Ok(Status::Complete((line_length, size))) => {
+                buffer.advance(line_length);
+                *self = if size == 0 { Body::Trailers } else { Body::ChunkData(size) };
+                Ok(true)
+            }
+            Ok(Status::Partial) if buffer.len() > MAX_HEAD_BYTES => Err(MalformedResponse::ChunkLineTooLong),
+            Ok(Status::Partial) => Ok(false),
+            Err(_) => Err(MalformedResponse::InvalidChunkSize),
+        }
+    }
+
+    /// Reads the line end behind a chunk; false while it is not complete. Guards against a chunk whose size is
+    /// wrong: what follows would be misread.
+    fn read_chunk_end(&mut self, buffer: &mut BytesMut) -> Result<bool, MalformedResponse> {
+        if buffer.len() < LINE_END.len() {
+            return Ok(false);
+        }
+        if !buffer.starts_with(LINE_END) {
+            return Err(MalformedResponse::MissingChunkEnd);
+        }
+        buffer.advance(LINE_END.len());
+        *self = Body::ChunkSize;
+        Ok(true)
+    }
+
+    /// Drops one line behind the last chunk; an empty one ends the body. False while it is not complete.
+    fn read_trailer(&mut self, buffer: &mut BytesMut) -> Result<bool, MalformedResponse> {
+        let Some(end) = buffer.windows(LINE_END.len()).position(|window| window == LINE_END) else {
+            if buffer.len() > MAX_HEAD_BYTES {
+                return Err(MalformedResponse::TrailerTooLong);
+            }
+            return Ok(false);
+        };
+        buffer.advance(end + LINE_END.len());
+        if end == 0 {
+            *self = Body::Complete;
+        }
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/http/head.rs
@@ -0,0 +1,141 @@
+//! Heads of responses, by httparse.
+
+use super::body::Body;
+use super::error::MalformedResponse;
+use bytes::Bytes;
+use httparse::{Header, Status};
+
+/// Largest head, chunk line or trailer line.
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Most headers of a head.
+const MAX_HEADERS: usize = 64;
+
+/// What the gateway needs of a response's head.
+#[derive(Debug)]
+pub struct Head {
+    /// The status.
+    pub status: u16,
+    /// The connection may carry another request.
+    pub keep_alive: bool,
+    /// The endpoint says that the request never ran.
+    pub rejected: bool,
+    /// The request's true units.
+    pub units: Option<f64>,
+    /// The `Content-Type`, as it came.
+    pub content_type: Option<Bytes>,
+}
+
+/// A complete head at the start of a buffer.
+pub struct ParsedHead {
+    /// What the gateway needs of it.
+    pub head: Head,
+    /// The framing of the body behind it.
+    pub body: Body,
+    /// Its length in bytes.
+    pub length: usize,
+}
+
+/// The headers that say how long the body and the connection last.
+#[derive(Default)]
+struct Framing {
+    content_length: Option<usize>,
+    chunked: bool,
+    close: bool,
+}
+
+/// Parses a head; `None` while it is not complete.
+pub fn parse_head(buffer: &[u8]) -> Result<Option<ParsedHead>, MalformedResponse> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let length = match response.parse(buffer) {
+        Ok(Status::Complete(length)) => length,
+        Ok(Status::Partial) => return Ok(None),
+        Err(_) => return Err(MalformedResponse::NotHttp),
+    };
+    let mut head = Head {
+        status: response.code.unwrap_or(0),
+        keep_alive: response.version == Some(1),
+        rejected: false,
+        units: None,
+        content_type: None,
+    };
+    let mut framing = Framing::default();
+    for header in response.headers.iter() {
+        read_header(header, &mut head, &mut framing)?;
+    }
+    let body = framing.body(head.status)?;
+    // Whoever says both close and keep-alive, in one header or two, wants to close.
+    if framing.close || body.ends_with_connection() {
+        head.keep_alive = false;
+    }
+    Ok(Some(ParsedHead { head, body, length }))
+}
+
+fn read_header(header: &Header<'_>, head: &mut Head, framing: &mut Framing) -> Result<(), MalformedResponse> {
+    let value = std::str::from_utf8(header.value).unwrap_or("").trim();
+    let is_named = |name: &str| header.name.eq_ignore_ascii_case(name);
+    if is_named("content-length") {
+        framing.set_content_length(value)?;
+    } else if is_named("transfer-encoding") {
+        framing.set_transfer_encoding(value)?;
+    } else if is_named("connection") {
+        read_connection_options(value, head, framing);
+    } else if is_named("x-turned-away") {
+        head.rejected = value == "1";
+    } else if is_named("x-units-charged") {
+        head.units = parse_units(value);
+    } else if is_named("content-type") {
+        head.content_type = Some(Bytes::copy_from_slice(header.value));
+    }
+    Ok(())
+}
+
+fn read_connection_options(value: &str, head: &mut Head, framing: &mut Framing) {
+    for option in value.split(',').map(str::trim) {
+        if option.eq_ignore_ascii_case("close") {
+            framing.close = true;
+        } else if option.eq_ignore_ascii_case("keep-alive") {
+            head.keep_alive = true;
+        }
+    }
+}
+
+fn parse_units(value: &str) -> Option<f64> {
+    value.parse().ok().filter(|units: &f64| units.is_finite() && *units >= 0.0)
+}
+
+impl Framing {
+    fn set_content_length(&mut self, value: &str) -> Result<(), MalformedResponse> {
+        // The number's parser would take a sign, too.
+        if !value.bytes().all(|byte| byte.is_ascii_digit()) {
+            return Err(MalformedResponse::InvalidContentLength);
+        }
+        let length = value.parse().map_err(|_| MalformedResponse::InvalidContentLength)?;
+        if self.content_length.is_some_and(|other| other != length) {
+            return Err(MalformedResponse::ConflictingContentLengths);
+        }
+        self.content_length = Some(length);
+        Ok(())
+    }
+
+    fn set_transfer_encoding(&mut self, value: &str) -> Result<(), MalformedResponse> {
+        if self.chunked || !value.eq_ignore_ascii_case("chunked") {
+            return Err(MalformedResponse::UnknownTransferEncoding);
+        }
+        self.chunked = true;
+        Ok(())
+    }
+
+    fn body(&self, status: u16) -> Result<Body, MalformedResponse> {
+        match (status, self.chunked, self.content_length) {
+            (100..=199 | 204 | 304, ..) => Ok(Body::Complete),
+            // Which of the two holds can't be known: the rest of the body would be read as the next response.
+            (_, true, Some(_)) => Err(MalformedResponse::LengthAndTransferEncoding),
+            (_, true, None) => Ok(Body::ChunkSize),
+            (_, false, Some(length)) => Ok(Body::Length(length)),
+            // Its end can't be told from a break, so it might be half a body.
+            (200, false, None) => Err(MalformedResponse::MissingLength),
+            (_, false, None) => Ok(Body::UntilClose),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/http/tests.rs
@@ -0,0 +1,60 @@
+//! Which responses are read, and which are errors.
+
+use super::head::MAX_HEAD_BYTES;
+use super::{Head, Reader, MAX_BODY_BYTES};
+use bytes::Bytes;
+use std::io;
+
+fn read(text: &str) -> io::Result<(Head, Bytes, bool)> {
+    let runtime = tokio::runtime::Builder::new_current_thread().build()?;
+    let mut reader = Reader::new(text.as_bytes());
+    let (head, body) = runtime.block_on(reader.read_response(MAX_BODY_BYTES))?;
+    Ok((head, body, reader.has_unread_bytes()))
+}
+
+#[test]
+fn complete_responses_are_read_and_the_connection_kept_as_they_say() {
+    for (text, keep, more) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine", true, false),
+        ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine", true, false),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfineHTTP/1.1 200 OK\r\n", true, true),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n", true, false),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nf\r\n3;x=y\r\nine\r\n0\r\n\r\n",
+            true,
+            false,
+        ),
+        ("HTTP/1.1 200 OK\r\nConnection: close, keep-alive\r\nContent-Length: 4\r\n\r\nfine", false, false),
+        ("HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nfine", false, false),
+    ] {
+        let (head, body, has_more) = read(text).unwrap();
+        assert_eq!((head.keep_alive, &body[..], has_more), (keep, &b"fine"[..], more), "{text}");
+    }
+}
+
+#[test]
+fn malformed_responses_are_errors_and_take_bounded_memory() {
+    for text in [
+        "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfine\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfine\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nfine",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\n\r\nfine",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine",
+        "noise\r\n\r\n",
+    ] {
+        assert!(read(text).is_err(), "{text}");
+    }
+    // Neither a line without end nor what a chunk claims to hold is stored.
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert!(read(&format!("{chunked}4;{}", "x".repeat(MAX_HEAD_BYTES * 2))).is_err());
+    assert!(read(&format!("{chunked}ffffffff\r\n{}", "x".repeat(MAX_BODY_BYTES + 1))).is_err());
+    assert!(read(&"HTTP/1.1 102 Wait\r\n\r\n".repeat(1000)).is_err());
+    assert!(read(&format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(MAX_HEAD_BYTES * 2))).is_err());
+}
--- a/src/bin/quota-gateway/server/forward.rs
+++ b/src/bin/quota-gateway/server/forward.rs
@@ -4,6 +4,7 @@
 use crate::driver::ForwardedRequest;
 use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST};
 use hyper::{HeaderMap, Method, Uri};
+use std::io::Write;
 
 /// Room for a usual head.
 const HEAD_BYTES: usize = 256;
@@ -15,7 +16,8 @@
     let mut head = Vec::with_capacity(HEAD_BYTES);
     let target = uri.path_and_query().map_or("/", |target| target.as_str());
     let method = class.method.as_str();
-    head.extend_from_slice(format!("{method} {target} HTTP/1.1\r\n").as_bytes());
+    // Writing to a Vec can't fail.
+    let _ = write!(head, "{method} {target} HTTP/1.1\r\n");
     let host = headers.get(HOST).map_or(&b"localhost"[..], HeaderValue::as_bytes);
     push_header(&mut head, "Host", host);
     for (name, value) in [
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -6,7 +6,7 @@
 use super::response::{self, Response};
 use super::Server;
 use crate::driver::{FinalResponse, ForwardedRequest, IncomingRequest};
-use crate::http::BODY_MOST;
+use crate::http::MAX_BODY_BYTES;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -92,7 +92,7 @@
         }
         let ParsedRequest { incoming, class } =
             self.parser.parse(&parts.method, &parts.uri, &parts.headers, received_at)?;
-        if body.size_hint().lower() > BODY_MOST as u64 {
+        if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
             return Err(RequestError::BodyTooLarge);
         }
         if class.method == Method::GET && !body.is_end_stream() {
@@ -140,7 +140,7 @@
     if body.size_hint().exact() == Some(0) {
         return Ok(Bytes::new());
     }
-    match timeout_at(deadline, Limited::new(body, BODY_MOST).collect()).await {
+    match timeout_at(deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(RequestError::BodyTooLarge),
         Ok(Err(_)) => Err(RequestError::IncompleteBody),
--- a/src/bin/quota-gateway/upstream/attempt.rs
+++ b/src/bin/quota-gateway/upstream/attempt.rs
@@ -3,7 +3,7 @@
 use super::connection::{Connection, Written};
 use super::pool::{ConnectError, ConnectionPool};
 use super::request::{OutgoingRequest, Target};
-use crate::http::{Head, BODY_MOST};
+use crate::http::{Head, MAX_BODY_BYTES};
 use bytes::Bytes;
 use quota_gateway::Outcome;
 use tokio::time::{timeout_at, Instant};
@@ -36,7 +36,7 @@
             Err(outcome) => return AttemptResult::without_response(outcome),
         };
         request.written();
-        let (head, body) = match timeout_at(deadline, connection.reader.read_response(BODY_MOST)).await {
+        let (head, body) = match timeout_at(deadline, connection.reader.read_response(MAX_BODY_BYTES)).await {
             Ok(Ok(response)) => response,
             Ok(Err(_)) => return AttemptResult::without_response(Outcome::ConnectionReset),
             Err(_) => return AttemptResult::without_response(Outcome::Timeout),
