--- a/tests/gateway/backends.rs
+++ b/tests/gateway/attempts.rs
@@ -1,4 +1,4 @@
-//! Attempts on backends and what comes back.
+//! Attempts on endpoints, and what comes back.
 
 use crate::stand_ins::*;
 use std::io::Write;
@@ -7,43 +7,43 @@
 use std::time::{Duration, Instant};
 
 #[test]
-fn passes_a_request_on_and_its_answer_back_unchanged() {
-    let (backend, got) = healthy_endpoint();
-    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
-    let answer = gateway.exchange(&post_request("order", IDEMPOTENCY_KEY_HEADER, "two pallets"));
-    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"stock: 12"[..]));
-    let got = got.lock().unwrap();
-    assert_eq!(got.len(), 1);
-    assert_eq!(got[0].line, "POST /order?account=0000000000000007 HTTP/1.1");
-    assert_eq!(got[0].headers["x-txn"], "9b1f03aa5c7e2d41");
-    assert_eq!(got[0].headers["idempotency-key"], "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
-    assert_eq!(got[0].body, b"two pallets");
-    let remaining: u64 = got[0].headers["x-remaining-ms"].parse().unwrap();
+fn forwards_a_request_and_its_response_unchanged() {
+    let (endpoint, received) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
+    let response = gateway.exchange(&post_request("order", IDEMPOTENCY_KEY_HEADER, "two pallets"));
+    assert_eq!((response.status(), response.body.as_slice()), (200, &b"stock: 12"[..]));
+    let received = received.lock().unwrap();
+    assert_eq!(received.len(), 1);
+    assert_eq!(received[0].line, "POST /order?account=0000000000000007 HTTP/1.1");
+    assert_eq!(received[0].headers["x-txn"], "9b1f03aa5c7e2d41");
+    assert_eq!(received[0].headers["idempotency-key"], "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+    assert_eq!(received[0].body, b"two pallets");
+    let remaining: u64 = received[0].headers["x-remaining-ms"].parse().unwrap();
     assert!(remaining > 0 && remaining < 3000, "{remaining}");
 }
 
 #[test]
-fn what_never_ran_goes_to_another_backend() {
-    let (backend, got) = healthy_endpoint();
+fn a_request_that_never_ran_is_retried_on_another_endpoint() {
+    let (endpoint, received) = healthy_endpoint();
     let full = start_server(|_| Reply::Send(response(503, "X-Turned-Away: 1\r\n", "")));
-    // An unsafe request may be sent again only if it is known not to have run.
+    // A request that is not idempotent is retried only if it is known not to have run.
     for bad in [unused_address(), full] {
-        let gateway = Gateway::new(&config_with_silent_discovery(&[bad, backend]));
+        let gateway = Gateway::new(&config_with_silent_discovery(&[bad, endpoint]));
         for _ in 0..2 {
             assert_eq!(gateway.exchange(&post_request("once", "", "x")).status(), 200);
         }
     }
-    assert_eq!(got.lock().unwrap().len(), 4);
+    assert_eq!(received.lock().unwrap().len(), 4);
 }
 
 #[test]
-fn what_may_have_run_is_not_sent_again_if_unsafe() {
+fn a_non_idempotent_request_that_may_have_run_is_not_retried() {
     for reply in [
         || Reply::Send(response(500, "", "")),
         // Without the header a 503 proves nothing.
         || Reply::Send(response(503, "", "")),
         || Reply::SendAndClose(String::new()),
-        // A body that ends too early is a reset, and no answer.
+        // A body that ends too early is a reset, and no response.
         || Reply::SendAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsto".to_owned()),
     ] {
         let count = Arc::new(Mutex::new(0));
@@ -59,22 +59,22 @@
 }
 
 #[test]
-fn an_attempt_given_up_ends_its_connection_and_is_answered_in_time() {
+fn a_timed_out_attempt_closes_its_connection_and_is_answered_in_time() {
     let (closed_to, closed) = channel();
     let addr = start_server(move |_| Reply::StaySilent(closed_to.clone()));
     let gateway = Gateway::new(&config_with_silent_discovery(&[addr, addr]));
     let start = Instant::now();
-    let answer =
+    let response =
         gateway.exchange(&post_request("once", "", "x").replace("Remaining-Ms: 3000", "Remaining-Ms: 600"));
     // It may have run, so nothing is promised.
-    assert_eq!(answer.status(), 502);
+    assert_eq!(response.status(), 502);
     assert!(start.elapsed() < Duration::from_millis(1400), "{:?}", start.elapsed());
     closed.recv_timeout(TEST_TIMEOUT).expect("the attempt's connection ends");
     assert!(closed.try_recv().is_err(), "sent again");
 }
 
 #[test]
-fn a_connection_that_broke_while_idle_is_not_used() {
+fn a_connection_that_broke_while_idle_is_not_reused() {
     let count = Arc::new(Mutex::new(0));
     let seen = count.clone();
     let addr = start_server(move |_| {
@@ -92,8 +92,8 @@
 }
 
 #[test]
-fn spoilt_answers_serve_nobody() {
-    for spoilt in [
+fn invalid_responses_fail_the_request_at_once() {
+    for invalid in [
         "\u{1}\u{2}noise\u{3}\r\n\r\n",
         "HTTP/1.1 200 OK\r\n\r\nstock",
         "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nstock",
@@ -101,34 +101,34 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nstock\r\n0\r\n\r\n",
         "HTTP/1.1 101 Switching Protocols\r\n\r\n",
     ] {
-        let addr = start_server(move |_| Reply::Send(spoilt.to_owned()));
+        let addr = start_server(move |_| Reply::Send(invalid.to_owned()));
         let gateway = Gateway::new(&config_with_silent_discovery(&[addr]));
         let start = Instant::now();
-        assert_eq!(gateway.exchange(&post_request("once", "", "x")).status(), 502, "{spoilt}");
+        assert_eq!(gateway.exchange(&post_request("once", "", "x")).status(), 502, "{invalid}");
         assert!(start.elapsed() < Duration::from_secs(1), "it is known at once");
     }
 }
 
-/// A second copy behind an answer must not be read as the next one.
+/// A second copy behind a response must not be read as the next one.
 #[test]
-fn what_comes_behind_an_answer_is_nobodys() {
+fn bytes_behind_a_response_are_not_read_as_the_next_response() {
     let number = Mutex::new(0);
     let addr = start_server(move |_| {
         *number.lock().unwrap() += 1;
-        let answer = response(200, "", &format!("answer {}", number.lock().unwrap()));
-        Reply::Send(answer.repeat(2))
+        let response = response(200, "", &format!("answer {}", number.lock().unwrap()));
+        Reply::Send(response.repeat(2))
     });
     let gateway = Gateway::new(&config_with_silent_discovery(&[addr]));
-    let mut open = gateway.connect();
+    let mut connection = gateway.connect();
     for round in 1..=10 {
-        open.get_mut().write_all(get_request(round, 1, 3000).as_bytes()).unwrap();
-        assert_eq!(read_message(&mut open).unwrap().body, format!("answer {round}").into_bytes());
+        connection.get_mut().write_all(get_request(round, 1, 3000).as_bytes()).unwrap();
+        assert_eq!(read_message(&mut connection).unwrap().body, format!("answer {round}").into_bytes());
     }
 }
 
-/// The connection of an attempt that ends after its backend moved leads to another backend's address.
+/// The connection of an attempt that ends after its endpoint moved leads to an address that may be another's.
 #[test]
-fn a_connection_to_a_former_address_is_not_used_again() {
+fn a_connection_to_a_former_address_is_not_reused() {
     let (begun_to, begun) = channel();
     let (go_on, wait) = channel::<()>();
     let wait = Mutex::new(wait);
@@ -141,8 +141,8 @@
     let discovery = Discovery::new();
     let gateway = Gateway::new(&config(&[old], start_counter(Arc::default()), discovery.addr));
     let (_, mut watch) = discovery.next_watch();
-    let mut open = gateway.connect();
-    open.get_mut().write_all(get_request(1, 1, 3000).as_bytes()).unwrap();
+    let mut connection = gateway.connect();
+    connection.get_mut().write_all(get_request(1, 1, 3000).as_bytes()).unwrap();
     begun.recv_timeout(TEST_TIMEOUT).unwrap();
     let bad = serde_json::json!({"id": 7});
     let moved =
@@ -151,7 +151,7 @@
     // The line is in once the warning of its other entry is.
     gateway.wait_for_log("an entry of the list");
     go_on.send(()).unwrap();
-    assert_eq!(read_message(&mut open).unwrap().body, b"old");
+    assert_eq!(read_message(&mut connection).unwrap().body, b"old");
     for customer in 2..6 {
         std::thread::sleep(Duration::from_millis(10));
         assert_eq!(gateway.get(customer, 1).body, b"stock: 12");
--- a/tests/gateway/clients.rs
+++ b/tests/gateway/clients.rs
@@ -1,4 +1,4 @@
-//! Clients: their requests, good and bad.
+//! Clients: their requests, valid and not, and their connections.
 
 use crate::stand_ins::*;
 use std::io::{Read, Write};
@@ -7,19 +7,19 @@
 use std::time::{Duration, Instant};
 
 #[test]
-fn refuses_at_once_beyond_the_quota_with_advice() {
-    let (backend, got) = healthy_endpoint();
-    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+fn a_request_over_quota_is_rejected_at_once_with_retry_after() {
+    let (endpoint, received) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
     let statuses = [2, 1, 4].map(|units| gateway.get(9, units));
     assert_eq!([statuses[0].status(), statuses[1].status()], [200, 200]);
     assert_eq!(statuses[2].status(), 429);
     let advice: f64 = statuses[2].headers["retry-after"].parse().unwrap();
     assert!(advice > 0.0 && advice <= 2.0, "{advice}");
-    assert_eq!(got.lock().unwrap().len(), 2);
+    assert_eq!(received.lock().unwrap().len(), 2);
 }
 
 #[test]
-fn a_client_that_goes_frees_its_attempt() {
+fn a_client_disconnect_cancels_its_attempt() {
     let (closed_to, closed) = channel();
     let (begun_to, begun) = channel();
     let addr = start_server(move |_| {
@@ -28,34 +28,34 @@
     });
     let gateway = Gateway::new(&config_with_silent_discovery(&[addr]));
     let start = Instant::now();
-    let mut open = gateway.connect();
-    open.get_mut().write_all(get_request(3, 1, 3000).as_bytes()).unwrap();
+    let mut connection = gateway.connect();
+    connection.get_mut().write_all(get_request(3, 1, 3000).as_bytes()).unwrap();
     begun.recv_timeout(TEST_TIMEOUT).unwrap();
-    drop(open);
+    drop(connection);
     closed.recv_timeout(TEST_TIMEOUT).expect("the attempt is withdrawn");
     assert!(start.elapsed() < Duration::from_millis(1400), "only at its time-out");
 }
 
-/// With few descriptors clients wait to be accepted; connections kept idle must not starve them.
+/// With few descriptors clients wait to be accepted; idle connections must not starve them.
 #[test]
-fn few_descriptors_serve_many_clients() {
-    let (backend, _) = healthy_endpoint();
-    let mut config = config_with_silent_discovery(&[backend]);
+fn idle_connections_do_not_starve_clients_of_descriptors() {
+    let (endpoint, _) = healthy_endpoint();
+    let mut config = config_with_silent_discovery(&[endpoint]);
     config["limits"]["sockets"] = 48.into();
     let gateway = Gateway::new(&config);
     let mut kept = Vec::new();
     for customer in 0..30 {
-        let mut open = gateway.connect();
-        open.get_mut().write_all(get_request(customer, 1, 3000).as_bytes()).unwrap();
-        assert_eq!(read_message(&mut open).unwrap().status(), 200);
-        kept.push(open);
+        let mut connection = gateway.connect();
+        connection.get_mut().write_all(get_request(customer, 1, 3000).as_bytes()).unwrap();
+        assert_eq!(read_message(&mut connection).unwrap().status(), 200);
+        kept.push(connection);
     }
 }
 
 #[test]
-fn bad_requests_are_the_clients_fault() {
-    let (backend, got) = healthy_endpoint();
-    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+fn malformed_requests_get_client_error_statuses() {
+    let (endpoint, received) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
     let fine = get_request(1, 1, 3000);
     for (text, status) in [
         (fine.replace("/look", "/else"), 404),
@@ -95,37 +95,37 @@
     ] {
         assert_eq!(gateway.exchange(&text).status(), status, "{}", text.lines().next().unwrap());
     }
-    assert_eq!(got.lock().unwrap().len(), 0);
+    assert_eq!(received.lock().unwrap().len(), 0);
     assert_eq!(gateway.exchange(&fine).status(), 200);
 }
 
 /// Silent clients, heads without end and bodies that never come end within 3 s in all.
 #[test]
-fn slow_clients_are_let_go() {
-    let (backend, got) = healthy_endpoint();
-    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+fn slow_clients_are_disconnected() {
+    let (endpoint, received) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
     let texts =
         [String::new(), "GET /look".to_owned(), post_request("once", "", "four").replace("four", "fo")];
     let start = Instant::now();
-    let opens = texts.map(|text| {
-        let mut open = gateway.connect();
-        open.get_mut().write_all(text.as_bytes()).unwrap();
-        open
+    let connections = texts.map(|text| {
+        let mut connection = gateway.connect();
+        connection.get_mut().write_all(text.as_bytes()).unwrap();
+        connection
     });
-    for (number, mut open) in opens.into_iter().enumerate() {
-        let answer = read_message(&mut open).map_or(0, |answer| answer.status());
-        assert_eq!(answer, if number == 2 { 408 } else { 0 });
-        assert_eq!(open.read(&mut [0]).unwrap_or(0), 0, "closed");
+    for (number, mut connection) in connections.into_iter().enumerate() {
+        let response = read_message(&mut connection).map_or(0, |response| response.status());
+        assert_eq!(response, if number == 2 { 408 } else { 0 });
+        assert_eq!(connection.read(&mut [0]).unwrap_or(0), 0, "closed");
         assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
     }
-    assert_eq!(got.lock().unwrap().len(), 0);
+    assert_eq!(received.lock().unwrap().len(), 0);
 }
 
-/// Closed while the client still sends, the connection would be reset and the answer lost.
+/// Closed while the client still sends, the connection would be reset and the response lost.
 #[test]
-fn a_client_still_sending_gets_its_answer() {
-    let (backend, _) = healthy_endpoint();
-    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+fn a_client_still_sending_gets_its_response() {
+    let (endpoint, _) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
     for head in [
         post_request("once", "", "").replace("Content-Length: 0", "Content-Length: 60000000"),
         post_request("once", "", "")
@@ -133,31 +133,31 @@
             .replace("small", "none"),
         "noise\r\n\r\n".to_owned(),
     ] {
-        let mut open = gateway.connect();
-        open.get_mut().write_all(head.as_bytes()).unwrap();
+        let mut connection = gateway.connect();
+        connection.get_mut().write_all(head.as_bytes()).unwrap();
         for _ in 0..600 {
-            open.get_mut().write_all(&[b'x'; 100_000]).expect("it is read on");
+            connection.get_mut().write_all(&[b'x'; 100_000]).expect("it is read on");
         }
-        assert!([400, 413].contains(&read_message(&mut open).expect("an answer").status()));
-        assert_eq!(open.read(&mut [0]).unwrap(), 0, "closed");
+        assert!([400, 413].contains(&read_message(&mut connection).expect("an answer").status()));
+        assert_eq!(connection.read(&mut [0]).unwrap(), 0, "closed");
     }
 }
 
 #[test]
-fn silent_connections_by_the_hundred_keep_nobody_out() {
-    let (backend, _) = healthy_endpoint();
-    let mut config = config_with_silent_discovery(&[backend]);
+fn hundreds_of_silent_connections_do_not_lock_out_clients() {
+    let (endpoint, _) = healthy_endpoint();
+    let mut config = config_with_silent_discovery(&[endpoint]);
     config["limits"]["sockets"] = 64.into();
     let gateway = Gateway::new(&config);
     let mut silent = Vec::new();
     for customer in 0..20 {
         silent.extend((0..10).map(|_| gateway.connect()));
-        // In the first moments one is told that there is no place, and comes again.
+        // In the first moments there is no slot: the client is rejected, and retries.
         let start = Instant::now();
         loop {
-            let mut open = gateway.connect();
-            open.get_mut().write_all(get_request(customer, 1, 3000).as_bytes()).unwrap();
-            match read_message(&mut open).map(|answer| answer.status()) {
+            let mut connection = gateway.connect();
+            connection.get_mut().write_all(get_request(customer, 1, 3000).as_bytes()).unwrap();
+            match read_message(&mut connection).map(|response| response.status()) {
                 Some(200) => break,
                 None | Some(503) => {}
                 Some(other) => panic!("{other}"),
@@ -172,9 +172,9 @@
 
 /// The request in the body of one with two framings must not be taken for one of the client's.
 #[test]
-fn nothing_is_smuggled_in_a_body() {
-    let (backend, got) = healthy_endpoint();
-    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+fn a_request_hidden_in_a_body_is_not_served() {
+    let (endpoint, received) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
     for (one, two) in [
         ("Content-Length: 4", "Transfer-Encoding: chunked"),
         ("transfer-encoding: chunked", "content-length: 4"),
@@ -182,17 +182,17 @@
         let hidden = get_request(2, 1, 3000);
         let body = format!("0\r\n\r\n{hidden}");
         let head = post_request("once", "", "").replace("Content-Length: 0", &format!("{one}\r\n{two}"));
-        let mut open = gateway.connect();
-        open.get_mut().write_all(format!("{head}{body}").as_bytes()).unwrap();
-        let answer = read_message(&mut open).unwrap();
-        assert_eq!((answer.status(), answer.headers["connection"].as_str()), (411, "close"));
-        assert_eq!(open.read(&mut [0]).unwrap(), 0, "nothing more is answered");
+        let mut connection = gateway.connect();
+        connection.get_mut().write_all(format!("{head}{body}").as_bytes()).unwrap();
+        let response = read_message(&mut connection).unwrap();
+        assert_eq!((response.status(), response.headers["connection"].as_str()), (411, "close"));
+        assert_eq!(connection.read(&mut [0]).unwrap(), 0, "nothing more is answered");
     }
-    assert_eq!(got.lock().unwrap().len(), 0);
+    assert_eq!(received.lock().unwrap().len(), 0);
 }
 
 #[test]
-fn the_id_of_an_open_request_is_refused_and_the_open_one_goes_on() {
+fn a_duplicate_transaction_id_is_rejected_and_the_open_request_completes() {
     let (begun_to, begun) = channel();
     let (go_on, wait) = channel::<()>();
     let wait = Mutex::new(wait);
@@ -202,41 +202,44 @@
         Reply::Send(response(200, "", "done"))
     });
     let gateway = Gateway::new(&config_with_silent_discovery(&[addr]));
-    let mut open = gateway.connect();
-    open.get_mut().write_all(get_request(5, 1, 3000).as_bytes()).unwrap();
+    let mut connection = gateway.connect();
+    connection.get_mut().write_all(get_request(5, 1, 3000).as_bytes()).unwrap();
     begun.recv_timeout(TEST_TIMEOUT).unwrap();
     assert_eq!(gateway.get(5, 1).status(), 409);
     go_on.send(()).unwrap();
-    assert_eq!(read_message(&mut open).unwrap().body, b"done");
+    assert_eq!(read_message(&mut connection).unwrap().body, b"done");
     go_on.send(()).unwrap();
     assert_eq!(gateway.get(5, 1).status(), 200, "ended, it is free");
     assert_eq!(begun.try_iter().count(), 1);
 }
 
-/// Clients are told when to come back only where the site has it so, and no later than they heed.
+/// Clients get a Retry-After only where the site permits it, and none longer than they heed.
 #[test]
-fn without_a_place_advice_is_given_where_the_site_permits_it() {
-    for (told, longest, advice) in
+fn a_client_without_a_slot_gets_retry_after_where_the_site_permits_it() {
+    for (permitted, longest_ms, advice) in
         [(true, 2000.0, Some("1.000")), (true, 500.0, Some("0.500")), (false, 0.0, None)]
     {
         let mut config = config_with_silent_discovery(&[unused_address()]);
         config["limits"]["sockets"] = 40.into();
-        config["settings"]["limits"]["retry-after"] = told.into();
-        config["settings"]["limits"]["max-retry-after-ms"] = longest.into();
+        config["settings"]["limits"]["retry-after"] = permitted.into();
+        config["settings"]["limits"]["max-retry-after-ms"] = longest_ms.into();
         let gateway = Gateway::new(&config);
-        // Asked to go on with its body, a client's request is open, and its place is its own.
+        // A client that was asked to go on with its body has a request open: its slot is its own.
         let head = post_request("once", "", "x").replace("\r\n\r\nx", "\r\nExpect: 100-continue\r\n\r\n");
-        let mut opens = Vec::new();
+        let mut connections = Vec::new();
         let refused = loop {
-            let mut open = gateway.connect();
-            let number = opens.len();
-            open.get_mut().write_all(head.replace("9b1f03aa", &format!("{number:08x}")).as_bytes()).unwrap();
-            let answer = read_message(&mut open).expect("an answer");
-            if answer.status() != 100 {
-                break answer;
+            let mut connection = gateway.connect();
+            let number = connections.len();
+            connection
+                .get_mut()
+                .write_all(head.replace("9b1f03aa", &format!("{number:08x}")).as_bytes())
+                .unwrap();
+            let response = read_message(&mut connection).expect("an answer");
+            if response.status() != 100 {
+                break response;
             }
-            opens.push(open);
-            assert!(opens.len() < 40, "never full");
+            connections.push(connection);
+            assert!(connections.len() < 40, "never full");
         };
         assert_eq!(refused.status(), 503);
         assert_eq!(refused.headers.get("retry-after").map(String::as_str), advice);
--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/races.rs
@@ -1,72 +1,32 @@
-//! What happens between two steps: the played peer stops exactly there.
+//! What happens between two steps of a request: a stand-in stops exactly there.
 
 use crate::stand_ins::*;
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::SockRef;
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// A backend to which no connection comes up until `let_in`: its queue is full.
-struct Stalled {
-    socket: Socket,
-    addr: SocketAddr,
-    _filler: TcpStream,
-}
-
-impl Stalled {
-    fn new() -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-        socket.listen(0).unwrap();
-        let addr = socket.local_addr().unwrap().as_socket().unwrap();
-        Stalled { socket, addr, _filler: TcpStream::connect(addr).unwrap() }
-    }
-
-    /// Connections that wait to come up, as the system has it.
-    fn waiting(&self) -> usize {
-        let port = format!(":{:04X}", self.addr.port());
-        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        let rows = table.lines().map(|row| row.split_whitespace().collect::<Vec<_>>());
-        rows.filter(|row| row[2].ends_with(&port) && row[3] == "02").count()
-    }
-
-    fn wait_for(&self, number: usize) {
-        let start = Instant::now();
-        while self.waiting() != number {
-            assert!(start.elapsed() < TEST_TIMEOUT, "{} connections wait", self.waiting());
-            std::thread::yield_now();
-        }
-    }
-
-    /// Lets the next connection come up.
-    fn let_in(&self) -> TcpStream {
-        drop(self.socket.accept().unwrap());
-        self.socket.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-        self.socket.accept().unwrap().0.into()
-    }
-}
-
-/// Connections come up whenever they like, here.
-fn patient(backends: &[SocketAddr], discovery: SocketAddr) -> serde_json::Value {
-    let mut config = config(backends, start_counter(Arc::default()), discovery);
+/// A configuration in which connections have any time to come up.
+fn config_with_long_connect_timeout(endpoints: &[SocketAddr], discovery: SocketAddr) -> serde_json::Value {
+    let mut config = config(endpoints, start_counter(Arc::default()), discovery);
     config["settings"]["limits"]["connect-timeout-ms"] = 20_000.into();
     config["settings"]["categories"][2]["aim-ms"] = 4000.into();
     config
 }
 
-/// Told to drain while the connection comes up, a backend gets nothing on it; another one does.
+/// An endpoint that starts draining while a connection to it comes up gets nothing on it; another one does.
 #[test]
-fn a_drain_told_while_connecting_is_kept() {
-    let stalled = Stalled::new();
+fn an_endpoint_that_drains_while_connecting_gets_no_request() {
+    let stalled = StalledEndpoint::new();
     let (two, _) = healthy_endpoint();
     let discovery = Discovery::new();
-    let gateway = Gateway::new(&patient(&[stalled.addr], discovery.addr));
+    let gateway = Gateway::new(&config_with_long_connect_timeout(&[stalled.addr], discovery.addr));
     let (_, mut watch) = discovery.next_watch();
-    let mut open = gateway.connect();
-    open.get_mut().write_all(post_request("once", "", "x").as_bytes()).unwrap();
-    stalled.wait_for(1);
+    let mut connection = gateway.connect();
+    connection.get_mut().write_all(post_request("once", "", "x").as_bytes()).unwrap();
+    stalled.wait_for_pending(1);
     let bad = serde_json::json!({"id": 7});
     let servers =
         serde_json::json!([bad, list_entry(0, stalled.addr, "Terminating"), list_entry(1, two, "Ready")]);
@@ -75,10 +35,10 @@
         &serde_json::json!({"version": 8, "full": false, "servers": servers}).to_string(),
     );
     gateway.wait_for_log("an entry of the list");
-    let mut late = stalled.let_in();
-    assert_eq!(read_message(&mut open).unwrap().body, b"stock: 12");
+    let mut late = stalled.accept_next();
+    assert_eq!(read_message(&mut connection).unwrap().body, b"stock: 12");
     late.set_nonblocking(true).unwrap();
-    assert!(late.read(&mut [0]).map_or(true, |bytes| bytes == 0), "sent to a draining backend");
+    assert!(late.read(&mut [0]).map_or(true, |bytes| bytes == 0), "sent to a draining endpoint");
 }
 
 /// Bytes that the system has not handed over yet.
@@ -90,13 +50,13 @@
     usize::from_str_radix(row[4].split(':').next().unwrap(), 16).unwrap()
 }
 
-/// A client that leaves while a connection comes up takes its request along, however it leaves, and though what is
-/// sent may not be withdrawn here.
+/// A client that disconnects while a connection comes up ends its request, however it disconnects, and though what is
+/// sent may not be cancelled here.
 #[test]
-fn a_client_that_leaves_while_connecting_ends_its_attempt() {
-    let stalled = Stalled::new();
+fn a_client_disconnect_while_connecting_ends_the_attempt() {
+    let stalled = StalledEndpoint::new();
     let discovery = Discovery::new();
-    let mut config = patient(&[stalled.addr], discovery.addr);
+    let mut config = config_with_long_connect_timeout(&[stalled.addr], discovery.addr);
     config["settings"]["limits"]["cancel"] = false.into();
     let gateway = Gateway::new(&config);
     let close = |client: TcpStream| drop(client);
@@ -124,7 +84,7 @@
     for (number, (ahead, leave)) in leave.into_iter().enumerate() {
         let mut client = TcpStream::connect(gateway.addr).unwrap();
         client.write_all((post_request("once", "", "x") + ahead).as_bytes()).unwrap();
-        stalled.wait_for(1);
+        stalled.wait_for_pending(1);
         // What was sent ahead has arrived: a client that goes before it has all been sent is not seen to go.
         let start = Instant::now();
         while queued(&client) > 0 {
@@ -133,16 +93,16 @@
         }
         let start = Instant::now();
         leave(client);
-        stalled.wait_for(0);
+        stalled.wait_for_pending(0);
         assert!(start.elapsed() < Duration::from_millis(1500), "{number}: {:?}", start.elapsed());
     }
 }
 
-/// Requests sent at once on one connection are answered one after the other, each with its own answer.
+/// Requests sent at once on one connection are answered one after the other, each with its own response.
 #[test]
-fn requests_sent_at_once_are_answered_in_turn() {
-    let backend = start_server(|m| Reply::Send(response(200, "", &m.headers["x-txn"])));
-    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+fn pipelined_requests_are_answered_in_order() {
+    let endpoint = start_server(|m| Reply::Send(response(200, "", &m.headers["x-txn"])));
+    let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
     let mut client = gateway.connect();
     let texts: Vec<_> = (1..=50).map(|customer| get_request(customer, 1, 3000)).collect();
     client.get_mut().write_all(texts.concat().as_bytes()).unwrap();
@@ -154,18 +114,18 @@
     }
 }
 
-/// A client that leaves while the counter is asked takes its request along: the next one, which waits as long from
-/// later on, is all that the backend gets.
+/// A client that disconnects while the counter is called ends its request: the next one, which waits as long from
+/// later on, is all that the endpoint gets.
 #[test]
-fn a_client_that_leaves_while_the_counter_is_asked_is_not_sent_for() {
-    let (backend, got) = healthy_endpoint();
+fn a_client_disconnect_during_the_counter_call_sends_nothing() {
+    let (endpoint, received) = healthy_endpoint();
     let (called, calls) = channel();
     let silent = start_server(move |_| {
         let _ = called.send(());
         Reply::StaySilent(channel().0)
     });
     let discovery = Discovery::new();
-    let mut config = config(&[backend], silent, discovery.addr);
+    let mut config = config(&[endpoint], silent, discovery.addr);
     // The longest wait for the counter is a part of the aim.
     config["settings"]["categories"][2]["aim-ms"] = 4000.into();
     config["settings"]["domain"]["counter-timeout-ms"] = 20_000.into();
@@ -176,20 +136,20 @@
     drop(client);
     let stays = post_request("once", "", "stays").replace("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42");
     assert_eq!(gateway.exchange(&stays).status(), 200);
-    let bodies: Vec<_> = got.lock().unwrap().iter().map(|m| m.body.clone()).collect();
+    let bodies: Vec<_> = received.lock().unwrap().iter().map(|m| m.body.clone()).collect();
     assert_eq!(bodies, [b"stays"]);
 }
 
-/// The time that an attempt tells its backend is what is left when it is sent, however late its connection comes up.
+/// The remaining time that an attempt sends is what is left when it is written, however late its connection comes up.
 #[test]
-fn an_attempt_tells_the_time_that_is_left_when_it_is_sent() {
-    let stalled = Stalled::new();
-    let gateway = Gateway::new(&patient(&[stalled.addr], Discovery::new().addr));
-    let mut open = gateway.connect();
-    open.get_mut().write_all(post_request("once", "", "x").as_bytes()).unwrap();
-    stalled.wait_for(1);
+fn an_attempt_sends_the_time_remaining_when_it_is_written() {
+    let stalled = StalledEndpoint::new();
+    let gateway = Gateway::new(&config_with_long_connect_timeout(&[stalled.addr], Discovery::new().addr));
+    let mut connection = gateway.connect();
+    connection.get_mut().write_all(post_request("once", "", "x").as_bytes()).unwrap();
+    stalled.wait_for_pending(1);
     std::thread::sleep(Duration::from_millis(800));
-    let late = stalled.let_in();
+    let late = stalled.accept_next();
     let message = read_message(&mut BufReader::new(late)).expect("a request");
     let left: u64 = message.headers["x-remaining-ms"].parse().unwrap();
     assert!(left <= 2200, "{left} ms of 3000 are left after 800");
--- /dev/null
+++ b/tests/gateway/stand_ins/config.rs
@@ -0,0 +1,44 @@
+//! Configurations of the gateway under test.
+
+use super::counter::start_counter;
+use super::discovery::list_entry;
+use super::server::{start_server, Reply};
+use std::net::SocketAddr;
+use std::sync::mpsc::channel;
+use std::sync::Arc;
+
+/// A configuration with these endpoints known.
+pub fn config(endpoints: &[SocketAddr], counter: SocketAddr, discovery: SocketAddr) -> serde_json::Value {
+    let servers: Vec<_> = endpoints.iter().enumerate().map(|(i, a)| list_entry(i, *a, "Ready")).collect();
+    let class = |name: &str, effect: &str| {
+        serde_json::json!({"name": name, "aim-ms": 1500.0, "give-up-ms": 4000.0, "value": 1.0, "late-worth": 0.0,
+            "effect": effect, "group": "zone", "stream": false, "window-ms": 2500.0})
+    };
+    serde_json::json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:9"], "peers_all": "127.0.0.1:9",
+        "counter": counter, "known": {"version": 7, "full": true, "servers": servers},
+        "settings": {
+            "balancers": 1, "position": 0, "locality": 0, "zones": ["room-a", "room-b"], "kinds": ["std-2c"],
+            "granularity-ms": 2.0, "membership-mode": "push",
+            "categories": [class("look", "read_like"), class("order", "idempotency_key"),
+                class("once", "non_idempotent")],
+            "tiers-of-service": [{"name": "small", "refill": 2.0, "store-size": 4.0, "max-out": 0, "pays": 1.0,
+                "extra-worth": 0.0, "excess-cost": 1.0, "cap-rate": 0.0, "cap-depth": 0.0, "ceiling-slack": 0.0}],
+            "domain": {"may-count": true, "counter-timeout-ms": 80.0, "count-fee": 0.01, "units-top": 4,
+                "trued-up": true, "peer-intake": 60.0},
+            "limits": {"try-limit": 3, "may-duplicate": false, "cancel": true, "probing": true, "peers": true,
+                "retry-after": true, "max-retry-after-ms": 2000.0, "connect-timeout-ms": 250.0,
+                "idle-close-ms": 30000.0},
+            "penalties": {"cross-zone": 0.01, "waste": 0.05, "probe": 0.01, "late-fail": 0.08},
+            "rules": {"answer-slack-ms": 8.0, "cold-from": 0.26, "warm-up-ms": 18000.0, "drain-grace-ms": 1000.0,
+                "fall-multiple": 2.5, "fall-ms": 3000.0, "ask-within-ms": 10000.0}
+        }
+    })
+}
+
+/// The same, with a counter that works and discovery that never answers.
+pub fn config_with_silent_discovery(endpoints: &[SocketAddr]) -> serde_json::Value {
+    config(endpoints, start_counter(Arc::default()), start_server(|_| Reply::StaySilent(channel().0)))
+}
--- /dev/null
+++ b/tests/gateway/stand_ins/gateway.rs
@@ -0,0 +1,121 @@
+//! The gateway under test.
+
+use super::http::{read_message, Message};
+use super::requests::get_request;
+use super::TEST_TIMEOUT;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+/// The program, killed when dropped.
+pub struct Gateway {
+    /// Its process.
+    pub child: Child,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The lines of its log.
+    pub log: Receiver<String>,
+    config_path: PathBuf,
+}
+
+/// Starts the program with this configuration. Returns its process and the configuration's file.
+pub fn spawn_program(config: &serde_json::Value) -> (Child, PathBuf) {
+    static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("quota-gateway-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).unwrap();
+    // With as few descriptors as the configuration says.
+    let mut command = Command::new("sh");
+    let sockets = &config["limits"]["sockets"];
+    command.args(["-c", &format!("ulimit -n {sockets}; exec {}", env!("CARGO_BIN_EXE_quota-gateway"))]);
+    let child = command.env("RELAY_CONFIG", &path).stdin(Stdio::null()).stderr(Stdio::piped()).spawn();
+    (child.unwrap(), path)
+}
+
+impl Gateway {
+    /// Starts the program and waits until it is ready.
+    pub fn new(config: &serde_json::Value) -> Self {
+        let gateway = Gateway::spawn(config);
+        gateway.wait_until_ready();
+        gateway
+    }
+
+    /// Starts the program and waits until it listens.
+    pub fn spawn(config: &serde_json::Value) -> Self {
+        let (mut child, path) = spawn_program(config);
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let (to, log) = channel();
+        std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| to.send(l)));
+        let addr = loop {
+            let line = log.recv_timeout(TEST_TIMEOUT).expect("the gateway starts");
+            if let Some((_, addr)) = line.split_once("listening on ") {
+                break addr.parse().unwrap();
+            }
+        };
+        Gateway { child, addr, log, config_path: path }
+    }
+
+    /// Waits until the program says that it is ready.
+    pub fn wait_until_ready(&self) {
+        let start = Instant::now();
+        while self.exchange("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
+            assert!(start.elapsed() < TEST_TIMEOUT, "never ready");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Opens a client's connection.
+    pub fn connect(&self) -> BufReader<TcpStream> {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        BufReader::new(stream)
+    }
+
+    /// Sends a request on a connection of its own and reads the response.
+    pub fn exchange(&self, text: &str) -> Message {
+        let mut connection = self.connect();
+        connection.get_mut().write_all(text.as_bytes()).unwrap();
+        read_message(&mut connection).expect("an answer")
+    }
+
+    /// Sends a request of the idempotent class.
+    pub fn get(&self, customer: u64, units: u32) -> Message {
+        self.exchange(&get_request(customer, units, 3000))
+    }
+
+    /// Replaces the configuration's file, sends SIGHUP and waits until the program has said so.
+    pub fn reload(&self, config: &str) -> String {
+        std::fs::write(&self.config_path, config).unwrap();
+        self.signal("-HUP");
+        std::iter::from_fn(|| self.log.recv_timeout(TEST_TIMEOUT).ok())
+            .find(|l| l.contains("SIGHUP"))
+            .expect("a line")
+    }
+
+    /// Waits until the program has logged a line with these words.
+    pub fn wait_for_log(&self, words: &str) {
+        let start = Instant::now();
+        while let Ok(line) = self.log.recv_timeout(TEST_TIMEOUT.saturating_sub(start.elapsed())) {
+            if line.contains(words) {
+                return;
+            }
+        }
+        panic!("never logged: {words}");
+    }
+
+    /// Sends the program a signal.
+    pub fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config_path);
+    }
+}
--- /dev/null
+++ b/tests/gateway/stand_ins/requests.rs
@@ -0,0 +1,22 @@
+//! Requests of clients.
+
+/// A request of the idempotent class; its transaction id is the customer's number.
+pub fn get_request(customer: u64, units: u32, remaining_ms: u32) -> String {
+    format!(
+        "GET /look?account={customer:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: 0000{customer:012x}\r\n\
+         X-Lane: look\r\nX-Plan: small\r\nX-Remaining-Ms: {remaining_ms}\r\nX-Quota: units={units},spread=1,first=0\r\n\r\n"
+    )
+}
+
+/// A request of another class, with this line for its idempotency key.
+pub fn post_request(class: &str, key_header: &str, body: &str) -> String {
+    format!(
+        "POST /{class}?account=0000000000000007 HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: 9b1f03aa5c7e2d41\r\n\
+         X-Lane: {class}\r\nX-Plan: small\r\nX-Remaining-Ms: 3000\r\n{key_header}X-Quota: units=1,spread=1,first=0\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The line of a valid idempotency key.
+pub const IDEMPOTENCY_KEY_HEADER: &str = "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
