--- a/src/bin/quota-gateway/driver/actions.rs
+++ b/src/bin/quota-gateway/driver/actions.rs
@@ -83,7 +83,7 @@
     /// Calls the counter, or reports that there is no room for the call.
     fn add_to_counter(&self, key: u64, amount: f64, ttl_ms: f64) -> Option<Event> {
         let counter = self.counter.as_ref()?;
-        if counter.call(CounterCall { name: key, amount, lifetime_ms: ttl_ms, at: Instant::now() }) {
+        if counter.call(CounterCall { key, amount, ttl_ms, started_at: Instant::now() }) {
             return None;
         }
         Some(Event::CounterReply { key, outcome: Outcome::Rejected, total: 0.0, elapsed_ms: 0.0 })
--- a/src/bin/quota-gateway/driver/endpoints.rs
+++ b/src/bin/quota-gateway/driver/endpoints.rs
@@ -91,11 +91,11 @@
 
     /// Takes in a list and tells the pool where each endpoint is. Returns the entries in the library's terms.
     pub fn update(&mut self, list: EndpointList, pool: &ConnectionPool) -> Vec<Endpoint> {
-        let mut endpoints = Vec::with_capacity(list.servers.good.len());
-        for entry in list.servers.good {
+        let mut endpoints = Vec::with_capacity(list.endpoints.valid.len());
+        for entry in list.endpoints.valid {
             endpoints.push(self.update_entry(entry, pool));
         }
-        if list.full {
+        if list.complete {
             self.remove_unlisted(&endpoints, pool);
         }
         endpoints
--- a/src/bin/quota-gateway/driver/events.rs
+++ b/src/bin/quota-gateway/driver/events.rs
@@ -114,10 +114,10 @@
 
 impl EndpointListHandler for Driver {
     fn endpoint_list_changed(self: Rc<Self>, list: EndpointList) {
-        if list.servers.bad > 0 {
+        if list.endpoints.invalid > 0 {
             self.bad_entry_warning.warn("discovery", "an entry of the list can't be read and is passed over");
         }
-        let complete = list.full;
+        let complete = list.complete;
         let endpoints = self.endpoints.borrow_mut().update(list, &self.pool);
         self.dispatch(Event::EndpointUpdate { complete, endpoints });
     }
