--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -4,15 +4,15 @@
 use super::messages::ForwardedRequest;
 use super::requests::{EndpointResponse, StartedAttempt};
 use super::Driver;
-use crate::upstream::{AttemptResult, OutgoingRequest, Target};
+use crate::upstream::{AttemptResult, CompleteResponse, OutgoingRequest, Target};
 use quota_gateway::{EndpointId, Outcome, RequestId};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// An attempt about to be written. It may be as long as its request still wants a response, and its endpoint still
-/// takes requests at the address that it had.
+/// An attempt about to be written. It is refused once its request is answered, or its endpoint is not ready any more
+/// at the address that it had.
 struct AttemptRequest {
     driver: Rc<Driver>,
     request: RequestId,
@@ -23,7 +23,7 @@
 }
 
 impl OutgoingRequest for AttemptRequest {
-    fn refused(&self) -> Option<Outcome> {
+    fn refusal(&self) -> Option<Outcome> {
         if self.driver.requests.borrow().is_answered(self.request) {
             return Some(Outcome::NotSent);
         }
@@ -36,26 +36,26 @@
         Some(Outcome::Rejected)
     }
 
-    fn message(&self) -> Vec<u8> {
+    fn encode(&self) -> Vec<u8> {
         self.forwarded.encode(self.deadline.saturating_duration_since(Instant::now()))
     }
 
-    fn written(&self) {
+    fn on_written(&self) {
         self.written.set(true);
     }
 }
 
-/// A health check belongs to no request and may always be sent.
+/// A health check belongs to no request and is never refused.
 struct HealthCheckRequest {
     addr: SocketAddr,
 }
 
 impl OutgoingRequest for HealthCheckRequest {
-    fn refused(&self) -> Option<Outcome> {
+    fn refusal(&self) -> Option<Outcome> {
         None
     }
 
-    fn message(&self) -> Vec<u8> {
+    fn encode(&self) -> Vec<u8> {
         format!("GET /health/live HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr).into_bytes()
     }
 }
@@ -120,7 +120,7 @@
 /// What the client gets of a successful attempt.
 fn served_response(result: AttemptResult) -> Option<EndpointResponse> {
     match (result.outcome, result.response) {
-        (Outcome::Success, Some((head, body))) => {
+        (Outcome::Success, Some(CompleteResponse { head, body })) => {
             Some(EndpointResponse { units: head.units, content_type: head.content_type, body })
         }
         _ => None,
--- a/src/bin/quota-gateway/driver/endpoints.rs
+++ b/src/bin/quota-gateway/driver/endpoints.rs
@@ -19,8 +19,8 @@
     pub kinds: Vec<String>,
 }
 
-/// The decision library's ids of endpoints, by the names in the list. No id is assigned twice. That of a removed
-/// endpoint is kept for as long as the library may remember it, and then dropped, as names are never reused.
+/// The decision library's ids of endpoints, by the names in the list. No id is assigned twice. The id of a removed
+/// endpoint is kept while the library may remember it and then dropped, as names are never reused.
 #[derive(Default)]
 struct EndpointIds {
     last_id: EndpointId,
@@ -89,7 +89,7 @@
         self.ids.drop_expired();
     }
 
-    /// Takes in a list and tells the pool where each endpoint is. Returns the entries in the library's terms.
+    /// Applies a list, also to the pool's addresses. Returns the entries in the library's terms.
     pub fn update(&mut self, list: EndpointList, pool: &ConnectionPool) -> Vec<Endpoint> {
         let mut endpoints = Vec::with_capacity(list.endpoints.valid.len());
         for entry in list.endpoints.valid {
@@ -149,7 +149,7 @@
     }
 }
 
-/// The place of a name in the settings; one beyond the last for a name that they don't have.
+/// The index of a name in the settings; one past the last for a name that they don't have.
 fn index_of(names: &[String], name: &str) -> u32 {
     names.iter().position(|known| known == name).unwrap_or(names.len()) as u32
 }
--- a/src/bin/quota-gateway/driver/messages.rs
+++ b/src/bin/quota-gateway/driver/messages.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// A request that the driver has taken in.
+/// A request that the driver has accepted.
 pub struct StartedRequest {
     /// The gateway's own id for it.
     pub id: RequestId,
--- a/src/bin/quota-gateway/driver/mod.rs
+++ b/src/bin/quota-gateway/driver/mod.rs
@@ -41,7 +41,7 @@
 pub struct Driver {
     clock: Clock,
     decisions: RefCell<Gateway>,
-    /// Buffer for the library's actions, kept for its memory; empty between two events.
+    /// Buffer for the library's actions, reused to save allocations; empty between two events.
     actions: RefCell<Vec<Action>>,
     requests: RefCell<OpenRequests>,
     endpoints: RefCell<Endpoints>,
--- a/src/bin/quota-gateway/driver/requests.rs
+++ b/src/bin/quota-gateway/driver/requests.rs
@@ -68,7 +68,7 @@
 
 /// A complete response of an endpoint that reports success.
 pub struct EndpointResponse {
-    /// The request's true units, if told.
+    /// The request's true units, if reported.
     pub units: Option<f64>,
     /// Its `Content-Type`.
     pub content_type: Option<Bytes>,
@@ -80,7 +80,7 @@
 pub struct FinishedAttempt {
     /// The request has its final response.
     pub request_answered: bool,
-    /// The request's true units, if this attempt served it and told them.
+    /// The request's true units, if this attempt served it and reported them.
     pub actual_units: Option<f64>,
 }
 
--- a/src/bin/quota-gateway/http/reader.rs
+++ b/src/bin/quota-gateway/http/reader.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    /// True if bytes lie here that no request asked for.
+    /// True if bytes were read that belong to no response yet.
     pub fn has_unread_bytes(&self) -> bool {
         !self.buffer.is_empty()
     }
--- a/src/bin/quota-gateway/server/accept.rs
+++ b/src/bin/quota-gateway/server/accept.rs
@@ -18,10 +18,10 @@
 const EVICTION_TIMEOUT: Duration = Duration::from_millis(5);
 
 impl Server {
-    /// Accepts clients until told to close, at most as many as there are slots. With all taken, the client that has
-    /// been longest without a request gives up its slot: hundreds of silent ones must not keep others out. At the
-    /// end those who have connected by then are still taken in: their connections came up, and closed unseen their
-    /// requests would be lost.
+    /// Accepts clients until `close` turns true, at most as many as there are slots. With all taken, the client
+    /// that has been longest without a request gives up its slot: hundreds of silent ones must not lock out others.
+    /// At the end those that have connected by then are still accepted: their connections are established, and
+    /// closing them unseen would lose their requests.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, close: watch::Receiver<bool>) {
         let warning = RateLimitedWarning::default();
         let mut closing = close.clone();
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -21,12 +21,13 @@
 /// The decision library ends a request by its deadline; one that it has not ended this long after is failed.
 const DEADLINE_GRACE: Duration = Duration::from_millis(5);
 
-/// A request whose response is not made yet. Dropped without one, the client has gone: the driver is told.
+/// A request whose response is not made yet. If it is dropped without one, the client has gone: the driver cancels
+/// the request.
 struct RequestInProgress<'a> {
     server: &'a Server,
     client: &'a Client,
     transaction_id: Option<u64>,
-    /// Its id at the driver, from when that has taken it in until its final response.
+    /// Its id at the driver, while the driver owes a final response.
     driver_id: Option<RequestId>,
 }
 
--- a/src/bin/quota-gateway/server/mod.rs
+++ b/src/bin/quota-gateway/server/mod.rs
@@ -37,7 +37,7 @@
     no_slot_response: String,
     draining: Cell<bool>,
     requests_in_progress: Cell<usize>,
-    /// One permit for each connection that may still be taken in.
+    /// One permit for each connection that may still be accepted.
     slots: Arc<Semaphore>,
     /// The open connections, by a number in the order of accepting.
     clients: RefCell<HashMap<u64, Rc<Client>>>,
--- a/src/bin/quota-gateway/upstream/attempt.rs
+++ b/src/bin/quota-gateway/upstream/attempt.rs
@@ -8,12 +8,20 @@
 use quota_gateway::Outcome;
 use tokio::time::{timeout_at, Instant};
 
+/// A complete response of an endpoint, whatever its status.
+pub struct CompleteResponse {
+    /// Its head.
+    pub head: Head,
+    /// Its body.
+    pub body: Bytes,
+}
+
 /// How an attempt ended.
 pub struct AttemptResult {
-    /// The outcome, as the decision library is told it.
+    /// The outcome, in the decision library's terms.
     pub outcome: Outcome,
-    /// The endpoint's complete response, whatever its status.
-    pub response: Option<(Head, Bytes)>,
+    /// The endpoint's response, if a complete one came.
+    pub response: Option<CompleteResponse>,
 }
 
 impl AttemptResult {
@@ -25,9 +33,9 @@
 
 impl ConnectionPool {
     /// Sends one request and waits for its response. Its connection is closed before this returns, unless the
-    /// response is complete; dropping the future closes it too. Whether the request may be sent is asked with
-    /// nothing between that and its first byte: finding a connection takes time, in which the client may leave and
-    /// the endpoint start draining.
+    /// response is complete; dropping the future closes it too. Whether the request may be sent is checked
+    /// right before its first byte: finding a connection takes time, in which the client may disconnect and the
+    /// endpoint start draining.
     pub async fn attempt(
         &self, target: Target, deadline: Instant, request: &dyn OutgoingRequest,
     ) -> AttemptResult {
@@ -35,7 +43,7 @@
             Ok(connection) => connection,
             Err(outcome) => return AttemptResult::without_response(outcome),
         };
-        request.written();
+        request.on_written();
         let (head, body) = match timeout_at(deadline, connection.reader.read_response(MAX_BODY_BYTES)).await {
             Ok(Ok(response)) => response,
             Ok(Err(_)) => return AttemptResult::without_response(Outcome::ConnectionReset),
@@ -45,7 +53,7 @@
         if head.keep_alive && !connection.reader.has_unread_bytes() {
             self.put_back(target, connection);
         }
-        AttemptResult { outcome: outcome_of(&head), response: Some((head, body)) }
+        AttemptResult { outcome: outcome_of(&head), response: Some(CompleteResponse { head, body }) }
     }
 
     /// Writes the request, on an idle connection if there is one. The error is the outcome of an attempt that got no
@@ -62,12 +70,12 @@
             };
             match timeout_at(deadline, connection.write(request)).await {
                 Ok(Ok(Written::Complete)) => return Ok(connection),
-                Ok(Ok(Written::NotPermitted(outcome))) => {
+                Ok(Ok(Written::Refused(outcome))) => {
                     // Nothing was written: the connection is as good as before.
                     self.put_back(target, connection);
                     return Err(outcome);
                 }
-                // A connection that broke while it was idle tells nothing of its endpoint.
+                // A connection that broke while it was idle says nothing about its endpoint.
                 Ok(Err(_)) if is_reused => {}
                 Ok(Err(_)) => return Err(Outcome::ConnectFailed),
                 Err(_) => return Err(Outcome::NotSent),
--- a/src/bin/quota-gateway/upstream/connection.rs
+++ b/src/bin/quota-gateway/upstream/connection.rs
@@ -45,8 +45,8 @@
 pub enum Written {
     /// All of it is written.
     Complete,
-    /// Nothing is: it was not permitted any more, with this as the attempt's outcome.
-    NotPermitted(Outcome),
+    /// Nothing is: it was refused, with this as the attempt's outcome.
+    Refused(Outcome),
 }
 
 /// A connection that is up.
@@ -66,7 +66,7 @@
 
     /// Guards against sending on a connection that its endpoint closed or broke while it was idle: the request
     /// would end as a reset, which may have run; and against bytes that came behind a response: they would be read
-    /// as the next one. The system itself is asked, as the runtime may not have seen it yet.
+    /// as the next one. The socket itself is checked, as the runtime may not have seen it yet.
     pub fn is_usable(&self) -> bool {
         if self.reader.has_unread_bytes() {
             return false;
@@ -75,8 +75,8 @@
         peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Writes a complete request, unless it is not permitted. Asks again before each try to write the first byte: a
-    /// write that stalls has not begun.
+    /// Writes a complete request, unless it is refused. Checks that again before each attempt to write the first
+    /// byte: a write that stalls has not begun.
     pub async fn write(&self, request: &dyn OutgoingRequest) -> io::Result<Written> {
         let stream = &self.reader.io;
         let mut message = Vec::new();
@@ -84,10 +84,10 @@
         while written == 0 || written < message.len() {
             stream.writable().await?;
             if written == 0 {
-                if let Some(outcome) = request.refused() {
-                    return Ok(Written::NotPermitted(outcome));
+                if let Some(outcome) = request.refusal() {
+                    return Ok(Written::Refused(outcome));
                 }
-                message = request.message();
+                message = request.encode();
             }
             match stream.try_write(&message[written..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
--- a/src/bin/quota-gateway/upstream/mod.rs
+++ b/src/bin/quota-gateway/upstream/mod.rs
@@ -10,6 +10,6 @@
 mod pool;
 mod request;
 
-pub use attempt::AttemptResult;
+pub use attempt::{AttemptResult, CompleteResponse};
 pub use pool::ConnectionPool;
 pub use request::{OutgoingRequest, Target};
--- a/src/bin/quota-gateway/upstream/pool.rs
+++ b/src/bin/quota-gateway/upstream/pool.rs
@@ -25,7 +25,7 @@
 pub enum ConnectError {
     #[error("the endpoint is down, unreachable or full")]
     Endpoint,
-    /// Tells nothing of the endpoint.
+    /// Says nothing about the endpoint.
     #[error("no time or no descriptors left here")]
     Local,
 }
--- a/src/bin/quota-gateway/upstream/request.rs
+++ b/src/bin/quota-gateway/upstream/request.rs
@@ -12,12 +12,12 @@
     pub addr: SocketAddr,
 }
 
-/// A request about to be written. Whether it still may be and its bytes are asked for right before the first byte.
+/// A request about to be written. `refusal` and `encode` are called right before its first byte.
 pub trait OutgoingRequest {
-    /// Why it must not be sent after all: the attempt's outcome.
-    fn refused(&self) -> Option<Outcome>;
-    /// What is written. It tells the endpoint the time that remains, which passes while a connection comes up.
-    fn message(&self) -> Vec<u8>;
+    /// The attempt's outcome, if it must not be sent after all.
+    fn refusal(&self) -> Option<Outcome>;
+    /// The bytes to write. They state the remaining time, which passes while a connection comes up.
+    fn encode(&self) -> Vec<u8>;
     /// Its last byte is written.
-    fn written(&self) {}
+    fn on_written(&self) {}
 }
