--- a/src/bin/quota-gateway/driver/endpoints.rs
+++ b/src/bin/quota-gateway/driver/endpoints.rs
@@ -8,6 +8,9 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+#[cfg(test)]
+mod tests;
+
 /// The id of a removed endpoint is remembered for this long: longer than the decision library remembers it.
 const REMOVED_ID_RETENTION: Duration = Duration::from_secs(90);
 
--- /dev/null
+++ b/src/bin/quota-gateway/driver/endpoints/tests.rs
@@ -0,0 +1,95 @@
+//! How lists change the endpoints' ids, states and addresses.
+
+use super::{Endpoints, TopologyNames, REMOVED_ID_RETENTION};
+use crate::discovery::list::{EndpointEntries, EndpointEntry, EndpointList, EntryState};
+use crate::upstream::ConnectionPool;
+use quota_gateway::{Endpoint, EndpointState};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
+fn entry(name: &str, state: EntryState) -> EndpointEntry {
+    EndpointEntry {
+        id: name.to_owned(),
+        addr: Some(address()),
+        zone: "room-b".to_owned(),
+        kind: "unknown".to_owned(),
+        cell: 3,
+        state,
+        weight: 1.0,
+        started_ms: 0.0,
+    }
+}
+
+fn list(complete: bool, entries: Vec<EndpointEntry>) -> EndpointList {
+    EndpointList { version: 1, complete, endpoints: EndpointEntries { valid: entries, invalid: 0 } }
+}
+
+/// The endpoints and the pool under test.
+struct Fleet {
+    endpoints: Endpoints,
+    pool: ConnectionPool,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let topology = TopologyNames {
+            zones: vec!["room-a".to_owned(), "room-b".to_owned()],
+            kinds: vec!["std-2c".to_owned()],
+        };
+        Fleet { endpoints: Endpoints::new(topology), pool: ConnectionPool::new(8, 250.0, 30_000.0) }
+    }
+
+    fn update(&mut self, complete: bool, entries: Vec<EndpointEntry>) -> Vec<Endpoint> {
+        self.endpoints.update(list(complete, entries), &self.pool)
+    }
+}
+
+#[test]
+fn entries_are_converted_to_the_terms_of_the_library() {
+    let mut fleet = Fleet::new();
+    let listed = fleet.update(true, vec![entry("s-1", EntryState::Terminating)]);
+    assert_eq!(listed[0].state, EndpointState::Draining);
+    assert_eq!(listed[0].zone, 1);
+    assert_eq!(listed[0].kind, 1, "one past the last for a name that the settings don't have");
+    assert_eq!(listed[0].cell, 3);
+    assert!(!fleet.endpoints.any_ready());
+}
+
+#[test]
+fn a_change_keeps_ids_and_leaves_other_endpoints_alone() {
+    let mut fleet = Fleet::new();
+    let before = fleet.update(true, vec![entry("s-1", EntryState::Ready), entry("s-2", EntryState::Ready)]);
+    let after = fleet.update(false, vec![entry("s-1", EntryState::Terminating)]);
+    assert_eq!(after[0].id, before[0].id);
+    assert!(!fleet.endpoints.is_ready(before[0].id));
+    assert!(fleet.endpoints.is_ready(before[1].id));
+    assert_eq!(fleet.pool.address(before[0].id), Some(address()), "a draining endpoint is still listed");
+}
+
+#[test]
+fn a_complete_list_removes_what_it_does_not_name() {
+    let mut fleet = Fleet::new();
+    let before = fleet.update(true, vec![entry("s-1", EntryState::Ready), entry("s-2", EntryState::Ready)]);
+    fleet.update(true, vec![entry("s-2", EntryState::Ready)]);
+    assert!(!fleet.endpoints.is_ready(before[0].id));
+    assert_eq!(fleet.pool.address(before[0].id), None);
+    assert!(fleet.endpoints.is_ready(before[1].id));
+}
+
+/// On the paused clock.
+#[tokio::test(start_paused = true)]
+async fn the_id_of_a_removed_endpoint_is_kept_for_a_time_and_never_assigned_again() {
+    let mut fleet = Fleet::new();
+    let first = fleet.update(true, vec![entry("s-1", EntryState::Ready)])[0].id;
+    fleet.update(false, vec![entry("s-1", EntryState::Gone)]);
+    tokio::time::advance(REMOVED_ID_RETENTION - Duration::from_secs(1)).await;
+    fleet.endpoints.drop_expired();
+    assert_eq!(fleet.update(false, vec![entry("s-1", EntryState::Gone)])[0].id, first);
+    tokio::time::advance(REMOVED_ID_RETENTION).await;
+    fleet.endpoints.drop_expired();
+    assert_ne!(fleet.update(false, vec![entry("s-1", EntryState::Ready)])[0].id, first);
+}
--- a/src/bin/quota-gateway/driver/requests.rs
+++ b/src/bin/quota-gateway/driver/requests.rs
@@ -11,6 +11,9 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// Limits on what is sent for one request, whatever the decision library asks for.
 pub struct AttemptLimits {
     /// Attempts of one request.
--- a/src/bin/quota-gateway/http/tests.rs
+++ b/src/bin/quota-gateway/http/tests.rs
@@ -4,6 +4,9 @@
 use super::{Head, Reader, MAX_BODY_BYTES};
 use bytes::Bytes;
 use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, ReadBuf};
 
 fn read(text: &str) -> io::Result<(Head, Bytes, bool)> {
     let runtime = tokio::runtime::Builder::new_current_thread().build()?;
@@ -58,3 +61,37 @@
     assert!(read(&"HTTP/1.1 102 Wait\r\n\r\n".repeat(1000)).is_err());
     assert!(read(&format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(MAX_HEAD_BYTES * 2))).is_err());
 }
+
+/// Yields one byte a read.
+struct ByteByByte<'a>(&'a [u8]);
+
+impl AsyncRead for ByteByByte<'_> {
+    fn poll_read(
+        mut self: Pin<&mut Self>, _: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if let Some((byte, rest)) = self.0.split_first() {
+            buffer.put_slice(&[*byte]);
+            self.0 = rest;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+#[test]
+fn a_response_that_comes_byte_by_byte_is_read_the_same() {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    for text in [
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nf\r\n3;x=y\r\nine\r\n0\r\nX: y\r\n\r\n",
+        "HTTP/1.1 500 Error\r\n\r\nfine",
+    ] {
+        let mut reader = Reader::new(ByteByByte(text.as_bytes()));
+        let (head, body) = runtime.block_on(reader.read_response(MAX_BODY_BYTES)).unwrap();
+        let (whole_head, whole_body, _) = read(text).unwrap();
+        assert_eq!(
+            (head.status, head.keep_alive, &body),
+            (whole_head.status, whole_head.keep_alive, &whole_body)
+        );
+        assert_eq!(&body[..], b"fine", "{text}");
+    }
+}
--- a/src/bin/quota-gateway/server/request.rs
+++ b/src/bin/quota-gateway/server/request.rs
@@ -6,6 +6,9 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// Longest time that a client may say it waits.
 const MAX_REMAINING_MS: u64 = 3_600_000;
 /// A customer's number stays below this.
