--- a/src/bin/quota-gateway/driver/actions.rs
+++ b/src/bin/quota-gateway/driver/actions.rs
@@ -59,7 +59,10 @@
 
     /// Starts the request's next attempt, or reports that it was not sent.
     fn send_attempt(
-        self: &Rc<Self>, id: RequestId, endpoint: EndpointId, timeout: Duration,
+        self: &Rc<Self>,
+        id: RequestId,
+        endpoint: EndpointId,
+        timeout: Duration,
     ) -> Option<Event> {
         let addr = self.pool.address(endpoint);
         let started = self.requests.borrow_mut().start_attempt(id, addr, timeout);
--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -63,7 +63,10 @@
 impl Driver {
     /// Starts the task of an attempt. The open request owns it and ends it by cancelling the attempt.
     pub(super) fn spawn_attempt(
-        self: &Rc<Self>, request: RequestId, endpoint: EndpointId, attempt: StartedAttempt,
+        self: &Rc<Self>,
+        request: RequestId,
+        endpoint: EndpointId,
+        attempt: StartedAttempt,
     ) {
         let driver = self.clone();
         tokio::task::spawn_local(async move {
@@ -73,7 +76,10 @@
     }
 
     async fn run_attempt(
-        self: &Rc<Self>, request: RequestId, endpoint: EndpointId, mut attempt: StartedAttempt,
+        self: &Rc<Self>,
+        request: RequestId,
+        endpoint: EndpointId,
+        mut attempt: StartedAttempt,
     ) -> AttemptReport {
         let target = Target { endpoint, addr: attempt.addr };
         let outgoing = AttemptRequest {
--- a/src/bin/quota-gateway/driver/events.rs
+++ b/src/bin/quota-gateway/driver/events.rs
@@ -35,7 +35,9 @@
 impl Driver {
     /// A request came in. Its final response comes by the receiver that is returned.
     pub fn start_request(
-        self: &Rc<Self>, incoming: &IncomingRequest, forwarded: ForwardedRequest,
+        self: &Rc<Self>,
+        incoming: &IncomingRequest,
+        forwarded: ForwardedRequest,
     ) -> StartedRequest {
         let (client, response) = oneshot::channel();
         let elapsed_ms = incoming.received_at.elapsed().as_secs_f64() * 1000.0;
@@ -89,7 +91,10 @@
     }
 
     pub(super) fn health_check_ended(
-        self: &Rc<Self>, endpoint: EndpointId, outcome: Outcome, elapsed_ms: f64,
+        self: &Rc<Self>,
+        endpoint: EndpointId,
+        outcome: Outcome,
+        elapsed_ms: f64,
     ) {
         let load = LoadReport::default();
         self.dispatch(Event::HealthCheckEnded { endpoint, outcome, elapsed_ms, load });
--- a/src/bin/quota-gateway/driver/mod.rs
+++ b/src/bin/quota-gateway/driver/mod.rs
@@ -56,8 +56,12 @@
 impl Driver {
     /// The counter and the socket between gateways are absent where the settings have none.
     pub fn new(
-        settings: Settings, seed: u64, topology: TopologyNames, pool: ConnectionPool,
-        counter: Option<CounterClient>, gossip: Option<Rc<GossipSocket>>,
+        settings: Settings,
+        seed: u64,
+        topology: TopologyNames,
+        pool: ConnectionPool,
+        counter: Option<CounterClient>,
+        gossip: Option<Rc<GossipSocket>>,
     ) -> Rc<Self> {
         let clock = Clock::new();
         let limits = AttemptLimits {
--- a/src/bin/quota-gateway/driver/requests.rs
+++ b/src/bin/quota-gateway/driver/requests.rs
@@ -144,7 +144,10 @@
 
     /// Adds a request. Its final response goes to `client`.
     pub fn insert(
-        &mut self, forwarded: ForwardedRequest, deadline: Instant, client: oneshot::Sender<FinalResponse>,
+        &mut self,
+        forwarded: ForwardedRequest,
+        deadline: Instant,
+        client: oneshot::Sender<FinalResponse>,
     ) -> RequestId {
         let id = self.next_id;
         self.next_id += 1;
@@ -179,7 +182,10 @@
     /// Registers a request's next attempt. It must not be sent past the attempt limit, for a request that is
     /// answered, to an endpoint without an address, out of time, or (without hedging) beside another one.
     pub fn start_attempt(
-        &mut self, id: RequestId, addr: Option<SocketAddr>, timeout: Duration,
+        &mut self,
+        id: RequestId,
+        addr: Option<SocketAddr>,
+        timeout: Duration,
     ) -> Result<StartedAttempt, UnsentAttempt> {
         let Some(request) = self.open.get_mut(&id) else {
             return Err(UnsentAttempt { number: 0, request_answered: true });
@@ -209,7 +215,10 @@
 
     /// Records the end of an attempt. The first one that was served answers the request.
     pub fn finish_attempt(
-        &mut self, id: RequestId, number: usize, served: Option<EndpointResponse>,
+        &mut self,
+        id: RequestId,
+        number: usize,
+        served: Option<EndpointResponse>,
     ) -> Option<FinishedAttempt> {
         let request = self.open.get_mut(&id)?;
         request.attempts[number] = None;
--- a/src/bin/quota-gateway/http/tests.rs
+++ b/src/bin/quota-gateway/http/tests.rs
@@ -67,7 +67,9 @@
 
 impl AsyncRead for ByteByByte<'_> {
     fn poll_read(
-        mut self: Pin<&mut Self>, _: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if let Some((byte, rest)) = self.0.split_first() {
             buffer.put_slice(&[*byte]);
--- a/src/bin/quota-gateway/server/accept.rs
+++ b/src/bin/quota-gateway/server/accept.rs
@@ -53,7 +53,10 @@
     /// Starts the task of one client. It holds the slot and ends with the connection, which ends by itself, by
     /// eviction, or after `close`.
     fn spawn_client(
-        self: &Rc<Self>, number: u64, stream: TcpStream, slot: OwnedSemaphorePermit,
+        self: &Rc<Self>,
+        number: u64,
+        stream: TcpStream,
+        slot: OwnedSemaphorePermit,
         close: watch::Receiver<bool>,
     ) {
         let server = self.clone();
--- a/src/bin/quota-gateway/server/connection.rs
+++ b/src/bin/quota-gateway/server/connection.rs
@@ -42,7 +42,10 @@
 impl Server {
     /// Serves a connection until it ends or its client is evicted.
     pub(super) async fn serve_until_evicted(
-        &self, stream: TcpStream, client: &Client, close: watch::Receiver<bool>,
+        &self,
+        stream: TcpStream,
+        client: &Client,
+        close: watch::Receiver<bool>,
     ) {
         let mut connection = pin!(self.serve_connection(stream, client, close));
         loop {
@@ -72,7 +75,10 @@
 
     /// Serves requests until the connection ends. Returns the stream if the client may still be sending.
     async fn serve_requests(
-        &self, stream: ClientStream, client: &Client, mut close: watch::Receiver<bool>,
+        &self,
+        stream: ClientStream,
+        client: &Client,
+        mut close: watch::Receiver<bool>,
     ) -> Option<ClientStream> {
         // Boxed, as the connection is taken apart at its end.
         let service = service_fn(|request| {
--- a/src/bin/quota-gateway/server/disconnect.rs
+++ b/src/bin/quota-gateway/server/disconnect.rs
@@ -155,7 +155,9 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.inner.borrow_mut().stream).poll_write_vectored(cx, bufs)
     }
--- a/src/bin/quota-gateway/server/forward.rs
+++ b/src/bin/quota-gateway/server/forward.rs
@@ -11,7 +11,10 @@
 
 /// Makes the request for endpoints out of a client's. Of its headers only those named here are forwarded.
 pub fn forwarded_request(
-    class: &ClassRoute, uri: &Uri, headers: &HeaderMap, body: &[u8],
+    class: &ClassRoute,
+    uri: &Uri,
+    headers: &HeaderMap,
+    body: &[u8],
 ) -> ForwardedRequest {
     let mut head = Vec::with_capacity(HEAD_BYTES);
     let target = uri.path_and_query().map_or("/", |target| target.as_str());
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -79,7 +79,10 @@
     }
 
     async fn handle(
-        &self, request: Request<Incoming>, in_progress: &mut RequestInProgress<'_>, complete_by: Instant,
+        &self,
+        request: Request<Incoming>,
+        in_progress: &mut RequestInProgress<'_>,
+        complete_by: Instant,
     ) -> Result<Response, RequestError> {
         let received_at = Instant::now();
         let (parts, body) = request.into_parts();
@@ -120,7 +123,9 @@
 
     /// Hands a complete request to the driver and waits for its final response.
     async fn forward(
-        &self, incoming: &IncomingRequest, forwarded: ForwardedRequest,
+        &self,
+        incoming: &IncomingRequest,
+        forwarded: ForwardedRequest,
         in_progress: &mut RequestInProgress<'_>,
     ) -> FinalResponse {
         let started = self.driver.start_request(incoming, forwarded);
--- a/src/bin/quota-gateway/server/mod.rs
+++ b/src/bin/quota-gateway/server/mod.rs
@@ -50,7 +50,10 @@
     /// A server with one slot for each permit of `slots`. The names of classes and plans stand in the order of the
     /// settings.
     pub fn new(
-        driver: Rc<Driver>, settings: &Settings, classes: Vec<String>, plans: Vec<String>,
+        driver: Rc<Driver>,
+        settings: &Settings,
+        classes: Vec<String>,
+        plans: Vec<String>,
         slots: Arc<Semaphore>,
     ) -> Rc<Self> {
         Rc::new(Server {
--- a/src/bin/quota-gateway/server/request.rs
+++ b/src/bin/quota-gateway/server/request.rs
@@ -160,7 +160,11 @@
 
     /// Reads the head of a request. What is wrong with it is the client's fault, and never load that is shed.
     pub fn parse(
-        &self, method: &Method, uri: &Uri, headers: &HeaderMap, received_at: Instant,
+        &self,
+        method: &Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+        received_at: Instant,
     ) -> Result<ParsedRequest<'_>, RequestError> {
         let class_name = uri.path().strip_prefix('/').and_then(|path| path.split('/').next()).unwrap_or("");
         let class_index = self.classes.iter().position(|class| class.name == class_name);
--- a/src/bin/quota-gateway/upstream/attempt.rs
+++ b/src/bin/quota-gateway/upstream/attempt.rs
@@ -37,7 +37,10 @@
     /// right before its first byte: finding a connection takes time, in which the client may disconnect and the
     /// endpoint start draining.
     pub async fn attempt(
-        &self, target: Target, deadline: Instant, request: &dyn OutgoingRequest,
+        &self,
+        target: Target,
+        deadline: Instant,
+        request: &dyn OutgoingRequest,
     ) -> AttemptResult {
         let mut connection = match self.send(target, deadline, request).await {
             Ok(connection) => connection,
@@ -59,7 +62,10 @@
     /// Writes the request, on an idle connection if there is one. The error is the outcome of an attempt that got no
     /// further. A request whose last byte is not written can't have begun; after that it may have.
     async fn send(
-        &self, target: Target, deadline: Instant, request: &dyn OutgoingRequest,
+        &self,
+        target: Target,
+        deadline: Instant,
+        request: &dyn OutgoingRequest,
     ) -> Result<Connection, Outcome> {
         loop {
             let reused = self.take_idle(target.endpoint);
--- a/src/bin/quota-gateway/upstream/pool.rs
+++ b/src/bin/quota-gateway/upstream/pool.rs
@@ -124,7 +124,9 @@
 
     /// Opens a connection. With too many open, the one longest idle is closed for it.
     pub(super) async fn connect(
-        &self, addr: SocketAddr, deadline: Instant,
+        &self,
+        addr: SocketAddr,
+        deadline: Instant,
     ) -> Result<Connection, ConnectError> {
         if self.open.count() >= self.max_open {
             self.close_longest_idle();
--- /dev/null
+++ b/src/policy/endpoints.rs
@@ -0,0 +1,73 @@
+//! What an update of the endpoint list changes, and when a failed poll of it is repeated.
+
+use crate::api::*;
+use crate::policy::{connections::usable_idle_ms, slow_start};
+use crate::primitives::{ramp::WarmUp, ring::RingArc};
+use crate::state::{ConnectionEstimate, Context, EndpointTable, TrackedEndpoint};
+use fastrand::Rng;
+
+/// A failed poll is repeated after this time and up to as much again by chance, in ms: a service that comes
+/// back is not polled by all gateways at once.
+const POLL_RETRY_MS: f64 = 500.0;
+
+/// When a failed poll of the endpoint list is repeated.
+#[derive(Default)]
+pub(crate) struct PollRetry(Option<Millis>);
+
+impl PollRetry {
+    pub(crate) fn poll_failed(&mut self, now: Millis, rng: &mut Rng) {
+        self.0 = Some(now + POLL_RETRY_MS * (1.0 + rng.f64()));
+    }
+
+    /// Whether a retry is due; it is then taken as made.
+    pub(crate) fn take_due(&mut self, now: Millis) -> bool {
+        self.0.take_if(|at| *at <= now).is_some()
+    }
+}
+
+/// Takes in the complete list, or the entries that changed.
+pub(super) fn update(
+    cx: &mut Context,
+    endpoints: &mut EndpointTable,
+    subset: &mut RingArc,
+    complete: bool,
+    entries: Vec<Endpoint>,
+) {
+    let is_first = endpoints.is_empty();
+    endpoints.begin_update();
+    for entry in entries {
+        if let Some(endpoint) = endpoints.get_listed(entry.id) {
+            let old_node = endpoint.ring_node();
+            replace(cx, endpoint, entry);
+            subset.replace(old_node, endpoint.ring_node());
+        } else if entry.state != EndpointState::Removed || !is_first {
+            let endpoint = new_endpoint(cx, entry);
+            subset.replace(None, endpoint.ring_node());
+            endpoints.insert(endpoint);
+        }
+    }
+    if complete {
+        for endpoint in endpoints.unlisted() {
+            subset.replace(endpoint.ring_node(), None);
+            endpoint.endpoint.state = EndpointState::Removed;
+        }
+    }
+}
+
+fn new_endpoint(cx: &mut Context, entry: Endpoint) -> TrackedEndpoint {
+    let limits = &cx.settings.limits;
+    let connections = ConnectionEstimate::new(limits, usable_idle_ms(limits), cx.now);
+    let ramp = slow_start::ramp(cx.now, &cx.settings.rules, &entry, false);
+    let warm_up = WarmUp::new(ramp, cx.rng.f64(), cx.now);
+    TrackedEndpoint::new(entry, connections, warm_up, cx.now)
+}
+
+fn replace(cx: &mut Context, tracked: &mut TrackedEndpoint, entry: Endpoint) {
+    let was_removed = tracked.endpoint.state == EndpointState::Removed;
+    let is_back = was_removed && entry.state == EndpointState::Ready;
+    if is_back || entry.started_at > tracked.endpoint.started_at {
+        let ramp = slow_start::ramp(cx.now, &cx.settings.rules, &entry, is_back);
+        tracked.restart(WarmUp::new(ramp, cx.rng.f64(), cx.now));
+    }
+    tracked.endpoint = entry;
+}
