--- a/src/bin/quota-gateway/counter/connection.rs
+++ b/src/bin/quota-gateway/counter/connection.rs
@@ -106,7 +106,7 @@
             let flow = tokio::select! {
                 call = next_call(open_queue) => self.on_call(call),
                 written = self.writer.write(&self.outgoing), if !self.outgoing.is_empty() => self.on_written(written.ok()),
-                response = self.reader.answer(MAX_RESPONSE_BYTES) => self.on_response(response),
+                response = self.reader.read_response(MAX_RESPONSE_BYTES) => self.on_response(response),
                 () = sleep_until(wake_at) => self.on_timer(),
             };
             if flow.is_break() {
@@ -170,8 +170,8 @@
         }
         // After an invalid response the connection is of no use: what follows could be taken for the response to
         // another call. The same is true of bytes that no call awaits.
-        let has_unrequested_bytes = self.pending.is_empty() && self.reader.has_more();
-        if !head.keep || is_invalid || has_unrequested_bytes {
+        let has_unrequested_bytes = self.pending.is_empty() && self.reader.has_unread_bytes();
+        if !head.keep_alive || is_invalid || has_unrequested_bytes {
             return ControlFlow::Break(());
         }
         ControlFlow::Continue(())
--- a/src/bin/quota-gateway/discovery/call.rs
+++ b/src/bin/quota-gateway/discovery/call.rs
@@ -31,7 +31,7 @@
         }
         let version = complete_list.as_ref().map_or(self.version, |list| list.version);
         self.write_request(&mut reader, &format!("/registry/instances?stream=1&index={version}")).await?;
-        check_status(&timeout(timeouts.response, reader.head()).await??)?;
+        check_status(&timeout(timeouts.response, reader.read_head()).await??)?;
         Ok(Watch { reader, complete_list })
     }
 
@@ -41,7 +41,7 @@
         timeouts: CallTimeouts,
     ) -> Result<EndpointList, DiscoveryError> {
         self.write_request(reader, "/registry/instances").await?;
-        let (head, body) = timeout(timeouts.response, reader.answer(MAX_LIST_BYTES)).await??;
+        let (head, body) = timeout(timeouts.response, reader.read_response(MAX_LIST_BYTES)).await??;
         check_status(&head)?;
         Ok(serde_json::from_slice(&body)?)
     }
--- a/src/bin/quota-gateway/discovery/watch.rs
+++ b/src/bin/quota-gateway/discovery/watch.rs
@@ -71,7 +71,7 @@
 impl WatchEvents<'_> {
     async fn read(&mut self, reader: &mut Reader<TcpStream>) -> Result<(), DiscoveryError> {
         let mut idle = IdleTimer::new();
-        while let Some(bytes) = timeout_at(idle.deadline, reader.piece()).await?? {
+        while let Some(bytes) = timeout_at(idle.deadline, reader.read_body_chunk()).await?? {
             let was_inside_object = self.framer.inside_object();
             self.framer.push(&bytes);
             self.handle_frames()?;
--- /dev/null
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -0,0 +1,138 @@
+//! The tasks that send attempts and health checks. Each reports its end as an event.
+
+use super::events::AttemptReport;
+use super::messages::ForwardedRequest;
+use super::requests::{EndpointResponse, StartedAttempt};
+use super::Driver;
+use crate::upstream::{AttemptResult, CompleteResponse, OutgoingRequest, Target};
+use quota_gateway::{EndpointId, Outcome, RequestId};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// An attempt about to be written. It is refused once its request is answered, or its endpoint is not ready any more
+/// at the address that it had.
+struct AttemptRequest {
+    driver: Rc<Driver>,
+    request: RequestId,
+    target: Target,
+    forwarded: Rc<ForwardedRequest>,
+    deadline: Instant,
+    written: Rc<Cell<bool>>,
+}
+
+impl OutgoingRequest for AttemptRequest {
+    fn refusal(&self) -> Option<Outcome> {
+        if self.driver.requests.borrow().is_answered(self.request) {
+            return Some(Outcome::NotSent);
+        }
+        let ready = self.driver.endpoints.borrow().is_ready(self.target.endpoint);
+        let at_same_address = self.driver.pool.address(self.target.endpoint) == Some(self.target.addr);
+        if ready && at_same_address {
+            return None;
+        }
+        // As good as rejected by the endpoint: another one may be tried.
+        Some(Outcome::Rejected)
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        self.forwarded.encode(self.deadline.saturating_duration_since(Instant::now()))
+    }
+
+    fn on_written(&self) {
+        self.written.set(true);
+    }
+}
+
+/// A health check belongs to no request and is never refused.
+struct HealthCheckRequest {
+    addr: SocketAddr,
+}
+
+impl OutgoingRequest for HealthCheckRequest {
+    fn refusal(&self) -> Option<Outcome> {
+        None
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        format!("GET /health/live HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr).into_bytes()
+    }
+}
+
+impl Driver {
+    /// Starts the task of an attempt. The open request owns it and ends it by cancelling the attempt.
+    pub(super) fn spawn_attempt(
+        self: &Rc<Self>,
+        request: RequestId,
+        endpoint: EndpointId,
+        attempt: StartedAttempt,
+    ) {
+        let driver = self.clone();
+        tokio::task::spawn_local(async move {
+            let report = driver.run_attempt(request, endpoint, attempt).await;
+            driver.attempt_ended(report);
+        });
+    }
+
+    async fn run_attempt(
+        self: &Rc<Self>,
+        request: RequestId,
+        endpoint: EndpointId,
+        mut attempt: StartedAttempt,
+    ) -> AttemptReport {
+        let target = Target { endpoint, addr: attempt.addr };
+        let outgoing = AttemptRequest {
+            driver: self.clone(),
+            request,
+            target,
+            forwarded: attempt.forwarded,
+            deadline: attempt.deadline,
+            written: attempt.written.clone(),
+        };
+        let result = tokio::select! {
+            biased;
+            result = self.pool.attempt(target, attempt.deadline, &outgoing) => result,
+            // Dropping the attempt closes its connection.
+            Ok(()) = &mut attempt.cancelled => {
+                let outcome = if attempt.written.get() { Outcome::Cancelled } else { Outcome::NotSent };
+                AttemptResult::without_response(outcome)
+            }
+        };
+        AttemptReport {
+            request,
+            number: attempt.number,
+            endpoint,
+            outcome: result.outcome,
+            elapsed_ms: elapsed_ms(attempt.started_at),
+            served: served_response(result),
+        }
+    }
+
+    /// Starts a health check, unless the endpoint is not listed any more. Its task ends by its own time-out.
+    pub(super) fn check_health(self: &Rc<Self>, endpoint: EndpointId) {
+        let Some(addr) = self.pool.address(endpoint) else { return };
+        let driver = self.clone();
+        tokio::task::spawn_local(async move {
+            let started_at = Instant::now();
+            let deadline = started_at + driver.pool.connect_timeout();
+            let target = Target { endpoint, addr };
+            let result = driver.pool.attempt(target, deadline, &HealthCheckRequest { addr }).await;
+            driver.health_check_ended(endpoint, result.outcome, elapsed_ms(started_at));
+        });
+    }
+}
+
+/// What the client gets of a successful attempt.
+fn served_response(result: AttemptResult) -> Option<EndpointResponse> {
+    match (result.outcome, result.response) {
+        (Outcome::Success, Some(CompleteResponse { head, body })) => {
+            Some(EndpointResponse { units: head.units, content_type: head.content_type, body })
+        }
+        _ => None,
+    }
+}
+
+fn elapsed_ms(since: Instant) -> f64 {
+    since.elapsed().as_secs_f64() * 1000.0
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,11 +1,11 @@
-//! The gateway on loopback sockets, against backends, a counter and discovery that the tests play.
+//! The gateway on loopback sockets, against stand-ins for endpoints, the counter and discovery.
 #![allow(missing_docs)]
 
-mod backends;
+mod attempts;
 mod clients;
 mod counter;
-mod crossings;
 mod discovery;
 mod peers;
-mod play;
+mod races;
 mod service;
+mod stand_ins;
