--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -3,7 +3,10 @@
 #![allow(missing_docs)]
 
 use criterion::{black_box, criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
-use quota_gateway::*;
+use quota_gateway::{
+    Action, AttemptEnd, Class, Endpoint, EndpointId, EndpointState, Event, Gateway, Idempotency, Limits,
+    LoadReport, Outcome, Plan, Prices, Request, RequestId, Settings,
+};
 
 fn entry(id: u32) -> Endpoint {
     Endpoint {
@@ -95,7 +98,7 @@
                 let Some(endpoint) = sent_to(&actions) else { panic!("not sent") };
                 actions.clear();
                 gateway.handle(now + 4.0, Event::AttemptEnded(success(id, endpoint)), &mut actions);
-            })
+            });
         });
     }
 }
@@ -110,7 +113,7 @@
                 || Event::EndpointUpdate { complete: true, endpoints: list.clone() },
                 |event| gateway.handle(1.0, event, black_box(&mut Vec::new())),
                 BatchSize::LargeInput,
-            )
+            );
         });
     }
 }
@@ -124,10 +127,10 @@
             bencher.iter(|| {
                 changes += 1;
                 let state = if changes % 2 == 1 { EndpointState::Draining } else { EndpointState::Ready };
-                let changed = vec![Endpoint { state, ..entry(changes / 2 % endpoints) }];
-                let event = Event::EndpointUpdate { complete: false, endpoints: changed };
+                let entries = vec![Endpoint { state, ..entry(changes / 2 % endpoints) }];
+                let event = Event::EndpointUpdate { complete: false, endpoints: entries };
                 gateway.handle(1.0, event, black_box(&mut Vec::new()));
-            })
+            });
         });
     }
 }
--- a/emulator/tests/command.rs
+++ b/emulator/tests/command.rs
@@ -1,5 +1,6 @@
 //! The command line: faults are one line that names the field, with exit code 2.
-#![allow(missing_docs)]
+// Tests fail by panicking.
+#![allow(clippy::unwrap_used)]
 
 use std::process::{Command, Output};
 
--- a/emulator/tests/experiments.rs
+++ b/emulator/tests/experiments.rs
@@ -1,5 +1,6 @@
 //! Small experiments: counts and rules, never wall time.
-#![allow(missing_docs)]
+// Tests fail by panicking.
+#![allow(clippy::unwrap_used)]
 
 use fleet_emulator::experiment::{parse, Experiment};
 use fleet_emulator::{report::Report, run};
--- a/src/bin/quota-gateway/discovery/policy/tests.rs
+++ b/src/bin/quota-gateway/discovery/policy/tests.rs
@@ -25,9 +25,12 @@
     for (endpoints_polled, watches) in [(false, false), (false, true), (true, true)] {
         let mut policy = policy(1, endpoints_polled, 1);
         let pauses: Vec<_> = (0..20)
-            .map(|_| match watches {
-                true => policy.pause_after_watch(Duration::ZERO, true),
-                false => policy.next_call_after_failure(Instant::now(), true) - Instant::now(),
+            .map(|_| {
+                if watches {
+                    policy.pause_after_watch(Duration::ZERO, true)
+                } else {
+                    policy.next_call_after_failure(Instant::now(), true) - Instant::now()
+                }
             })
             .collect();
         let longest = PROPAGATION_LIMIT - RESPONSE_ALLOWANCE;
--- a/src/bin/quota-gateway/driver/requests.rs
+++ b/src/bin/quota-gateway/driver/requests.rs
@@ -62,6 +62,7 @@
 }
 
 /// An attempt that must not be sent.
+#[derive(Clone, Copy)]
 pub struct UnsentAttempt {
     /// Its number among the request's attempts.
     pub number: usize,
--- a/src/bin/quota-gateway/driver/requests/tests.rs
+++ b/src/bin/quota-gateway/driver/requests/tests.rs
@@ -12,8 +12,8 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_UNITS: f64 = 4.0;
 
-fn address() -> Option<SocketAddr> {
-    Some(SocketAddr::from(([127, 0, 0, 1], 9)))
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
 }
 
 fn open_requests(hedging: bool) -> OpenRequests {
@@ -27,15 +27,11 @@
 }
 
 fn start(requests: &mut OpenRequests, id: RequestId) -> Option<StartedAttempt> {
-    requests.start_attempt(id, address(), TIMEOUT).ok()
+    requests.start_attempt(id, Some(address()), TIMEOUT).ok()
 }
 
-fn served(units: f64, body: &'static str) -> Option<EndpointResponse> {
-    Some(EndpointResponse {
-        units: Some(units),
-        content_type: None,
-        body: Bytes::from_static(body.as_bytes()),
-    })
+fn served(units: f64, body: &'static str) -> EndpointResponse {
+    EndpointResponse { units: Some(units), content_type: None, body: Bytes::from_static(body.as_bytes()) }
 }
 
 #[test]
@@ -51,7 +47,7 @@
     let mut requests = open_requests(false);
     let (id, _response) = insert(&mut requests);
     assert!(requests.start_attempt(id, None, TIMEOUT).is_err(), "without an address");
-    assert!(requests.start_attempt(id, address(), Duration::ZERO).is_err(), "out of time");
+    assert!(requests.start_attempt(id, Some(address()), Duration::ZERO).is_err(), "out of time");
     assert!(start(&mut requests, id + 1).is_none(), "of no open request");
 }
 
@@ -61,10 +57,10 @@
     let (id, mut response) = insert(&mut requests);
     start(&mut requests, id).unwrap();
     start(&mut requests, id).unwrap();
-    let first = requests.finish_attempt(id, 1, served(MAX_UNITS, "first")).unwrap();
+    let first = requests.finish_attempt(id, 1, Some(served(MAX_UNITS, "first"))).unwrap();
     assert!(first.request_answered);
     assert_eq!(first.actual_units, Some(MAX_UNITS));
-    let second = requests.finish_attempt(id, 0, served(1.0, "second")).unwrap();
+    let second = requests.finish_attempt(id, 0, Some(served(1.0, "second"))).unwrap();
     assert_eq!(second.actual_units, None, "it did not answer the request");
     assert!(matches!(response.try_recv(), Ok(FinalResponse::Success { body, .. }) if body == "first"));
     assert!(requests.ids().is_empty());
@@ -75,7 +71,7 @@
     let mut requests = open_requests(false);
     let (id, _response) = insert(&mut requests);
     start(&mut requests, id).unwrap();
-    let finished = requests.finish_attempt(id, 0, served(MAX_UNITS + 1.0, "")).unwrap();
+    let finished = requests.finish_attempt(id, 0, Some(served(MAX_UNITS + 1.0, ""))).unwrap();
     assert!(finished.request_answered);
     assert_eq!(finished.actual_units, None);
 }
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -1,4 +1,6 @@
 //! The gateway program: the decision library on real sockets.
+// Tests fail by panicking, and the figures that they compare are exact.
+#![cfg_attr(test, allow(clippy::unwrap_used, clippy::float_cmp, clippy::unchecked_time_subtraction))]
 
 mod config;
 mod counter;
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -131,13 +131,12 @@
         let started = self.driver.start_request(incoming, forwarded);
         in_progress.driver_id = Some(started.id);
         in_progress.client.request_complete();
-        match timeout_at(started.deadline + DEADLINE_GRACE, started.response).await {
-            Ok(response) => response.unwrap_or(FinalResponse::Failed),
-            Err(_) => {
-                self.driver.cancel_request(started.id);
-                FinalResponse::Failed
-            }
-        }
+        let response = timeout_at(started.deadline + DEADLINE_GRACE, started.response).await;
+        let Ok(response) = response else {
+            self.driver.cancel_request(started.id);
+            return FinalResponse::Failed;
+        };
+        response.unwrap_or(FinalResponse::Failed)
     }
 }
 
--- a/src/bin/quota-gateway/server/request/tests.rs
+++ b/src/bin/quota-gateway/server/request/tests.rs
@@ -32,8 +32,8 @@
 fn parse(method: Method, target: &str, changes: &[(&str, &str)]) -> Result<IncomingRequest, RequestError> {
     let mut request = Request::builder().method(method).uri(target);
     for (name, value) in HEADERS {
-        let changed = changes.iter().find(|(changed, _)| *changed == name);
-        request = request.header(name, changed.map_or(value, |(_, value)| value));
+        let replacement = changes.iter().find(|(changed, _)| *changed == name);
+        request = request.header(name, replacement.map_or(value, |(_, value)| value));
     }
     for (name, value) in changes.iter().filter(|(changed, _)| HEADERS.iter().all(|(name, _)| name != changed))
     {
--- a/src/bin/quota-gateway/upstream/pool.rs
+++ b/src/bin/quota-gateway/upstream/pool.rs
@@ -21,7 +21,7 @@
 const REUSE_DELAY: Duration = Duration::from_millis(10);
 
 /// Why a connection did not come up.
-#[derive(Debug, Error)]
+#[derive(Clone, Copy, Debug, Error)]
 pub enum ConnectError {
     #[error("the endpoint is down, unreachable or full")]
     Endpoint,
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -1,4 +1,6 @@
 //! The adapter's frames, through the real program.
+// Tests fail by panicking.
+#![allow(clippy::unwrap_used)]
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -1,5 +1,6 @@
 //! Helpers for driving a gateway through its public interface.
-#![allow(dead_code, missing_docs)]
+// Each test file uses some of them.
+#![allow(dead_code, missing_docs, clippy::must_use_candidate)]
 
 use quota_gateway::*;
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,5 +1,7 @@
 //! What is harmless in one gateway and harmful in all: many gateways, whose attempts together are held against the
 //! rules.
+// Tests fail by panicking.
+#![allow(clippy::unwrap_used)]
 
 mod common;
 use common::*;
@@ -317,7 +319,7 @@
         for (seed, (overload_multiple, overload_window_ms)) in
             [(4.0, 1500.0), (2.0, 2000.0)].into_iter().enumerate()
         {
-            assert_no_overload(Release {
+            assert_no_overload(&Release {
                 gateways,
                 seed: seed as u64 + 5,
                 request_rate: load * WARM_CAPACITY * f64::from(2 * staying),
@@ -329,7 +331,7 @@
     }
 }
 
-fn assert_no_overload(release: Release) {
+fn assert_no_overload(release: &Release) {
     let rate = release.request_rate;
     let ReleaseLoad { worst: WindowLoad { sent, allowed }, sent: all } = release.play();
     assert!(sent as f64 <= allowed, "{rate} a second: {sent} sent where {allowed} are allowed");
@@ -341,7 +343,7 @@
 #[test]
 fn gateways_with_a_subset_overload_no_warming_endpoint() {
     let play = |load: f64, gateways| {
-        assert_no_overload(Release {
+        assert_no_overload(&Release {
             gateways,
             seed: 9,
             request_rate: load * WARM_CAPACITY * 260.0,
--- a/tests/gateway/clients.rs
+++ b/tests/gateway/clients.rs
@@ -136,7 +136,7 @@
         let mut connection = gateway.connect();
         connection.get_mut().write_all(head.as_bytes()).unwrap();
         for _ in 0..600 {
-            connection.get_mut().write_all(&[b'x'; 100_000]).expect("it is read on");
+            connection.get_mut().write_all(&vec![b'x'; 100_000]).expect("it is read on");
         }
         assert!([400, 413].contains(&read_message(&mut connection).expect("an answer").status()));
         assert_eq!(connection.read(&mut [0]).unwrap(), 0, "closed");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! The gateway on loopback sockets, against stand-ins for endpoints, the counter and discovery.
-#![allow(missing_docs)]
+// Tests fail by panicking.
+#![allow(clippy::unwrap_used)]
 
 mod attempts;
 mod clients;
--- a/tests/gateway/service.rs
+++ b/tests/gateway/service.rs
@@ -97,7 +97,7 @@
         let text =
             serde_json::json!({"version": 1, "full": true, "servers": [list_entry(round, addr, "Ready")]});
         list.write_all(response(200, "", &text.to_string()).as_bytes()).unwrap();
-        let (line, _watch) = discovery.watch_after_list(list);
+        let (line, _watch) = Discovery::watch_after_list(list);
         assert!(line.contains("index=1"), "{line}");
         let before = amounts.lock().unwrap().len();
         let start = Instant::now();
--- a/tests/gateway/stand_ins/discovery.rs
+++ b/tests/gateway/stand_ins/discovery.rs
@@ -40,7 +40,7 @@
     }
 
     /// The watch that follows the list on the same connection.
-    pub fn watch_after_list(&self, stream: TcpStream) -> (String, TcpStream) {
+    pub fn watch_after_list(stream: TcpStream) -> (String, TcpStream) {
         let request =
             read_message(&mut BufReader::new(stream.try_clone().unwrap())).expect("a watch follows the list");
         (request.line, stream)
--- a/tests/gateway/stand_ins/http.rs
+++ b/tests/gateway/stand_ins/http.rs
@@ -27,7 +27,7 @@
     let mut message = Message::default();
     let mut line = String::new();
     from.read_line(&mut line).ok().filter(|n| *n > 0)?;
-    message.line = line.trim_end().to_owned();
+    line.trim_end().clone_into(&mut message.line);
     loop {
         let mut line = String::new();
         from.read_line(&mut line).ok().filter(|n| *n > 0)?;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,5 +1,7 @@
 //! Quotas and the shared counter: charges, settlement, waiting, the pace of calls, and gossip between
 //! gateways.
+// Tests fail by panicking.
+#![allow(clippy::unwrap_used)]
 
 mod common;
 use common::*;
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -1,4 +1,6 @@
 //! Random legal event sequences with fixed seeds: whatever happens, the rules hold.
+// Tests fail by panicking.
+#![allow(clippy::unwrap_used)]
 
 mod common;
 use common::settings;
@@ -57,12 +59,12 @@
         let mut actions = Vec::new();
         self.gateway.handle(self.now, event, &mut actions);
         for action in actions {
-            self.check(action);
+            self.check(&action);
         }
     }
 
-    fn check(&mut self, action: Action) {
-        match action {
+    fn check(&mut self, action: &Action) {
+        match *action {
             Action::SendAttempt { id, endpoint, timeout_ms } => self.check_attempt(id, endpoint, timeout_ms),
             Action::Reject { id, .. } => {
                 let request = self.requests.get_mut(&id).expect("a known request");
@@ -80,7 +82,7 @@
             Action::AddToCounter { key, amount, .. } => self.counter_calls.push((key, amount)),
             Action::SetTimer { token, after_ms } => self.timers.push((self.now + after_ms, token)),
             Action::CancelAttempt { id, attempt } => {
-                assert!((attempt as usize) < self.requests[&id].attempts.len())
+                assert!((attempt as usize) < self.requests[&id].attempts.len());
             }
             _ => {}
         }
@@ -102,7 +104,7 @@
         match self.settings.classes[request.class].idempotency {
             Idempotency::Idempotent => {}
             Idempotency::NotIdempotent => {
-                assert!(earlier.is_empty(), "a request that is not idempotent may be executed twice")
+                assert!(earlier.is_empty(), "a request that is not idempotent may be executed twice");
             }
             Idempotency::WithKey { window_ms, .. } => {
                 for attempt in earlier {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,5 +1,7 @@
 //! The rules that each gateway keeps by itself: deadlines, retries, draining, slow start and hard ceilings;
 //! and the faults found so far.
+// Tests fail by panicking.
+#![allow(clippy::unwrap_used)]
 
 mod common;
 use common::*;
@@ -61,7 +63,7 @@
         let first = sent_to(&gateway.request(1, 1, 1.0)).unwrap();
         gateway.now += elapsed_ms;
         let actions = gateway.attempt_ended(1, 0, first, Outcome::ConnectionReset, None);
-        let zone = |id| if id == 3 { 1 } else { 0 };
+        let zone = |id| u32::from(id == 3);
         assert_eq!(sent_to(&actions).map(zone), retried.then_some(zone(first)));
         assert!(retried || failed(&actions), "it may have been executed, so it is not rejected: {actions:?}");
     }
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -1,5 +1,7 @@
 //! Fleets in which a gateway uses a subset of the endpoints only: how even the subsets are, what changes in them, and
 //! that the rules hold with them.
+// Tests fail by panicking.
+#![allow(clippy::unwrap_used)]
 
 mod common;
 use common::*;
@@ -117,9 +119,9 @@
     let mut users = 0;
     for (gateway, before) in gateways.iter_mut().zip(before) {
         let after = members(gateway);
-        let changed: Vec<_> = after.symmetric_difference(&before).collect();
-        assert!(changed.is_empty() || changed == [&(ENDPOINTS + 1)], "{changed:?}");
-        users += changed.len();
+        let difference: Vec<_> = after.symmetric_difference(&before).collect();
+        assert!(difference.is_empty() || difference == [&(ENDPOINTS + 1)], "{difference:?}");
+        users += difference.len();
     }
     assert!((15..=35).contains(&users), "{users} use the new one");
 }
