--- /dev/null
+++ b/src/bin/simulator-adapter/adapter.rs
@@ -0,0 +1,91 @@
+//! The instances that the simulator has started, and the lists it has defined.
+
+use crate::actions;
+use crate::events::{self, code, EndpointLists, RecordError};
+use crate::frame::{Batch, Fields, FrameError, Reply};
+use crate::setup::{self, LoadField};
+use quota_gateway::{Action, Gateway};
+use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// Why a batch has no reply.
+#[derive(Debug, Error)]
+pub enum AdapterError {
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    #[error("batch {batch}: {error}")]
+    Record { batch: u32, error: RecordError },
+    #[error("reply to batch {batch} cannot be written: {error}")]
+    Write { batch: u32, error: std::io::Error },
+}
+
+struct Instance {
+    gateway: Gateway,
+    /// The values of a load report, in order.
+    load_fields: Vec<LoadField>,
+}
+
+/// Hands events to the gateways of a batch's instances and collects their actions.
+#[derive(Default)]
+pub struct Adapter {
+    instances: BTreeMap<u32, Instance>,
+    lists: EndpointLists,
+    /// Reused from event to event.
+    actions: Vec<Action>,
+}
+
+impl Adapter {
+    /// Handles all events of a batch, in order.
+    pub fn handle(&mut self, batch: &Batch) -> Result<Reply, AdapterError> {
+        let mut reply = Reply::default();
+        for mut record in batch.events() {
+            self.handle_record(batch.now, &mut record, &mut reply)
+                .map_err(|error| AdapterError::Record { batch: batch.number, error })?;
+        }
+        Ok(reply)
+    }
+
+    fn handle_record(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<(), RecordError> {
+        let code = fields.u8()?;
+        if code == code::DEFINE_LIST {
+            let list = fields.u32()?;
+            self.lists.insert(list, events::decode_list(fields)?);
+            return Ok(());
+        }
+        let instance = fields.u32()?;
+        match code {
+            code::PROVISION => self.start(now, instance, fields),
+            code::RETIRE => {
+                self.instances.remove(&instance);
+                Ok(())
+            }
+            code => self.handle_event(now, code, instance, fields, reply),
+        }
+    }
+
+    fn start(&mut self, now: f64, instance: u32, fields: &mut Fields) -> Result<(), RecordError> {
+        let record = fields.position();
+        let seed = fields.u64()?;
+        let text = std::str::from_utf8(fields.tail(1)?)
+            .map_err(|error| RecordError::SettingsNotText { record, error })?;
+        let setup = setup::read(text)?;
+        let gateway = Gateway::new(setup.settings, seed, now);
+        self.instances.insert(instance, Instance { gateway, load_fields: setup.load_fields });
+        Ok(())
+    }
+
+    fn handle_event(
+        &mut self, now: f64, code: u8, number: u32, fields: &mut Fields, reply: &mut Reply,
+    ) -> Result<(), RecordError> {
+        let record = fields.position();
+        let Some(instance) = self.instances.get_mut(&number) else {
+            return Err(RecordError::UnknownInstance { record, instance: number });
+        };
+        let event = events::decode(code, fields, &self.lists, &instance.load_fields)?;
+        instance.gateway.handle(now, event, &mut self.actions);
+        for action in self.actions.drain(..) {
+            actions::encode(&action, number, reply);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/bin/simulator-adapter/events.rs
@@ -0,0 +1,228 @@
+//! Records of the wire as events. Fields are read in the order of the wire.
+
+use crate::frame::{FieldError, Fields};
+use crate::setup::{LoadField, SettingsError};
+use quota_gateway::{AttemptEnd, Endpoint, EndpointState, Event, LoadReport, Outcome, Request};
+use std::collections::BTreeMap;
+use std::str::Utf8Error;
+use thiserror::Error;
+
+/// Codes of the event records, by the wire's names.
+pub mod code {
+    pub const HEALTH: u8 = 1;
+    pub const RETIRE: u8 = 2;
+    pub const ABORTED: u8 = 3;
+    pub const COUNTER_REPLY: u8 = 4;
+    pub const PROVISION: u8 = 5;
+    pub const PEER: u8 = 6;
+    pub const ESTABLISHED: u8 = 7;
+    pub const FLEET: u8 = 8;
+    pub const BELL: u8 = 9;
+    pub const FINISHED: u8 = 10;
+    pub const DEFINE_LIST: u8 = 11;
+    pub const INCOMING: u8 = 12;
+}
+
+/// What a `FLEET` record brings.
+mod scope {
+    pub const DELTA: u8 = 0;
+    pub const FULL: u8 = 1;
+    pub const CACHED: u8 = 2;
+    pub const FAILED: u8 = 3;
+}
+
+/// Codes of outcomes.
+mod outcome_code {
+    pub const OK: u8 = 0;
+    pub const ERROR: u8 = 5;
+    pub const FULL: u8 = 11;
+    pub const RESET: u8 = 104;
+    pub const TIMEOUT: u8 = 110;
+    pub const CONNECT_FAILED: u8 = 111;
+    pub const MOOT: u8 = 114;
+    pub const CANCELLED: u8 = 125;
+}
+
+/// Codes of an endpoint's states.
+mod state_code {
+    pub const GONE: u8 = 0;
+    pub const READY: u8 = 1;
+    pub const DRAINING: u8 = 2;
+}
+
+/// Length of one entry of an endpoint list.
+const ENTRY_BYTES: usize = 21;
+/// Most values in a load report.
+const MAX_LOAD_VALUES: usize = 4;
+/// The bit in an incoming request's `attrs` that marks a client's retry.
+const RETRY_BIT: u8 = 2;
+
+/// The endpoint lists defined so far, by number.
+pub type EndpointLists = BTreeMap<u32, Vec<Endpoint>>;
+
+/// A record that cannot be understood.
+#[derive(Debug, Error)]
+pub enum RecordError {
+    #[error(transparent)]
+    Field(#[from] FieldError),
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error("record at byte {record}: settings are not valid text: {error}")]
+    SettingsNotText { record: usize, error: Utf8Error },
+    #[error("record at byte {record} is for unknown instance {instance}")]
+    UnknownInstance { record: usize, instance: u32 },
+    #[error("record at byte {record} refers to list {list}, never defined")]
+    UnknownList { record: usize, list: u32 },
+    #[error("record at byte {record}: unknown list scope {scope}")]
+    UnknownScope { record: usize, scope: u8 },
+    #[error("record at byte {record}: unknown event code {code}")]
+    UnknownCode { record: usize, code: u8 },
+    #[error("record at byte {record}: unknown outcome {outcome}")]
+    UnknownOutcome { record: usize, outcome: u8 },
+    #[error("list at record {record}: unknown state {state}")]
+    UnknownState { record: usize, state: u8 },
+}
+
+/// Decodes the fields that follow the instance in a record of this code.
+pub fn decode(
+    code: u8, fields: &mut Fields, lists: &EndpointLists, load_fields: &[LoadField],
+) -> Result<Event, RecordError> {
+    match code {
+        code::HEALTH => health(fields, load_fields),
+        code::ABORTED => Ok(Event::ClientDisconnected { id: fields.u64()? }),
+        code::COUNTER_REPLY => counter_reply(fields),
+        code::PEER => peer(fields),
+        code::ESTABLISHED => Ok(Event::ResponseStarted { id: fields.u64()?, attempt: fields.u8()? }),
+        code::FLEET => fleet(fields, lists),
+        code::BELL => Ok(Event::TimerFired { token: fields.u64()? }),
+        code::FINISHED => finished(fields, load_fields),
+        code::INCOMING => incoming(fields),
+        code => Err(RecordError::UnknownCode { record: fields.position(), code }),
+    }
+}
+
+/// Decodes the entries of a `DEFINE_LIST` record, after the number of the list.
+pub fn decode_list(fields: &mut Fields) -> Result<Vec<Endpoint>, RecordError> {
+    let entries = fields.tail(ENTRY_BYTES)?.chunks_exact(ENTRY_BYTES);
+    entries.map(|entry| list_entry(&mut Fields::new(entry, &[], fields.position()))).collect()
+}
+
+fn list_entry(fields: &mut Fields) -> Result<Endpoint, RecordError> {
+    let id = fields.u32()?;
+    let zone = u32::from(fields.u8()?);
+    let kind = u32::from(fields.u8()?);
+    let cell = u32::from(fields.u16()?);
+    let state = match fields.u8()? {
+        state_code::GONE => EndpointState::Removed,
+        state_code::READY => EndpointState::Ready,
+        state_code::DRAINING => EndpointState::Draining,
+        state => return Err(RecordError::UnknownState { record: fields.position(), state }),
+    };
+    let weight = fields.f32()?;
+    let started_at = fields.f64()?;
+    Ok(Endpoint { id, hash_key: id.into(), zone, kind, cell, state, weight, started_at })
+}
+
+fn health(fields: &mut Fields, load_fields: &[LoadField]) -> Result<Event, RecordError> {
+    let outcome = outcome(fields)?;
+    let endpoint = fields.u32()?;
+    let elapsed_ms = fields.f64()?;
+    let load = load_report(fields, load_fields)?;
+    Ok(Event::HealthCheckEnded { endpoint, outcome, elapsed_ms, load })
+}
+
+fn counter_reply(fields: &mut Fields) -> Result<Event, RecordError> {
+    let outcome = outcome(fields)?;
+    let key = fields.u64()?;
+    let total = fields.f32()?;
+    let elapsed_ms = fields.f64()?;
+    Ok(Event::CounterReply { key, outcome, total, elapsed_ms })
+}
+
+fn peer(fields: &mut Fields) -> Result<Event, RecordError> {
+    let from = u32::from(fields.u16()?);
+    let body = fields.tail(1)?.to_vec();
+    Ok(Event::Gossip { from, body })
+}
+
+fn fleet(fields: &mut Fields, lists: &EndpointLists) -> Result<Event, RecordError> {
+    let record = fields.position();
+    let scope = fields.u8()?;
+    let _version = fields.u64()?;
+    let list = fields.u32()?;
+    let complete = match scope {
+        scope::DELTA => false,
+        scope::FULL | scope::CACHED => true,
+        scope::FAILED => return Ok(Event::EndpointPollFailed),
+        scope => return Err(RecordError::UnknownScope { record, scope }),
+    };
+    let endpoints = lists.get(&list).cloned().ok_or(RecordError::UnknownList { record, list })?;
+    Ok(Event::EndpointUpdate { complete, endpoints })
+}
+
+fn finished(fields: &mut Fields, load_fields: &[LoadField]) -> Result<Event, RecordError> {
+    let id = fields.u64()?;
+    let attempt = fields.u8()?;
+    let request_answered = fields.u8()? != 0;
+    let endpoint = fields.u32()?;
+    let actual_units = Some(f64::from(fields.u16()?)).filter(|units| *units > 0.0);
+    let elapsed_ms = fields.f64()?;
+    let outcome = outcome(fields)?;
+    let _use_percent = fields.u16()?;
+    let load = load_report(fields, load_fields)?;
+    Ok(Event::AttemptEnded(AttemptEnd {
+        id,
+        attempt,
+        endpoint,
+        outcome,
+        request_answered,
+        actual_units,
+        elapsed_ms,
+        load,
+    }))
+}
+
+fn incoming(fields: &mut Fields) -> Result<Event, RecordError> {
+    let id = fields.u64()?;
+    let _first_gateway = fields.f32()?;
+    let gateway_set_size = fields.f32()?;
+    let is_retry = fields.u8()? & RETRY_BIT != 0;
+    let units = fields.f32()?;
+    let customer = fields.u64()?;
+    let class = u32::from(fields.u8()?);
+    let timeout_ms = fields.f64()?;
+    let plan = u32::from(fields.u16()?);
+    Ok(Event::Request(Request { id, customer, plan, class, units, timeout_ms, gateway_set_size, is_retry }))
+}
+
+fn outcome(fields: &mut Fields) -> Result<Outcome, RecordError> {
+    match fields.u8()? {
+        outcome_code::OK => Ok(Outcome::Success),
+        outcome_code::ERROR => Ok(Outcome::ErrorResponse),
+        outcome_code::FULL => Ok(Outcome::Rejected),
+        outcome_code::RESET => Ok(Outcome::ConnectionReset),
+        outcome_code::TIMEOUT => Ok(Outcome::Timeout),
+        outcome_code::CONNECT_FAILED => Ok(Outcome::ConnectFailed),
+        outcome_code::MOOT => Ok(Outcome::NotSent),
+        outcome_code::CANCELLED => Ok(Outcome::Cancelled),
+        outcome => Err(RecordError::UnknownOutcome { record: fields.position(), outcome }),
+    }
+}
+
+fn load_report(fields: &mut Fields, load_fields: &[LoadField]) -> Result<LoadReport, RecordError> {
+    let mut load = LoadReport::default();
+    let count = usize::from(fields.u8()?).min(MAX_LOAD_VALUES);
+    for load_field in load_fields.iter().take(count) {
+        let value = Some(fields.f32()?).filter(|value| value.is_finite());
+        match load_field {
+            LoadField::InFlight => load.in_flight = value,
+            LoadField::Queued => load.queued = value,
+            LoadField::Utilization => load.utilization = value,
+            LoadField::ServiceMs => load.service_ms = value,
+            LoadField::ServedPerSecond => load.served_per_s = value,
+            LoadField::ErrorsPerSecond => load.errors_per_s = value,
+            LoadField::Unknown => {}
+        }
+    }
+    Ok(load)
+}
--- a/src/bin/simulator-adapter/frame.rs
+++ b/src/bin/simulator-adapter/frame.rs
@@ -1,139 +1,178 @@
-//! Frames of the wire: little-endian bytes in, little-endian bytes out.
+//! The bytes of the wire: frames with records of fixed length and a tail, little-endian, without padding.
 
 use std::io::{self, Read};
-
-/// Bytes of one event record.
-pub const EVENT_BYTES: usize = 56;
-/// Bytes of one action record.
-pub const ACTION_BYTES: usize = 32;
-/// Bytes of one entry of a backend list.
-pub const ENTRY_BYTES: usize = 21;
-/// The longest frame taken in; batches run to several megabytes.
-const MOST_BYTES: u32 = 256 << 20;
-/// Bytes of a batch header after its length.
+use thiserror::Error;
+
+/// Length of an event record.
+const EVENT_BYTES: usize = 56;
+/// Length of an action record.
+const ACTION_BYTES: usize = 32;
+/// The longest frame that is read; batches may have several megabytes.
+const MAX_FRAME_BYTES: u32 = 256 << 20;
+/// Length of the field that gives a frame's length.
+const LENGTH_BYTES: usize = 4;
+/// Length of the rest of a batch's header.
 const HEADER_BYTES: usize = 16;
 
-/// A run of bytes with the place it was found at, read field by field.
-#[derive(Clone, Copy)]
-pub struct Fields<'a> {
-    bytes: &'a [u8],
-    /// Where the bytes start in the frame, for messages.
-    place: usize,
+/// A frame that cannot be read.
+#[derive(Debug, Error)]
+pub enum FrameError {
+    #[error("input cannot be read: {0}")]
+    Read(#[source] io::Error),
+    #[error("input ends {found} bytes into a frame's length")]
+    LengthEnds { found: usize },
+    #[error("frame of {length} bytes is over the limit of {MAX_FRAME_BYTES}")]
+    TooLong { length: u32 },
+    #[error("input ends {found} bytes into a frame of {length}")]
+    FrameEnds { found: usize, length: u32 },
+    #[error("frame of {length} bytes is shorter than its header of {HEADER_BYTES}")]
+    NoHeader { length: u32 },
+    #[error("batch {batch}: the clock at byte 8 is not a finite number")]
+    BadClock { batch: u32 },
+    #[error("batch {batch}: {records} records do not fit; there is room for {room}")]
+    RecordsDoNotFit { batch: u32, records: usize, room: usize },
 }
 
-impl<'a> Fields<'a> {
-    /// Names the bytes found at `place`.
-    pub fn new(bytes: &'a [u8], place: usize) -> Self {
-        Fields { bytes, place }
-    }
-
-    /// Where the bytes start in the frame.
-    pub fn place(&self) -> usize {
-        self.place
-    }
-
-    fn take<const N: usize>(&self, at: usize) -> Result<[u8; N], String> {
-        let found = self.bytes.get(at..at + N).and_then(|b| b.try_into().ok());
-        found.ok_or_else(|| format!("record at byte {} ends before its field at {at}", self.place))
-    }
-
-    pub fn u8(&self, at: usize) -> Result<u8, String> {
-        Ok(self.take::<1>(at)?[0])
-    }
-
-    pub fn u16(&self, at: usize) -> Result<u16, String> {
-        self.take(at).map(u16::from_le_bytes)
-    }
-
-    pub fn u32(&self, at: usize) -> Result<u32, String> {
-        self.take(at).map(u32::from_le_bytes)
-    }
-
-    pub fn u64(&self, at: usize) -> Result<u64, String> {
-        self.take(at).map(u64::from_le_bytes)
-    }
-
-    pub fn f32(&self, at: usize) -> Result<f64, String> {
-        self.take(at).map(|b| f64::from(f32::from_le_bytes(b)))
-    }
-
-    pub fn f64(&self, at: usize) -> Result<f64, String> {
-        self.take(at).map(f64::from_le_bytes)
-    }
+/// A field that cannot be read.
+#[derive(Debug, Error)]
+pub enum FieldError {
+    #[error("record at byte {record} ends before its field at {at}")]
+    RecordEnds { record: usize, at: usize },
+    #[error("record at byte {record}: {count} items from {offset} lie outside the tail of {length} bytes")]
+    OutsideTail { record: usize, offset: usize, count: usize, length: usize },
 }
 
-/// One batch of events.
+/// A batch of event records.
 pub struct Batch {
+    /// The frame without its length.
     bytes: Vec<u8>,
     records: usize,
     /// The clock, in ms.
-    pub clock: f64,
-    /// The batch's number.
+    pub now: f64,
     pub number: u32,
 }
 
 impl Batch {
-    /// Reads the next batch; none at a clean end of input.
-    pub fn read(input: &mut impl Read) -> Result<Option<Batch>, String> {
-        let mut length = Vec::with_capacity(4);
-        read_up_to(input, 4, &mut length)?;
-        if length.is_empty() {
-            return Ok(None);
-        }
-        let length: [u8; 4] = length
-            .try_into()
-            .map_err(|short: Vec<u8>| format!("input ends {} bytes into a frame's length", short.len()))?;
-        let length = u32::from_le_bytes(length);
-        if length > MOST_BYTES {
-            return Err(format!("frame of {length} bytes is over the limit of {MOST_BYTES}"));
+    /// Reads the next batch; none at a clean end of the input.
+    pub fn read(input: &mut impl Read) -> Result<Option<Batch>, FrameError> {
+        let Some(length) = read_length(input)? else { return Ok(None) };
+        if length > MAX_FRAME_BYTES {
+            return Err(FrameError::TooLong { length });
         }
-        let mut bytes = Vec::new();
-        read_up_to(input, u64::from(length), &mut bytes)?;
+        let bytes = read_up_to(input, u64::from(length))?;
         if bytes.len() < length as usize {
-            return Err(format!("input ends {} bytes into a frame of {length}", bytes.len()));
+            return Err(FrameError::FrameEnds { found: bytes.len(), length });
         }
-        let header = Fields::new(&bytes, 0);
-        let (Ok(records), Ok(clock), Ok(number)) = (header.u32(0), header.f64(4), header.u32(12)) else {
-            return Err(format!("frame of {length} bytes is shorter than its header of {HEADER_BYTES}"));
-        };
-        if !clock.is_finite() {
-            return Err(format!("batch {number}: the clock at byte 8 is not a finite number"));
+        Batch::new(bytes, length).map(Some)
+    }
+
+    fn new(bytes: Vec<u8>, length: u32) -> Result<Batch, FrameError> {
+        let mut header = Fields::new(&bytes, &[], LENGTH_BYTES);
+        let no_header = |_| FrameError::NoHeader { length };
+        let records = header.u32().map_err(no_header)? as usize;
+        let now = header.f64().map_err(no_header)?;
+        let number = header.u32().map_err(no_header)?;
+        if !now.is_finite() {
+            return Err(FrameError::BadClock { batch: number });
         }
-        let records = records as usize;
         let room = (bytes.len() - HEADER_BYTES) / EVENT_BYTES;
         if records > room {
-            return Err(format!("batch {number}: {records} records do not fit; there is room for {room}"));
+            return Err(FrameError::RecordsDoNotFit { batch: number, records, room });
         }
-        Ok(Some(Batch { bytes, records, clock, number }))
+        Ok(Batch { bytes, records, now, number })
     }
 
     /// The event records, in order.
     pub fn events(&self) -> impl Iterator<Item = Fields<'_>> {
-        let end = HEADER_BYTES + self.records * EVENT_BYTES;
-        self.bytes[HEADER_BYTES..end]
-            .chunks_exact(EVENT_BYTES)
-            .enumerate()
-            .map(|(i, bytes)| Fields::new(bytes, 4 + HEADER_BYTES + i * EVENT_BYTES))
-    }
-
-    /// The bytes of the tail that the record's field names, `count` items of `size` bytes.
-    pub fn tail(&self, record: &Fields, at: usize, size: usize) -> Result<&[u8], String> {
-        let (offset, count) = (record.u32(at)? as usize, record.u32(at + 4)? as usize);
-        let tail = &self.bytes[HEADER_BYTES + self.records * EVENT_BYTES..];
-        let found = count.checked_mul(size).and_then(|n| tail.get(offset..offset.checked_add(n)?));
-        found.ok_or_else(|| {
-            format!(
-                "record at byte {}: {count} items from {offset} lie outside the tail of {} bytes",
-                record.place(),
-                tail.len()
-            )
+        let (records, tail) = self.bytes[HEADER_BYTES..].split_at(self.records * EVENT_BYTES);
+        records.chunks_exact(EVENT_BYTES).enumerate().map(move |(index, record)| {
+            Fields::new(record, tail, LENGTH_BYTES + HEADER_BYTES + index * EVENT_BYTES)
         })
     }
 }
 
-fn read_up_to(input: &mut impl Read, most: u64, into: &mut Vec<u8>) -> Result<(), String> {
-    let read: io::Result<usize> = input.take(most).read_to_end(into);
-    read.map(|_| ()).map_err(|e| format!("input cannot be read: {e}"))
+/// The length of the next frame; none at a clean end of the input.
+fn read_length(input: &mut impl Read) -> Result<Option<u32>, FrameError> {
+    let bytes = read_up_to(input, LENGTH_BYTES as u64)?;
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    match <[u8; LENGTH_BYTES]>::try_from(bytes) {
+        Ok(length) => Ok(Some(u32::from_le_bytes(length))),
+        Err(short) => Err(FrameError::LengthEnds { found: short.len() }),
+    }
+}
+
+fn read_up_to(input: &mut impl Read, max: u64) -> Result<Vec<u8>, FrameError> {
+    let mut bytes = Vec::new();
+    input.take(max).read_to_end(&mut bytes).map_err(FrameError::Read)?;
+    Ok(bytes)
+}
+
+/// Reads the fields of a record one after the other.
+pub struct Fields<'a> {
+    record: &'a [u8],
+    tail: &'a [u8],
+    /// Where the record starts in the frame, for messages.
+    position: usize,
+    /// Where the next field starts in the record.
+    next: usize,
+}
+
+impl<'a> Fields<'a> {
+    /// The record found at `position` of a frame with this tail.
+    pub fn new(record: &'a [u8], tail: &'a [u8], position: usize) -> Self {
+        Fields { record, tail, position, next: 0 }
+    }
+
+    /// Where the record starts in the frame.
+    pub fn position(&self) -> usize {
+        self.position
+    }
+
+    pub fn u8(&mut self) -> Result<u8, FieldError> {
+        Ok(self.take::<1>()?[0])
+    }
+
+    pub fn u16(&mut self) -> Result<u16, FieldError> {
+        self.take().map(u16::from_le_bytes)
+    }
+
+    pub fn u32(&mut self) -> Result<u32, FieldError> {
+        self.take().map(u32::from_le_bytes)
+    }
+
+    pub fn u64(&mut self) -> Result<u64, FieldError> {
+        self.take().map(u64::from_le_bytes)
+    }
+
+    pub fn f32(&mut self) -> Result<f64, FieldError> {
+        self.take().map(|bytes| f64::from(f32::from_le_bytes(bytes)))
+    }
+
+    pub fn f64(&mut self) -> Result<f64, FieldError> {
+        self.take().map(f64::from_le_bytes)
+    }
+
+    /// The items of this length in the tail that the next field refers to.
+    pub fn tail(&mut self, item_bytes: usize) -> Result<&'a [u8], FieldError> {
+        let offset = self.u32()? as usize;
+        let count = self.u32()? as usize;
+        let end = count.checked_mul(item_bytes).and_then(|length| offset.checked_add(length));
+        end.and_then(|end| self.tail.get(offset..end)).ok_or(FieldError::OutsideTail {
+            record: self.position,
+            offset,
+            count,
+            length: self.tail.len(),
+        })
+    }
+
+    fn take<const N: usize>(&mut self) -> Result<[u8; N], FieldError> {
+        let at = self.next;
+        self.next += N;
+        let bytes = self.record.get(at..at + N).and_then(|bytes| bytes.try_into().ok());
+        bytes.ok_or(FieldError::RecordEnds { record: self.position, at })
+    }
 }
 
 /// A reply under construction.
@@ -144,45 +183,66 @@
 }
 
 impl Reply {
-    /// Begins an action record.
-    pub fn record(&mut self, code: u8, instance: u32) -> Writer<'_> {
-        let start = self.records.len();
-        self.records.resize(start + ACTION_BYTES, 0);
-        let mut writer = Writer { reply: self, start };
-        writer.put(0, &[code]).put(1, &instance.to_le_bytes());
-        writer
-    }
-
-    /// The whole frame, in answer to the batch of that number.
-    pub fn frame(&self, number: u32) -> Vec<u8> {
-        let length = 8 + self.records.len() + self.tail.len();
-        let mut frame = Vec::with_capacity(4 + length);
+    /// Starts an action record; what its fields leave free is zero.
+    pub fn record(&mut self, code: u8, instance: u32) -> RecordWriter<'_> {
+        let next = self.records.len();
+        self.records.resize(next + ACTION_BYTES, 0);
+        RecordWriter { reply: self, next }.u8(code).u32(instance)
+    }
+
+    /// The complete frame, in answer to the batch of this number.
+    pub fn frame(&self, batch: u32) -> Vec<u8> {
+        let records = (self.records.len() / ACTION_BYTES) as u32;
+        let length = size_of_val(&records) + size_of_val(&batch) + self.records.len() + self.tail.len();
+        let mut frame = Vec::with_capacity(LENGTH_BYTES + length);
         frame.extend((length as u32).to_le_bytes());
-        frame.extend(((self.records.len() / ACTION_BYTES) as u32).to_le_bytes());
-        frame.extend(number.to_le_bytes());
+        frame.extend(records.to_le_bytes());
+        frame.extend(batch.to_le_bytes());
         frame.extend(&self.records);
         frame.extend(&self.tail);
         frame
     }
 }
 
-/// Fills the fields of one action record.
-pub struct Writer<'a> {
+/// Writes the fields of an action record one after the other.
+pub struct RecordWriter<'a> {
     reply: &'a mut Reply,
-    start: usize,
+    /// Where the next field starts in the reply's records.
+    next: usize,
 }
 
-impl Writer<'_> {
-    /// Writes bytes at a place in the record.
-    pub fn put(&mut self, at: usize, bytes: &[u8]) -> &mut Self {
-        self.reply.records[self.start + at..self.start + at + bytes.len()].copy_from_slice(bytes);
-        self
+impl RecordWriter<'_> {
+    pub fn u8(self, value: u8) -> Self {
+        self.put(&[value])
+    }
+
+    pub fn u32(self, value: u32) -> Self {
+        self.put(&value.to_le_bytes())
+    }
+
+    pub fn u64(self, value: u64) -> Self {
+        self.put(&value.to_le_bytes())
+    }
+
+    pub fn f32(self, value: f32) -> Self {
+        self.put(&value.to_le_bytes())
+    }
+
+    pub fn f64(self, value: f64) -> Self {
+        self.put(&value.to_le_bytes())
     }
 
-    /// Writes bytes to the tail and their place at `at`.
-    pub fn put_tail(&mut self, at: usize, bytes: &[u8]) -> &mut Self {
-        let (offset, length) = (self.reply.tail.len() as u32, bytes.len() as u32);
+    /// Adds the bytes to the tail and writes the field that refers to them.
+    pub fn tail(self, bytes: &[u8]) -> Self {
+        let offset = self.reply.tail.len() as u32;
         self.reply.tail.extend(bytes);
-        self.put(at, &offset.to_le_bytes()).put(at + 4, &length.to_le_bytes())
+        self.u32(offset).u32(bytes.len() as u32)
+    }
+
+    fn put(mut self, bytes: &[u8]) -> Self {
+        let end = self.next + bytes.len();
+        self.reply.records[self.next..end].copy_from_slice(bytes);
+        self.next = end;
+        self
     }
 }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -3,6 +3,22 @@
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
+/// Codes of event records, by the wire's names.
+const PROVISION: u8 = 5;
+const FLEET: u8 = 8;
+const DEFINE_LIST: u8 = 11;
+const INCOMING: u8 = 12;
+/// Code of the action record that sends an attempt.
+const ISSUE: u8 = 65;
+/// Length of an event record.
+const EVENT_BYTES: usize = 56;
+/// Length of an action record.
+const ACTION_BYTES: usize = 32;
+/// Length of a reply without actions.
+const EMPTY_REPLY_BYTES: usize = 12;
+/// A gateway instance.
+const INSTANCE: u32 = 3;
+
 fn run(input: &[u8]) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
@@ -21,7 +37,7 @@
     body.extend(7u32.to_le_bytes());
     for record in records {
         let mut record = record.clone();
-        record.resize(56, 0);
+        record.resize(EVENT_BYTES, 0);
         body.extend(record);
     }
     body.extend(tail);
@@ -30,19 +46,18 @@
     frame
 }
 
-fn fields(parts: &[&[u8]]) -> Vec<u8> {
-    parts.concat()
-}
-
-fn provision(setup: &str) -> Vec<u8> {
-    let length = setup.len() as u32;
-    let record =
-        fields(&[&[5], &3u32.to_le_bytes(), &9u64.to_le_bytes(), &0u32.to_le_bytes(), &length.to_le_bytes()]);
-    batch(&[record], setup.as_bytes())
+/// A batch that starts the instance with these settings.
+fn provision(settings: &str) -> Vec<u8> {
+    let mut record = vec![PROVISION];
+    record.extend(INSTANCE.to_le_bytes());
+    record.extend(9u64.to_le_bytes()); // the seed
+    record.extend(0u32.to_le_bytes()); // start of the settings in the tail
+    record.extend((settings.len() as u32).to_le_bytes());
+    batch(&[record], settings.as_bytes())
 }
 
 /// One plain line on standard error that has these words, no panic trace, a code that is not zero.
-fn complains(input: &[u8], words: &str) {
+fn assert_fails_with(input: &[u8], words: &str) {
     let output = run(input);
     let error = String::from_utf8(output.stderr).expect("text");
     assert!(!output.status.success(), "{error}");
@@ -50,7 +65,7 @@
     assert!(error.contains(words) && !error.contains("panicked"), "{error}");
 }
 
-const SETUP: &str = "balancers=2\nposition=0\nlocality=0\nzones=a,b\ngranularity-ms=2\ncategories.count=1\n\
+const SETTINGS: &str = "balancers=2\nposition=0\nlocality=0\nzones=a,b\ngranularity-ms=2\ncategories.count=1\n\
     categories.0.aim-ms=500\ncategories.0.give-up-ms=2000\ncategories.0.effect=read_like\ncategories.0.value=1\n\
     categories.0.late-worth=0\ncategories.0.stream=false\ntiers-of-service.count=1\ntiers-of-service.0.refill=2\n\
     tiers-of-service.0.store-size=8\ntiers-of-service.0.max-out=0\ntiers-of-service.0.pays=1\n\
@@ -64,7 +79,7 @@
     rules.ask-within-ms=10000\nreport.how=off\nmembership-mode=push\nsome.unknown-key=whatever\n";
 
 #[test]
-fn a_clean_end_of_input_is_no_fault() {
+fn a_clean_end_of_input_is_a_success() {
     assert!(run(&[]).status.success());
 }
 
@@ -75,39 +90,85 @@
     assert_eq!(output.stdout, [8u32, 0, 7].map(u32::to_le_bytes).concat());
 }
 
+/// Defines list 0 with one entry, which is in the tail.
+fn define_list() -> Vec<u8> {
+    let mut record = vec![DEFINE_LIST];
+    record.extend(0u32.to_le_bytes()); // number of the list
+    record.extend(0u32.to_le_bytes()); // start of the entries in the tail
+    record.extend(1u32.to_le_bytes()); // number of entries
+    record
+}
+
+/// A ready endpoint of zone 0.
+fn list_entry(endpoint: u32) -> Vec<u8> {
+    let mut entry = endpoint.to_le_bytes().to_vec();
+    entry.extend([0, 0, 0, 0, 1]); // zone, kind, cell, state
+    entry.extend(1f32.to_le_bytes()); // weight
+    entry.extend(0f64.to_le_bytes()); // start
+    entry
+}
+
+/// Gives list 0 to the instance.
+fn fleet() -> Vec<u8> {
+    let mut record = vec![FLEET];
+    record.extend(INSTANCE.to_le_bytes());
+    record.push(2); // a cached list
+    record.extend(1u64.to_le_bytes()); // version
+    record.extend(0u32.to_le_bytes()); // number of the list
+    record
+}
+
+fn incoming(request: u64) -> Vec<u8> {
+    let mut record = vec![INCOMING];
+    record.extend(INSTANCE.to_le_bytes());
+    record.extend(request.to_le_bytes());
+    record.extend(0f32.to_le_bytes()); // first gateway of the customer
+    record.extend(2f32.to_le_bytes()); // number of its gateways
+    record.push(0); // attributes
+    record.extend(1f32.to_le_bytes()); // units
+    record.extend(8u64.to_le_bytes()); // customer
+    record.push(0); // class
+    record.extend(1000f64.to_le_bytes()); // time-out
+    record.extend(0u16.to_le_bytes()); // plan
+    record
+}
+
 #[test]
-fn a_request_is_sent_to_a_listed_backend() {
-    let entry = fields(&[&77u32.to_le_bytes(), &[0, 0, 0, 0, 1], &1f32.to_le_bytes(), &0f64.to_le_bytes()]);
-    let list = fields(&[&[11], &0u32.to_le_bytes(), &0u32.to_le_bytes(), &1u32.to_le_bytes()]);
-    let fleet = fields(&[&[8], &3u32.to_le_bytes(), &[2], &1u64.to_le_bytes(), &0u32.to_le_bytes()]);
-    let mut incoming = fields(&[&[12], &3u32.to_le_bytes(), &42u64.to_le_bytes(), &0f32.to_le_bytes()]);
-    incoming.extend(fields(&[&2f32.to_le_bytes(), &[0], &1f32.to_le_bytes(), &8u64.to_le_bytes(), &[0]]));
-    incoming.extend(fields(&[&1000f64.to_le_bytes(), &0u16.to_le_bytes()]));
-    let output = run(&[provision(SETUP), batch(&[list, fleet, incoming], &entry)].concat());
+fn a_request_is_sent_to_a_listed_endpoint() {
+    let events = batch(&[define_list(), fleet(), incoming(42)], &list_entry(77));
+    let output = run(&[provision(SETTINGS), events].concat());
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
-    let second = &output.stdout[12..];
-    let issue = second[12..].chunks_exact(32).find(|record| record[0] == 65).expect("an ISSUE");
-    assert_eq!(issue[1..13], fields(&[&3u32.to_le_bytes(), &42u64.to_le_bytes()]));
+    let second_reply = &output.stdout[EMPTY_REPLY_BYTES..];
+    let mut actions = second_reply[EMPTY_REPLY_BYTES..].chunks_exact(ACTION_BYTES);
+    let issue = actions.find(|record| record[0] == ISSUE).expect("an ISSUE");
+    assert_eq!(issue[1..5], INSTANCE.to_le_bytes());
+    assert_eq!(issue[5..13], 42u64.to_le_bytes());
     assert_eq!(issue[21..25], 77u32.to_le_bytes());
 }
 
 #[test]
 fn bad_frames_get_one_plain_line() {
-    complains(&[1, 2], "2 bytes into a frame's length");
-    complains(&u32::MAX.to_le_bytes(), "over the limit");
-    complains(&batch(&[], &[])[..9], "5 bytes into a frame of 16");
-    complains(&[4, 0, 0, 0, 0, 0, 0, 0], "shorter than its header");
-    let mut many = batch(&[], &[]);
-    many[4] = 9;
-    complains(&many, "9 records do not fit");
-    complains(&batch(&[vec![200, 0, 0, 0, 0]], &[]), "unknown instance");
-    let outside = fields(&[&[5], &[0; 12], &5u32.to_le_bytes(), &9u32.to_le_bytes()]);
-    complains(&batch(&[outside], &[]), "outside the tail");
+    assert_fails_with(&[1, 2], "2 bytes into a frame's length");
+    assert_fails_with(&u32::MAX.to_le_bytes(), "over the limit");
+    assert_fails_with(&batch(&[], &[])[..9], "5 bytes into a frame of 16");
+    assert_fails_with(&[4, 0, 0, 0, 0, 0, 0, 0], "shorter than its header");
+    let mut too_many_records = batch(&[], &[]);
+    too_many_records[4] = 9;
+    assert_fails_with(&too_many_records, "9 records do not fit");
+    assert_fails_with(&batch(&[vec![200, 0, 0, 0, 0]], &[]), "unknown instance");
+    let mut outside_tail = vec![PROVISION];
+    outside_tail.extend([0; 12]); // instance and seed
+    outside_tail.extend(5u32.to_le_bytes());
+    outside_tail.extend(9u32.to_le_bytes());
+    assert_fails_with(&batch(&[outside_tail], &[]), "outside the tail");
 }
 
 #[test]
 fn bad_settings_are_reported_by_name() {
-    complains(&provision(&SETUP.replace("balancers=2\n", "")), "setting balancers is missing");
-    complains(&provision(&SETUP.replace("refill=2", "refill=many")), "setting tiers-of-service.0.refill");
-    complains(&provision(&SETUP.replace("read_like", "maybe")), "setting categories.0.effect");
+    assert_fails_with(&provision(&SETTINGS.replace("balancers=2\n", "")), "setting balancers is missing");
+    assert_fails_with(
+        &provision(&SETTINGS.replace("refill=2", "refill=many")),
+        "setting tiers-of-service.0.refill",
+    );
+    assert_fails_with(&provision(&SETTINGS.replace("read_like", "maybe")), "setting categories.0.effect");
 }
