--- a/src/policy/load_balancer.rs
+++ b/src/policy/load_balancer.rs
@@ -1,5 +1,4 @@
-//! The choice of endpoint for an attempt: the one with the least expected latency. With many endpoints, two
-//! random members of the subset are compared ("power of two choices").
+//! The choice of endpoint for an attempt: least expected latency, among two random ones if there are many.
 
 use crate::api::*;
 use crate::policy::{connections, endpoints, latency, outlier, slow_start, subset};
@@ -56,9 +55,11 @@
         self.baselines[class].value()
     }
 
-    /// The endpoints that this gateway uses first, sorted by number; all ready ones where there are few.
+    /// Brings the subset up to date: the endpoints used first, by number; all ready ones where there are few.
     pub(crate) fn subset(&mut self) -> &[EndpointId] {
-        self.warming_members.is_stale |= self.subset.update();
+        if self.subset.update() {
+            self.warming_members.is_stale = true;
+        }
         self.subset.members()
     }
 
--- a/src/primitives/decay.rs
+++ b/src/primitives/decay.rs
@@ -60,3 +60,6 @@
         self.updated_at
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/primitives/decay/tests.rs
@@ -0,0 +1,29 @@
+use super::*;
+
+#[test]
+fn a_rate_of_regular_events_is_found() {
+    let mut rate = DecayingRate::new(1000.0, 0.0);
+    for event in 0..10_000 {
+        rate.record_event(f64::from(event) * 10.0);
+    }
+    assert!((rate.per_second() - 100.0).abs() < 1.0, "{}", rate.per_second());
+}
+
+#[test]
+fn a_ratio_moves_to_its_samples_and_back_to_one() {
+    let mut ratio = DecayingRatio::new(0.0);
+    assert_eq!(ratio.current(0.0, 1000.0), 1.0);
+    ratio.record(0.0, 1.0, 3.0, 0.5);
+    assert_eq!(ratio.current(0.0, 1000.0), 2.0);
+    assert!((ratio.current(1000.0, 1000.0) - (1.0 + (-1.0f64).exp())).abs() < 1e-9);
+    assert!(ratio.current(1e6, 1000.0) < 1.001);
+}
+
+#[test]
+fn a_reset_ratio_keeps_the_time_of_its_last_sample() {
+    let mut ratio = DecayingRatio::new(0.0);
+    ratio.record(5.0, 1.0, 3.0, 0.5);
+    ratio.reset();
+    assert_eq!(ratio.current(5.0, 1000.0), 1.0);
+    assert_eq!(ratio.updated_at(), 5.0);
+}
--- a/src/primitives/ejection.rs
+++ b/src/primitives/ejection.rs
@@ -48,3 +48,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/ramp.rs
+++ b/src/primitives/ramp.rs
@@ -61,3 +61,6 @@
         self.refilled_at = now;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/ring.rs
+++ b/src/primitives/ring.rs
@@ -159,3 +159,6 @@
     }
     larger
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/running_mean.rs
+++ b/src/primitives/running_mean.rs
@@ -22,3 +22,6 @@
         self.value += (sample - self.value) * min_weight.max(1.0 / self.samples);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/candidate.rs
+++ b/src/state/candidate.rs
@@ -65,3 +65,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/connections.rs
+++ b/src/state/connections.rs
@@ -48,3 +48,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
