--- a/src/bin/simulator-adapter/frame.rs
+++ b/src/bin/simulator-adapter/frame.rs
@@ -68,13 +68,13 @@
 
     fn new(bytes: Vec<u8>, length: u32) -> Result<Batch, FrameError> {
         let mut header = Fields::new(&bytes, &[], LENGTH_BYTES);
-        let (Ok(records), Ok(now), Ok(number)) = (header.u32(), header.f64(), header.u32()) else {
-            return Err(FrameError::NoHeader { length });
-        };
+        let no_header = |_| FrameError::NoHeader { length };
+        let records = header.u32().map_err(no_header)? as usize;
+        let now = header.f64().map_err(no_header)?;
+        let number = header.u32().map_err(no_header)?;
         if !now.is_finite() {
             return Err(FrameError::BadClock { batch: number });
         }
-        let records = records as usize;
         let room = (bytes.len() - HEADER_BYTES) / EVENT_BYTES;
         if records > room {
             return Err(FrameError::RecordsDoNotFit { batch: number, records, room });
--- a/src/policy/candidate.rs
+++ b/src/policy/candidate.rs
@@ -61,3 +61,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/decay.rs
+++ b/src/primitives/decay.rs
@@ -36,3 +36,6 @@
         self.updated_at
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/primitives/mean/tests.rs
+++ b/src/primitives/mean/tests.rs
@@ -37,3 +37,32 @@
     average.update(0.0, 8.0);
     assert_eq!(average.value(), 0.0);
 }
+
+#[test]
+fn the_first_samples_have_equal_weights() {
+    let mut mean = RunningMean::new(100.0);
+    assert_eq!(mean.value(), 100.0);
+    for sample in [1.0, 2.0, 6.0] {
+        mean.record(sample, 0.01);
+    }
+    assert!((mean.value() - 3.0).abs() < 1e-9, "{}", mean.value());
+}
+
+#[test]
+fn later_samples_have_the_least_weight_given() {
+    let mut mean = RunningMean::new(0.0);
+    for _ in 0..100 {
+        mean.record(10.0, 0.1);
+    }
+    mean.record(20.0, 0.1);
+    assert!((mean.value() - 11.0).abs() < 1e-9, "{}", mean.value());
+}
+
+#[test]
+fn a_rate_of_regular_events_is_found() {
+    let mut rate = EventRate::new(0.0, 1000.0);
+    for event in 0..10_000 {
+        rate.record(f64::from(event) * 10.0, 1.0);
+    }
+    assert!((rate.per_second() - 100.0).abs() < 1.0, "{}", rate.per_second());
+}
