--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -125,7 +125,7 @@
     pub health_checks: bool,
     /// Gateways may send each other messages.
     pub gossip: bool,
-    /// Rejected clients may be told when to try again.
+    /// Rejected clients may be advised when to retry.
     pub retry_after: bool,
     /// Longest such advice that clients follow.
     pub max_retry_after_ms: Millis,
@@ -137,7 +137,7 @@
     pub max_connections: u32,
 }
 
-/// What the operators charge for, as shares of the value of what was asked.
+/// What the operators charge for, as shares of the value of all requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Prices {
     /// One attempt to another zone for each request.
--- a/src/bin/quota-gateway/config/file.rs
+++ b/src/bin/quota-gateway/config/file.rs
@@ -163,7 +163,7 @@
     pub probing: bool,
     /// Whether gateways may gossip.
     pub peers: bool,
-    /// Whether clients are told when to retry.
+    /// Whether clients are advised when to retry.
     pub retry_after: bool,
     pub max_retry_after_ms: f64,
     pub connect_timeout_ms: f64,
--- a/src/bin/quota-gateway/discovery/policy/tests.rs
+++ b/src/bin/quota-gateway/discovery/policy/tests.rs
@@ -37,8 +37,8 @@
         assert!(pauses.iter().all(|pause| *pause <= longest), "{pauses:?}");
         assert!(pauses[8..].iter().sum::<Duration>() > 12 * longest / 4, "{pauses:?}");
         let _ = policy.pause_after_watch(PROPAGATION_LIMIT, false);
-        let usual = if endpoints_polled { MAX_REOPEN_PAUSE } else { AGENT_RETRY_PAUSE };
-        assert!(policy.pause_after_watch(PROPAGATION_LIMIT, false) <= usual);
+        let longest_pause = if endpoints_polled { MAX_REOPEN_PAUSE } else { AGENT_RETRY_PAUSE };
+        assert!(policy.pause_after_watch(PROPAGATION_LIMIT, false) <= longest_pause);
     }
 }
 
--- a/src/bin/simulator-adapter/events.rs
+++ b/src/bin/simulator-adapter/events.rs
@@ -39,7 +39,7 @@
     pub const RESET: u8 = 104;
     pub const TIMEOUT: u8 = 110;
     pub const CONNECT_FAILED: u8 = 111;
-    pub const MOOT: u8 = 114;
+    pub const NOT_SENT: u8 = 114;
     pub const CANCELLED: u8 = 125;
 }
 
@@ -206,7 +206,7 @@
         outcome_code::RESET => Ok(Outcome::ConnectionReset),
         outcome_code::TIMEOUT => Ok(Outcome::Timeout),
         outcome_code::CONNECT_FAILED => Ok(Outcome::ConnectFailed),
-        outcome_code::MOOT => Ok(Outcome::NotSent),
+        outcome_code::NOT_SENT => Ok(Outcome::NotSent),
         outcome_code::CANCELLED => Ok(Outcome::Cancelled),
         outcome => Err(RecordError::UnknownOutcome { record: fields.position(), outcome }),
     }
--- a/src/bin/simulator-adapter/frame.rs
+++ b/src/bin/simulator-adapter/frame.rs
@@ -29,8 +29,8 @@
     NoHeader { length: u32 },
     #[error("batch {batch}: the clock at byte 8 is not a finite number")]
     BadClock { batch: u32 },
-    #[error("batch {batch}: {records} records do not fit; there is room for {room}")]
-    RecordsDoNotFit { batch: u32, records: usize, room: usize },
+    #[error("batch {batch}: {records} records do not fit; there is room for {capacity}")]
+    RecordsDoNotFit { batch: u32, records: usize, capacity: usize },
 }
 
 /// A field that cannot be read.
@@ -75,9 +75,9 @@
         if !now.is_finite() {
             return Err(FrameError::BadClock { batch: number });
         }
-        let room = (bytes.len() - HEADER_BYTES) / EVENT_BYTES;
-        if records > room {
-            return Err(FrameError::RecordsDoNotFit { batch: number, records, room });
+        let capacity = (bytes.len() - HEADER_BYTES) / EVENT_BYTES;
+        if records > capacity {
+            return Err(FrameError::RecordsDoNotFit { batch: number, records, capacity });
         }
         Ok(Batch { bytes, records, now, number })
     }
--- a/src/policy/outlier.rs
+++ b/src/policy/outlier.rs
@@ -19,6 +19,7 @@
 /// ... and for about this many requests, or a quiet gateway would ask it again each time.
 const MIN_AVOIDANCE_REQUESTS: f64 = 20.0;
 
+/// Tells faulty endpoints from a fleet that fails as a whole.
 #[derive(Default)]
 pub(super) struct OutlierDetector {
     /// Share of all responses that are errors or break off, averaged.
--- a/src/primitives/adaptive_timeout.rs
+++ b/src/primitives/adaptive_timeout.rs
@@ -1,24 +1,24 @@
-//! A time-out that follows the usual reply time of a service, between limits that the caller's own objective
+//! A time-out that follows the typical reply time of a service, between limits that the caller's own objective
 //! sets.
 
 use super::mean::ExponentialMean;
 
 /// How an [`AdaptiveTimeout`] is found.
 pub(crate) struct TimeoutParameters {
-    /// The time-out as a multiple of the usual reply time.
+    /// The time-out as a multiple of the typical reply time.
     pub(crate) multiple: f64,
     /// The shortest time-out, as a share of the objective.
     pub(crate) min_share: f64,
     /// The longest time-out, as a share of the objective.
     pub(crate) max_share: f64,
-    /// Weight of one reply in the usual reply time.
+    /// Weight of one reply in the typical reply time.
     pub(crate) gain: f64,
 }
 
 /// The time-out. Times are in ms.
 pub(crate) struct AdaptiveTimeout {
     parameters: &'static TimeoutParameters,
-    /// The usual reply time; none before the first reply.
+    /// The typical reply time; none before the first reply.
     baseline: Option<ExponentialMean>,
 }
 
--- a/src/state/counter_call.rs
+++ b/src/state/counter_call.rs
@@ -37,7 +37,7 @@
 }
 
 impl CounterReply {
-    /// The total after the call, if the counter told it.
+    /// The total after the call, if the counter returned one.
     pub(crate) fn valid_total(&self) -> Option<f64> {
         (self.outcome == Outcome::Success && self.total.is_finite()).then_some(self.total)
     }
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -8,7 +8,8 @@
 
 #[test]
 fn a_draining_endpoint_gets_no_requests_and_an_invalid_event_changes_nothing() {
-    let ((one, got_one), (two, _)) = (healthy_endpoint(), healthy_endpoint());
+    let (one, got_one) = healthy_endpoint();
+    let (two, _) = healthy_endpoint();
     let discovery = Discovery::new();
     let gateway = Gateway::new(&config(&[one, two], start_counter(Arc::default()), discovery.addr));
     let (line, mut watch) = discovery.next_watch();
@@ -42,7 +43,8 @@
 /// An entry that can't be read must not hide the draining endpoint beside it.
 #[test]
 fn an_invalid_entry_is_skipped_and_the_others_apply() {
-    let ((one, got_one), (two, _)) = (healthy_endpoint(), healthy_endpoint());
+    let (one, got_one) = healthy_endpoint();
+    let (two, _) = healthy_endpoint();
     let discovery = Discovery::new();
     let gateway = Gateway::new(&config(&[one, two], start_counter(Arc::default()), discovery.addr));
     let (_, mut watch) = discovery.next_watch();
@@ -64,7 +66,8 @@
 /// A list may be written on several lines, and arrive byte by byte with empty lines around it.
 #[test]
 fn a_list_written_on_several_lines_applies() {
-    let ((one, got_one), (two, _)) = (healthy_endpoint(), healthy_endpoint());
+    let (one, got_one) = healthy_endpoint();
+    let (two, _) = healthy_endpoint();
     let discovery = Discovery::new();
     let gateway = Gateway::new(&config(&[one, two], start_counter(Arc::default()), discovery.addr));
     let (_, mut watch) = discovery.next_watch();
@@ -178,7 +181,8 @@
 #[test]
 fn clients_that_use_up_the_descriptors_do_not_prevent_a_watch() {
     for mode in ["push", "ask"] {
-        let ((one, got_one), (two, _)) = (healthy_endpoint(), healthy_endpoint());
+        let (one, got_one) = healthy_endpoint();
+        let (two, _) = healthy_endpoint();
         let addr = unused_address();
         let mut config = config(&[one], start_counter(Arc::default()), addr);
         config["limits"]["sockets"] = 64.into();
--- a/tests/gateway/service.rs
+++ b/tests/gateway/service.rs
@@ -78,8 +78,10 @@
 /// discovery's versions are lower and the connection to the old counter stays silent.
 #[test]
 fn sighup_changes_the_addresses_of_discovery_and_counter() {
-    let ((old, _), (new, _)) = (healthy_endpoint(), healthy_endpoint());
-    let (first, second) = (Discovery::new(), Discovery::new());
+    let (old, _) = healthy_endpoint();
+    let (new, _) = healthy_endpoint();
+    let first = Discovery::new();
+    let second = Discovery::new();
     let silent = start_server(|_| Reply::StaySilent(channel().0));
     let mut config = config(&[old], silent, first.addr);
     let gateway = Gateway::new(&config);
