--- a/src/policy/forwarding.rs
+++ b/src/policy/forwarding.rs
@@ -2,9 +2,8 @@
 
 use crate::api::{Action, AttemptEnd, EndpointId, Idempotency, KeyScope, Millis, Outcome, Settings};
 use crate::policy::load_balancer::LoadBalancer;
-use crate::policy::overload::FLEET_LOAD;
 use crate::policy::quota::QuotaLedger;
-use crate::primitives::load_estimate::LoadEstimate;
+use crate::primitives::load_estimate::{LoadEstimate, LoadParameters};
 use crate::primitives::token_bucket::TokenBucket;
 use crate::state::{Attempt, Context, OpenRequest};
 
@@ -18,6 +17,14 @@
 const EARLY_TIMEOUT_TICKS: f64 = 2.0;
 /// Advice to a client whose request found no endpoint or failed, as a share of the latency objective.
 const RETRY_AFTER_SHARE: f64 = 0.5;
+/// How the load of the fleet is estimated.
+const FLEET_LOAD: LoadParameters = LoadParameters {
+    averaging_ms: 1500.0, // some dozens of requests
+    responses_for_half_weight: 20.0,
+    latency_share_gain: 0.1, // about the last ten count, however long ago
+    initial_latency_share: 0.2,
+    latency_share_factor: 1.5,
+};
 
 /// Forwards admitted requests to endpoints and sees each through to its final answer.
 pub(crate) struct Forwarder {
--- a/src/policy/overload.rs
+++ b/src/policy/overload.rs
@@ -2,17 +2,8 @@
 
 use crate::api::Millis;
 use crate::policy::forwarding::Forwarder;
-use crate::primitives::load_estimate::LoadParameters;
 use crate::state::{Context, OpenRequest};
 
-/// How the load is estimated.
-pub(super) const FLEET_LOAD: LoadParameters = LoadParameters {
-    averaging_ms: 1500.0, // some dozens of requests
-    responses_for_half_weight: 20.0,
-    latency_share_gain: 0.1, // about the last ten count, however long ago
-    initial_latency_share: 0.2,
-    latency_share_factor: 1.5,
-};
 /// Attempts in flight per endpoint, over all gateways, that are always admitted: a few that hang must not
 /// make the gateway reject everything, and without responses it would learn nothing.
 const ALWAYS_ADMITTED_PER_ENDPOINT: f64 = 3.0;
