--- /dev/null
+++ b/tests/shim/syscall_faults.c
@@ -0,0 +1,159 @@
+/*
+ * Fault injection for system calls: a library for LD_PRELOAD in tests of the gateway's program.
+ *
+ * GATEWAY_FAULTS holds comma-separated NAME=NUMBER pairs. Rates are calls in a thousand.
+ *
+ *   seed            seed of the random numbers (default 1)
+ *   recv_eintr      recv fails with EINTR
+ *   send_eintr      send and writev fail with EINTR
+ *   unix_eintr      recv on a Unix socket fails with EINTR
+ *   recv_short      recv returns fewer bytes than there are
+ *   send_short      send and writev take fewer bytes than they are given
+ *   accept_abort    accept4 fails with ECONNABORTED and leaves the connection in the queue
+ *   accept_full     accept4 fails with ENFILE and leaves the connection in the queue
+ *   connect_fail    connect fails with EADDRNOTAVAIL or ENETUNREACH
+ *   socket_fail     socket fails with ENOBUFS or ENFILE
+ *   epoll_eintr     epoll_wait fails with EINTR
+ *   wall_clock_s    seconds (not a rate; may be negative) that CLOCK_REALTIME is off
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <time.h>
+
+static uint64_t random_state;
+
+static long setting(const char *name) {
+    const char *text = getenv("GATEWAY_FAULTS");
+    size_t length = strlen(name);
+    while (text != NULL && *text != '\0') {
+        if (strncmp(text, name, length) == 0 && text[length] == '=') {
+            return strtol(text + length + 1, NULL, 10);
+        }
+        text = strchr(text, ',');
+        if (text != NULL) {
+            text++;
+        }
+    }
+    return 0;
+}
+
+static uint64_t next_random(void) {
+    if (random_state == 0) {
+        random_state = (uint64_t)setting("seed") * 0x9E3779B97F4A7C15ull + 0x2545F4914F6CDD1Dull;
+    }
+    random_state ^= random_state << 13;
+    random_state ^= random_state >> 7;
+    random_state ^= random_state << 17;
+    return random_state >> 11;
+}
+
+static int happens(const char *name) {
+    long rate = setting(name);
+    return rate > 0 && (long)(next_random() % 1000) < rate;
+}
+
+static int fail(int error) {
+    errno = error;
+    return -1;
+}
+
+static int family(int fd) {
+    struct sockaddr_storage address;
+    socklen_t length = sizeof(address);
+    if (getsockname(fd, (struct sockaddr *)&address, &length) != 0) {
+        return AF_UNSPEC;
+    }
+    return address.ss_family;
+}
+
+static size_t shortened(size_t length) {
+    return length <= 1 ? length : 1 + next_random() % (length - 1);
+}
+
+#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+
+ssize_t recv(int fd, void *buffer, size_t length, int flags) {
+    int kind = family(fd);
+    if (kind == AF_UNIX && happens("unix_eintr")) {
+        return fail(EINTR);
+    }
+    if (kind == AF_INET) {
+        if (happens("recv_eintr")) {
+            return fail(EINTR);
+        }
+        if (!(flags & MSG_PEEK) && happens("recv_short")) {
+            length = shortened(length < 512 ? length : 512);
+        }
+    }
+    return REAL(recv)(fd, buffer, length, flags);
+}
+
+ssize_t send(int fd, const void *buffer, size_t length, int flags) {
+    if (family(fd) == AF_INET) {
+        if (happens("send_eintr")) {
+            return fail(EINTR);
+        }
+        if (happens("send_short")) {
+            length = shortened(length);
+        }
+    }
+    return REAL(send)(fd, buffer, length, flags);
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count) {
+    if (count > 0 && family(fd) == AF_INET) {
+        if (happens("send_eintr")) {
+            return fail(EINTR);
+        }
+        if (happens("send_short")) {
+            return REAL(send)(fd, parts[0].iov_base, shortened(parts[0].iov_len), MSG_NOSIGNAL);
+        }
+    }
+    return REAL(writev)(fd, parts, count);
+}
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
+    if (happens("accept_abort")) {
+        return fail(ECONNABORTED);
+    }
+    if (happens("accept_full")) {
+        return fail(ENFILE);
+    }
+    return REAL(accept4)(fd, address, length, flags);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    if (happens("connect_fail")) {
+        return fail(next_random() % 2 ? EADDRNOTAVAIL : ENETUNREACH);
+    }
+    return REAL(connect)(fd, address, length);
+}
+
+int socket(int domain, int type, int protocol) {
+    if (domain == AF_INET && happens("socket_fail")) {
+        return fail(next_random() % 2 ? ENOBUFS : ENFILE);
+    }
+    return REAL(socket)(domain, type, protocol);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int count, int timeout) {
+    if (happens("epoll_eintr")) {
+        return fail(EINTR);
+    }
+    return REAL(epoll_wait)(fd, events, count, timeout);
+}
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    int result = REAL(clock_gettime)(clock, now);
+    if (result == 0 && clock == CLOCK_REALTIME) {
+        now->tv_sec += setting("wall_clock_s");
+    }
+    return result;
+}
