Write the log from a thread of its own, so that a failing log ends and holds up nothing

Cause: the subscriber wrote to standard error on the one thread. On ENOSPC its error path printed to the same place and panicked (exit 101 at the first line); on a full pipe the write blocked, and with it all requests and SIGTERM. Change: logging.rs hands lines to tracing-appender's thread, 1,024 may wait and later ones are dropped; the last line of a failed start and panics go the same way; the end waits 150 ms for the last lines at most.

--- /dev/null
+++ b/src/bin/quota-gateway/logging.rs
@@ -0,0 +1,62 @@
+//! The log on standard error. A thread of its own writes it, so that a log that fails or that nobody reads never
+//! holds up or ends the gateway.
+
+use std::any::Any;
+use std::io::{stderr, Write};
+use std::panic::{self, PanicHookInfo};
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
+
+/// Lines that may wait to be written, some 100 KB. Later ones are dropped and counted.
+const MAX_WAITING_LINES: usize = 1024;
+/// At its end the program waits this long for the last lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The running log. It has to be flushed before the program ends.
+pub struct Log {
+    writer: NonBlocking,
+    worker: WorkerGuard,
+}
+
+impl Log {
+    /// Starts the log; from now on all events and panics go to it.
+    pub fn start() -> Self {
+        let builder = NonBlockingBuilder::default().buffered_lines_limit(MAX_WAITING_LINES);
+        let (writer, worker) = builder.thread_name("log").finish(stderr());
+        tracing_subscriber::fmt().with_writer(writer.clone()).with_ansi(false).without_time().init();
+        panic::set_hook(Box::new(log_panic));
+        Log { writer, worker }
+    }
+
+    /// Writes one line as it is.
+    pub fn write_line(&mut self, line: &str) {
+        // The writer never fails: a line that it can't take is dropped.
+        let _ = self.writer.write_all(format!("{line}\n").as_bytes());
+    }
+
+    /// Waits until the last lines are written, but not for long.
+    pub fn flush(self) {
+        let (done, flushed) = channel();
+        let worker = self.worker;
+        let waiting = thread::Builder::new().spawn(move || {
+            drop(worker);
+            let _ = done.send(());
+        });
+        if waiting.is_ok() {
+            let _ = flushed.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
+}
+
+/// Logs a panic. The standard hook would write to standard error itself, and might wait for its reader.
+fn log_panic(info: &PanicHookInfo<'_>) {
+    let location = info.location().map(ToString::to_string).unwrap_or_default();
+    tracing::error!("panic at {location}: {}", panic_message(info.payload()));
+}
+
+fn panic_message(payload: &(dyn Any + Send)) -> &str {
+    let text = payload.downcast_ref::<&str>().copied();
+    text.or_else(|| payload.downcast_ref::<String>().map(String::as_str)).unwrap_or("no message")
+}
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -9,6 +9,7 @@
 mod error;
 mod gossip;
 mod http;
+mod logging;
 mod rate_limited_warning;
 mod reload;
 mod server;
@@ -18,6 +19,7 @@
 
 use config::Config;
 use error::StartupError;
+use logging::Log;
 use std::process::ExitCode;
 use tokio::runtime;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -27,13 +29,15 @@
 const STARTUP_FAILED: u8 = 2;
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).without_time().init();
-    match run() {
+    let mut log = Log::start();
+    let result = run();
+    if let Err(error) = &result {
+        log.write_line(&format!("quota-gateway: {error}"));
+    }
+    log.flush();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("quota-gateway: {error}");
-            ExitCode::from(STARTUP_FAILED)
-        }
+        Err(_) => ExitCode::from(STARTUP_FAILED),
     }
 }
 
