Accept on after errors, also at the end of the listener

Cause: accept.rs returned at the first error once the listener was closing ('Err(_) if *close.borrow() => return'), so that one ECONNABORTED reset all clients in the queue; and stop() aborted the task after 150 ms. Change: an error that concerns one connection is passed over at once, a lack of resources is waited out in steps of 5 ms, until the queue is empty or the time for open requests is over.

--- a/src/bin/quota-gateway/server/accept.rs
+++ b/src/bin/quota-gateway/server/accept.rs
@@ -3,6 +3,8 @@
 use super::client::Client;
 use super::Server;
 use crate::rate_limited_warning::RateLimitedWarning;
+use nix::libc::{EMFILE, ENFILE, ENOBUFS, ENOMEM};
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -10,21 +12,35 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
-/// Pause after an error of the listener, such as a lack of descriptors in the whole system.
-const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+/// Pause after an error that concerns all connections, such as a lack of descriptors in the whole system.
+const ACCEPT_RETRY: Duration = Duration::from_millis(5);
+/// Errors in a row that may each concern one connection only; more are taken for one that concerns all.
+const MAX_ERRORS_WITHOUT_PAUSE: u32 = 64;
 /// A new connection keeps its slot for this long in any case: its request may be on the way.
 const NEW_CLIENT_GRACE: Duration = Duration::from_millis(20);
 /// A client that was evicted has gone by then.
 const EVICTION_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// Leaves time for a lack of resources to pass. Most other errors concern the one connection that they took out of
+/// the queue, and the next one may be accepted at once.
+async fn pause_after_error(error: &io::Error, errors_in_a_row: u32) {
+    let lacks_resources = matches!(error.raw_os_error(), Some(EMFILE | ENFILE | ENOBUFS | ENOMEM));
+    if lacks_resources || errors_in_a_row >= MAX_ERRORS_WITHOUT_PAUSE {
+        sleep(ACCEPT_RETRY).await;
+    } else {
+        yield_now().await;
+    }
+}
+
 impl Server {
     /// Accepts clients until `close` turns true, at most as many as there are slots. With all taken, the client
     /// that has been longest without a request gives up its slot: hundreds of silent ones must not lock out others.
-    /// At the end those that have connected by then are still accepted: their connections are established, and
-    /// closing them unseen would lose their requests.
+    /// At the end those that have connected by then are still accepted, whatever errors come between: their
+    /// connections are established, and closing them unseen would lose their requests.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, close: watch::Receiver<bool>) {
         let warning = RateLimitedWarning::default();
         let mut closing = close.clone();
+        let mut errors_in_a_row = 0;
         for number in 0.. {
             let accepted = tokio::select! {
                 biased;
@@ -33,13 +49,14 @@
             };
             let stream = match accepted {
                 Ok((stream, _)) => stream,
-                Err(_) if *close.borrow() => return,
                 Err(e) => {
+                    errors_in_a_row += 1;
+                    pause_after_error(&e, errors_in_a_row).await;
                     warning.warn("accept", e);
-                    sleep(ACCEPT_RETRY).await;
                     continue;
                 }
             };
+            errors_in_a_row = 0;
             let Some(slot) = self.acquire_slot().await else {
                 let _ = stream.try_write(self.no_slot_response.as_bytes());
                 continue;
--- a/src/bin/quota-gateway/shutdown.rs
+++ b/src/bin/quota-gateway/shutdown.rs
@@ -52,7 +52,7 @@
         // From now on idle connections close, the others after their responses, and nobody listens any more. Other
         // tasks run first to read what has already arrived: the process may have been suspended until now.
         yield_now().await;
-        self.acceptor.stop().await;
+        self.acceptor.stop(started_at + self.open_request_limit).await;
         self.wait_for_open_requests(started_at).await;
         if self.server.busy() {
             self.driver.fail_open_requests();
@@ -97,10 +97,11 @@
         Acceptor { task, close }
     }
 
-    /// Asks the task to end, and aborts it if it takes too long.
-    async fn stop(&mut self) {
+    /// Asks the task to end once it has accepted those that have connected, and aborts it at the deadline: accepting
+    /// may fail for a while.
+    async fn stop(&mut self, deadline: Instant) {
         let _ = self.close.send(true);
-        if timeout(FINAL_WRITE_TIMEOUT, &mut self.task).await.is_err() {
+        if timeout_at(deadline, &mut self.task).await.is_err() {
             self.task.abort();
         }
     }
