--- /dev/null
+++ b/tests/gateway/client_timing.rs
@@ -0,0 +1,98 @@
+//! Requests of clients and the passing of time: sent ahead, begun late, or met by a pause of the program.
+
+use crate::stand_ins::*;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// How long the endpoint of these tests serves the first request of a connection.
+const SERVICE_TIME: Duration = Duration::from_secs(1);
+/// What may be told beyond the time that the client has left, in ms.
+const REMAINING_SLACK_MS: u64 = 150;
+
+/// An endpoint that serves each request for a second, and the remaining times that it was told.
+fn slow_endpoint() -> (std::net::SocketAddr, Arc<Mutex<Vec<u64>>>) {
+    let told = Arc::new(Mutex::new(Vec::new()));
+    let seen = told.clone();
+    let addr = start_server(move |request| {
+        seen.lock().unwrap().push(request.headers["x-remaining-ms"].parse().unwrap());
+        sleep(SERVICE_TIME);
+        Reply::Send(response(200, "", "done"))
+    });
+    (addr, told)
+}
+
+/// The time that a request waited behind another one, sent ahead on its connection, is taken off what is told.
+#[test]
+fn the_remaining_time_of_a_request_sent_ahead_counts_from_its_arrival() {
+    for (name, pieces) in [("in one piece", 1), ("in two pieces", 2)] {
+        let (endpoint, told) = slow_endpoint();
+        let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
+        let mut client = gateway.connect();
+        let requests = [get_request(1, 1, 3000), get_request(2, 1, 1500)];
+        if pieces == 1 {
+            client.get_mut().write_all(requests.concat().as_bytes()).unwrap();
+        } else {
+            for request in &requests {
+                client.get_mut().write_all(request.as_bytes()).unwrap();
+                sleep(Duration::from_millis(100));
+            }
+        }
+        for _ in 0..2 {
+            read_message(&mut client).expect("an answer");
+        }
+        let told = told.lock().unwrap().clone();
+        let waited_ms = SERVICE_TIME.as_millis() as u64 - if pieces == 1 { 0 } else { 100 };
+        let left_ms = 1500 - waited_ms;
+        assert!(
+            told.len() < 2 || told[1] <= left_ms + REMAINING_SLACK_MS,
+            "{name}: {told:?}, {left_ms} left"
+        );
+    }
+}
+
+/// A client that leaves is seen to leave, however much it has sent ahead, and its request is not sent any more.
+#[test]
+fn a_client_that_leaves_behind_megabytes_sent_ahead_ends_its_request() {
+    let stalled = StalledEndpoint::new();
+    let mut config = config_with_silent_discovery(&[stalled.addr]);
+    config["settings"]["limits"]["connect-timeout-ms"] = 20_000.into();
+    config["settings"]["categories"][2]["aim-ms"] = 4000.into();
+    let gateway = Gateway::new(&config);
+    for megabytes in [2, 4] {
+        let mut client = TcpStream::connect(gateway.addr).unwrap();
+        client.write_all(post_request("once", "", "x").as_bytes()).unwrap();
+        stalled.wait_for_pending(1);
+        client.write_all(&vec![b'x'; megabytes << 20]).unwrap();
+        drop(client);
+        let start = Instant::now();
+        stalled.wait_for_pending(0);
+        assert!(start.elapsed() < Duration::from_millis(1500), "{megabytes} MB: {:?}", start.elapsed());
+    }
+}
+
+/// A request that came while the program was paused beyond its idle time-out is served, on a new connection and on
+/// one that has rested.
+#[test]
+fn a_request_that_came_during_a_pause_over_the_idle_timeout_is_served() {
+    let (endpoint, _) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
+    let mut clients: Vec<_> = (0..6).map(|_| gateway.connect()).collect();
+    for (customer, rested) in clients.iter_mut().enumerate().skip(3) {
+        rested.get_mut().write_all(get_request(customer as u64, 1, 3000).as_bytes()).unwrap();
+        assert_eq!(read_message(rested).unwrap().status(), 200);
+    }
+    // The time-out is 2.3 s.
+    sleep(Duration::from_millis(2200));
+    gateway.signal("-STOP");
+    sleep(Duration::from_millis(150));
+    for (customer, client) in clients.iter_mut().enumerate() {
+        client.get_mut().write_all(get_request(10 + customer as u64, 1, 3000).as_bytes()).unwrap();
+    }
+    gateway.signal("-CONT");
+    let statuses: Vec<_> =
+        clients.iter_mut().map(|c| read_message(c).map(|answer| answer.status())).collect();
+    assert_eq!(statuses, [Some(200); 6]);
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod attempts;
+mod client_timing;
 mod clients;
 mod counter;
 mod discovery;
