Count a client's time from what it sent: requests sent ahead, ends behind megabytes, pauses

Causes: handler.rs took the moment at which hyper handed a request over for its arrival, though it may have waited behind another one; disconnect.rs stopped reading past its bounds, and the system reports no end behind more than its buffers hold; hyper's time-out for heads ran from the last response, and fired while bytes lay unread in the system. A request that waited in the queue of a listener held up by errors counts from then. Sockets have handles (socket.rs) in place of halves.

--- a/src/bin/quota-gateway/counter/connection.rs
+++ b/src/bin/quota-gateway/counter/connection.rs
@@ -5,6 +5,7 @@
 use super::report::CallReporter;
 use crate::http::{Head, Reader};
 use crate::rate_limited_warning::RateLimitedWarning;
+use crate::socket::Socket;
 use bytes::{Buf, Bytes, BytesMut};
 use quota_gateway::Outcome;
 use std::collections::VecDeque;
@@ -14,8 +15,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::Receiver;
 use tokio::time::{sleep_until, Instant};
 
@@ -44,8 +43,9 @@
 
 /// An open connection. All state is kept here, so that dropping `serve` at any point loses nothing.
 pub struct Connection {
-    reader: Reader<OwnedReadHalf>,
-    writer: OwnedWriteHalf,
+    reader: Reader<Socket>,
+    /// Another handle of the reader's socket.
+    writer: Socket,
     addr: SocketAddr,
     context: Rc<ConnectionContext>,
     /// Bytes still to be written.
@@ -60,12 +60,10 @@
 }
 
 impl Connection {
-    pub fn new(stream: TcpStream, addr: SocketAddr, context: Rc<ConnectionContext>) -> Self {
-        let _ = stream.set_nodelay(true);
-        let (read_half, writer) = stream.into_split();
+    pub fn new(socket: Socket, addr: SocketAddr, context: Rc<ConnectionContext>) -> Self {
         Connection {
-            reader: Reader::new(read_half),
-            writer,
+            reader: Reader::new(socket.clone()),
+            writer: socket,
             addr,
             context,
             outgoing: BytesMut::new(),
--- a/src/bin/quota-gateway/counter/worker.rs
+++ b/src/bin/quota-gateway/counter/worker.rs
@@ -2,10 +2,10 @@
 
 use super::client::CounterCall;
 use super::connection::{Connection, ConnectionContext};
+use crate::socket::Socket;
 use quota_gateway::Outcome;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -18,12 +18,12 @@
 ) {
     while let Some(first_call) = queue.recv().await {
         let current_addr = *addr.borrow_and_update();
-        let connecting = TcpStream::connect(current_addr);
-        let Ok(Ok(stream)) = timeout(context.call_timeout, connecting).await else {
+        let connecting = Socket::connect(current_addr);
+        let Ok(Ok(socket)) = timeout(context.call_timeout, connecting).await else {
             fail_waiting_calls(&first_call, &mut queue, &context);
             continue;
         };
-        let mut connection = Connection::new(stream, current_addr, context.clone());
+        let mut connection = Connection::new(socket, current_addr, context.clone());
         connection.enqueue(&first_call);
         tokio::select! {
             () = connection.serve(Some(&mut queue)) => connection.close(),
--- a/src/bin/quota-gateway/discovery/call.rs
+++ b/src/bin/quota-gateway/discovery/call.rs
@@ -5,9 +5,9 @@
 use super::policy::CallTimeouts;
 use super::watch::Watch;
 use crate::http::{Head, Reader};
+use crate::socket::Socket;
 use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Asks for a watch on the changes after a version.
@@ -23,8 +23,8 @@
 impl WatchRequest {
     /// Makes the call; list and watch come over the same connection.
     pub async fn send(self, timeouts: CallTimeouts) -> Result<Watch, DiscoveryError> {
-        let stream = timeout(timeouts.connect, TcpStream::connect(self.addr)).await??;
-        let mut reader = Reader::new(stream);
+        let socket = timeout(timeouts.connect, Socket::connect(self.addr)).await??;
+        let mut reader = Reader::new(socket);
         let mut complete_list = None;
         if self.fetch_complete_list {
             complete_list = Some(self.fetch_list(&mut reader, timeouts).await?);
@@ -37,7 +37,7 @@
 
     async fn fetch_list(
         &self,
-        reader: &mut Reader<TcpStream>,
+        reader: &mut Reader<Socket>,
         timeouts: CallTimeouts,
     ) -> Result<EndpointList, DiscoveryError> {
         self.write_request(reader, "/registry/instances").await?;
@@ -46,11 +46,7 @@
         Ok(serde_json::from_slice(&body)?)
     }
 
-    async fn write_request(
-        &self,
-        reader: &mut Reader<TcpStream>,
-        target: &str,
-    ) -> Result<(), DiscoveryError> {
+    async fn write_request(&self, reader: &mut Reader<Socket>, target: &str) -> Result<(), DiscoveryError> {
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr);
         reader.io.write_all(request.as_bytes()).await?;
         Ok(())
--- a/src/bin/quota-gateway/discovery/watch.rs
+++ b/src/bin/quota-gateway/discovery/watch.rs
@@ -5,9 +5,9 @@
 use super::handler::EndpointListHandler;
 use super::list::EndpointList;
 use crate::http::Reader;
+use crate::socket::Socket;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
 /// Discovery writes an empty line every 2 s, so a watch that is silent for this long is broken. It has to be reopened
@@ -20,7 +20,7 @@
 
 /// A watch whose response head has arrived.
 pub struct Watch {
-    pub reader: Reader<TcpStream>,
+    pub reader: Reader<Socket>,
     /// The complete list, where it was requested.
     pub complete_list: Option<EndpointList>,
 }
@@ -69,7 +69,7 @@
 }
 
 impl WatchEvents<'_> {
-    async fn read(&mut self, reader: &mut Reader<TcpStream>) -> Result<(), DiscoveryError> {
+    async fn read(&mut self, reader: &mut Reader<Socket>) -> Result<(), DiscoveryError> {
         let mut idle = IdleTimer::new();
         while let Some(bytes) = timeout_at(idle.deadline, reader.read_body_chunk()).await?? {
             let was_inside_object = self.framer.inside_object();
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -14,6 +14,7 @@
 mod reload;
 mod server;
 mod shutdown;
+mod socket;
 mod startup;
 mod upstream;
 
--- a/src/bin/quota-gateway/server/accept.rs
+++ b/src/bin/quota-gateway/server/accept.rs
@@ -3,14 +3,16 @@
 use super::client::Client;
 use super::Server;
 use crate::rate_limited_warning::RateLimitedWarning;
+use crate::socket::{Socket, Unread};
 use nix::libc::{EMFILE, ENFILE, ENOBUFS, ENOMEM};
+use std::future::poll_fn;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{watch, OwnedSemaphorePermit};
 use tokio::task::yield_now;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Pause after an error that concerns all connections, such as a lack of descriptors in the whole system.
 const ACCEPT_RETRY: Duration = Duration::from_millis(5);
@@ -21,6 +23,41 @@
 /// A client that was evicted has gone by then.
 const EVICTION_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// The listener, and since when clients may have waited in its queue.
+struct AcceptQueue {
+    listener: TcpListener,
+    /// The queue was not empty, and was held up, from then on.
+    held_up_since: Option<Instant>,
+}
+
+impl AcceptQueue {
+    fn new(listener: TcpListener) -> Self {
+        AcceptQueue { listener, held_up_since: None }
+    }
+
+    /// The next connection.
+    async fn next(&mut self) -> io::Result<Socket> {
+        poll_fn(|cx| {
+            let accepted = self.listener.poll_accept(cx);
+            if accepted.is_pending() {
+                self.held_up_since = None;
+            }
+            accepted.map_ok(|(stream, _)| Socket::new(stream))
+        })
+        .await
+    }
+
+    /// Accepting has failed: those in the queue have to wait.
+    fn is_held_up(&mut self) {
+        self.held_up_since.get_or_insert_with(Instant::now);
+    }
+
+    /// When what a connection has sent by now may have come, if it had to wait in the queue.
+    fn first_arrival(&self, socket: &Socket) -> Option<Instant> {
+        self.held_up_since.filter(|_| socket.unread() == Unread::Bytes)
+    }
+}
+
 /// Leaves time for a lack of resources to pass. Most other errors concern the one connection that they took out of
 /// the queue, and the next one may be accepted at once.
 async fn pause_after_error(error: &io::Error, errors_in_a_row: u32) {
@@ -41,15 +78,17 @@
         let warning = RateLimitedWarning::default();
         let mut closing = close.clone();
         let mut errors_in_a_row = 0;
+        let mut queue = AcceptQueue::new(listener);
         for number in 0.. {
             let accepted = tokio::select! {
                 biased;
-                accepted = listener.accept() => accepted,
+                accepted = queue.next() => accepted,
                 _ = closing.wait_for(|close| *close) => return,
             };
             let stream = match accepted {
-                Ok((stream, _)) => stream,
+                Ok(stream) => stream,
                 Err(e) => {
+                    queue.is_held_up();
                     errors_in_a_row += 1;
                     pause_after_error(&e, errors_in_a_row).await;
                     warning.warn("accept", e);
@@ -61,7 +100,8 @@
                 let _ = stream.try_write(self.no_slot_response.as_bytes());
                 continue;
             };
-            self.spawn_client(number, stream, slot, close.clone());
+            let client = Rc::new(Client::new(queue.first_arrival(&stream)));
+            self.spawn_client(number, stream, client, slot, close.clone());
             // Its request is read before it can be taken for an idle client.
             yield_now().await;
         }
@@ -72,15 +112,15 @@
     fn spawn_client(
         self: &Rc<Self>,
         number: u64,
-        stream: TcpStream,
+        socket: Socket,
+        client: Rc<Client>,
         slot: OwnedSemaphorePermit,
         close: watch::Receiver<bool>,
     ) {
         let server = self.clone();
         tokio::task::spawn_local(async move {
-            let client = Rc::new(Client::new());
             server.clients.borrow_mut().insert(number, client.clone());
-            server.serve_until_evicted(stream, &client, close).await;
+            server.serve_until_evicted(socket, &client, close).await;
             server.clients.borrow_mut().remove(&number);
             drop(slot);
         });
--- a/src/bin/quota-gateway/server/client.rs
+++ b/src/bin/quota-gateway/server/client.rs
@@ -1,10 +1,21 @@
-//! What the server knows of one client: whether it has a request open, and since when it has not.
+//! What the server knows of one client: whether it has a request open or has begun one, and since when it has not.
 
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
+/// A client that has begun no request is disconnected this long after it connected or got its last response.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(2300);
+/// A client has this long for a complete head, from its first byte.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2300);
+/// A client has this long for a complete request, from the first byte of its head. Its first request has to be complete
+/// this long after it connected: whoever sends none that is complete is owed an error or a close within 3 s.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(2800);
+
 /// Where a client stands between connecting and leaving.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -16,32 +27,74 @@
     Serving,
     /// It has its last response.
     Idle,
+    /// Nothing more that it sends is taken for a request.
+    Ended,
 }
 
 /// What the server knows of one client's connection.
 pub struct Client {
     phase: Cell<Phase>,
+    connected_at: Instant,
     /// When it connected or got its last response.
     idle_since: Cell<Instant>,
+    /// The first bytes may have come at this time already, though they were read much later.
+    first_arrival: Cell<Option<Instant>>,
+    /// When the bytes that were read last came.
+    last_arrival: Cell<Instant>,
+    /// When the first byte of a head came that is not complete.
+    head_begun_at: Cell<Option<Instant>>,
+    /// When the head of the last request was begun, or was read where it came earlier.
+    request_begun_at: Cell<Instant>,
     evicted: Notify,
 }
 
 impl Client {
-    /// A client that has just connected.
-    pub fn new() -> Self {
-        Client { phase: Cell::new(Phase::New), idle_since: Cell::new(Instant::now()), evicted: Notify::new() }
+    /// A client that has just been accepted. What it has sent by now may have come at `first_arrival` already, if it
+    /// had to wait for that.
+    pub fn new(first_arrival: Option<Instant>) -> Self {
+        let now = Instant::now();
+        Client {
+            phase: Cell::new(Phase::New),
+            connected_at: now,
+            idle_since: Cell::new(now),
+            first_arrival: Cell::new(first_arrival),
+            last_arrival: Cell::new(now),
+            head_begun_at: Cell::new(None),
+            request_begun_at: Cell::new(now),
+            evicted: Notify::new(),
+        }
     }
 
-    /// When it connected or got its last response.
-    pub fn idle_since(&self) -> Instant {
-        self.idle_since.get()
+    /// Bytes that the program got at this time are taken in, for a head or a body.
+    pub fn bytes_read(&self, read_at: Instant) {
+        let arrived_at = self.first_arrival.take().unwrap_or(read_at);
+        self.last_arrival.set(arrived_at);
+        // What is read with a body may belong to the next head; that has only begun with the next bytes.
+        if self.phase.get() != Phase::Receiving && self.head_begun_at.get().is_none() {
+            self.head_begun_at.set(Some(arrived_at));
+        }
     }
 
-    /// The head of a request has come.
+    /// The head of a request has come. Its last byte came no later than the bytes that were read last.
     pub fn request_started(&self) {
+        let begun_at = self.head_begun_at.take().unwrap_or(self.last_arrival.get());
+        self.request_begun_at.set(begun_at.max(self.idle_since.get()));
+        if self.phase.get() == Phase::New {
+            self.request_begun_at.set(self.connected_at);
+        }
         self.phase.set(Phase::Receiving);
     }
 
+    /// When the bytes that were read last came.
+    pub fn last_arrival(&self) -> Instant {
+        self.last_arrival.get()
+    }
+
+    /// When the request whose head has come has to be complete.
+    pub fn request_deadline(&self) -> Instant {
+        self.request_begun_at.get() + REQUEST_TIMEOUT
+    }
+
     /// The request is complete, and nothing more is due from the client before the response.
     pub fn request_complete(&self) {
         self.phase.set(Phase::Serving);
@@ -53,6 +106,28 @@
         self.idle_since.set(Instant::now());
     }
 
+    /// Nothing more that it sends is taken for a request.
+    pub fn connection_ended(&self) {
+        self.phase.set(Phase::Ended);
+        self.head_begun_at.set(None);
+    }
+
+    /// When it has to have a complete head or be disconnected; none while it has a request open.
+    pub fn head_deadline(&self) -> Option<Instant> {
+        let head_begun_at = self.head_begun_at.get();
+        match self.phase.get() {
+            Phase::New => Some(match head_begun_at {
+                Some(at) => (at + HEAD_TIMEOUT).min(self.connected_at + REQUEST_TIMEOUT),
+                None => self.connected_at + IDLE_TIMEOUT,
+            }),
+            Phase::Idle => Some(match head_begun_at {
+                Some(at) => at.max(self.idle_since.get()) + HEAD_TIMEOUT,
+                None => self.idle_since.get() + IDLE_TIMEOUT,
+            }),
+            Phase::Receiving | Phase::Serving | Phase::Ended => None,
+        }
+    }
+
     /// Asks it to give up its slot.
     pub fn evict(&self) {
         self.evicted.notify_one();
@@ -71,8 +146,8 @@
     /// True if it has no request open, and is not so new that its first one may be on the way.
     pub fn is_evictable(&self, new_client_grace: Duration) -> bool {
         match self.phase.get() {
-            Phase::New => self.idle_since.get().elapsed() > new_client_grace,
-            Phase::Idle => true,
+            Phase::New => self.connected_at.elapsed() > new_client_grace,
+            Phase::Idle | Phase::Ended => true,
             Phase::Receiving | Phase::Serving => false,
         }
     }
@@ -87,6 +162,11 @@
         self.phase.get() != Phase::New
     }
 
+    /// True if a part of a head has come and the rest has not.
+    pub fn has_begun_head(&self) -> bool {
+        self.head_begun_at.get().is_some()
+    }
+
     /// True while it has a request without a response.
     pub fn has_open_request(&self) -> bool {
         matches!(self.phase.get(), Phase::Receiving | Phase::Serving)
--- /dev/null
+++ b/src/bin/quota-gateway/server/client/tests.rs
@@ -0,0 +1,57 @@
+//! When a client has to have sent what, on the paused clock.
+
+use super::Client;
+use std::time::Duration;
+use tokio::time::{advance, Instant};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Silent clients go after 2.3 s, and whoever has connected has sent a complete request within 2.8 s.
+#[tokio::test(start_paused = true)]
+async fn a_new_client_is_closed_within_three_seconds_of_connecting() {
+    let connected_at = Instant::now();
+    let client = Client::new(None);
+    assert_eq!(client.head_deadline(), Some(connected_at + Duration::from_millis(2300)));
+    advance(2 * SECOND).await;
+    client.bytes_read(Instant::now());
+    assert_eq!(client.head_deadline(), Some(connected_at + Duration::from_millis(2800)));
+    client.request_started();
+    assert_eq!(client.head_deadline(), None);
+    assert_eq!(client.request_deadline(), connected_at + Duration::from_millis(2800));
+}
+
+/// On a connection that has rested the time runs from the head's first byte.
+#[tokio::test(start_paused = true)]
+async fn the_time_for_a_later_request_runs_from_its_first_byte() {
+    let client = Client::new(None);
+    client.bytes_read(Instant::now());
+    client.request_started();
+    client.request_complete();
+    advance(SECOND).await;
+    client.request_ended();
+    let idle_since = Instant::now();
+    assert_eq!(client.head_deadline(), Some(idle_since + Duration::from_millis(2300)));
+    advance(2 * SECOND).await;
+    let begun_at = Instant::now();
+    client.bytes_read(begun_at);
+    assert!(client.has_begun_head());
+    assert_eq!(client.head_deadline(), Some(begun_at + Duration::from_millis(2300)));
+    advance(SECOND).await;
+    client.bytes_read(Instant::now());
+    client.request_started();
+    assert!(!client.has_begun_head());
+    assert_eq!(client.request_deadline(), begun_at + Duration::from_millis(2800));
+}
+
+/// What a client had sent before it was accepted may have come as long ago as the queue was held up.
+#[tokio::test(start_paused = true)]
+async fn the_first_bytes_of_a_client_that_waited_count_from_the_start_of_its_wait() {
+    let held_up_since = Instant::now();
+    advance(SECOND).await;
+    let client = Client::new(Some(held_up_since));
+    client.bytes_read(Instant::now());
+    assert_eq!(client.last_arrival(), held_up_since);
+    advance(SECOND).await;
+    client.bytes_read(Instant::now());
+    assert_eq!(client.last_arrival(), Instant::now());
+}
--- a/src/bin/quota-gateway/server/connection.rs
+++ b/src/bin/quota-gateway/server/connection.rs
@@ -3,24 +3,24 @@
 use super::client::Client;
 use super::disconnect::ClientStream;
 use super::Server;
+use crate::socket::Socket;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::io;
-use std::pin::{self, pin};
-use std::task::Poll;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::yield_now;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
-/// A client has this long for a complete head, from the moment it connected or got its last response: heads without
-/// end and silent connections hold a slot no longer.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(2300);
+/// How often a client that has a request open is looked at again: for whether its time for the next one runs.
+const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Largest head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// After the last response this much more is read and dropped. Closed with bytes unread, the system would reset the
@@ -34,20 +34,53 @@
 /// Why the requests on a connection have ended.
 enum Ended {
     /// hyper has ended the connection.
-    Closed(hyper::Result<()>),
+    Closed,
     /// The client has gone while its request was being served.
     ClientGone,
+    /// The client has sent no complete head in time.
+    TimedOut,
+}
+
+/// Wakes a connection when its client has to have a complete head.
+struct HeadTimer {
+    timer: Pin<Box<Sleep>>,
+}
+
+impl HeadTimer {
+    fn new(client: &Client) -> Self {
+        HeadTimer { timer: Box::pin(sleep_until(next_check(client))) }
+    }
+
+    /// Ready once the client's time is over. The timer may go off earlier: it is set anew only then, as setting it for
+    /// each request would cost more.
+    fn poll_expired(&mut self, client: &Client, cx: &mut Context<'_>) -> Poll<()> {
+        while self.timer.as_mut().poll(cx).is_ready() {
+            if is_expired(client) {
+                return Poll::Ready(());
+            }
+            self.timer.as_mut().reset(next_check(client));
+        }
+        Poll::Pending
+    }
+}
+
+fn next_check(client: &Client) -> Instant {
+    client.head_deadline().unwrap_or_else(|| Instant::now() + DEADLINE_CHECK_INTERVAL)
+}
+
+fn is_expired(client: &Client) -> bool {
+    client.head_deadline().is_some_and(|deadline| deadline <= Instant::now())
 }
 
 impl Server {
     /// Serves a connection until it ends or its client is evicted.
     pub(super) async fn serve_until_evicted(
         &self,
-        stream: TcpStream,
-        client: &Client,
+        socket: Socket,
+        client: &Rc<Client>,
         close: watch::Receiver<bool>,
     ) {
-        let mut connection = pin!(self.serve_connection(stream, client, close));
+        let mut connection = pin!(self.serve_connection(socket, client, close));
         loop {
             tokio::select! {
                 biased;
@@ -64,12 +97,13 @@
         }
     }
 
-    async fn serve_connection(&self, stream: TcpStream, client: &Client, close: watch::Receiver<bool>) {
-        let _ = stream.set_nodelay(true);
-        let stream = ClientStream::new(stream, self.read_ahead.clone());
-        if let Some(stream) = self.serve_requests(stream, client, close).await {
+    async fn serve_connection(&self, socket: Socket, client: &Rc<Client>, close: watch::Receiver<bool>) {
+        let stream = ClientStream::new(socket, client.clone(), self.read_ahead.clone());
+        let stream = self.serve_requests(stream, client, close).await;
+        client.connection_ended();
+        if let Some(stream) = stream {
             // The client may reset the connection meanwhile.
-            let _ = timeout_at(Instant::now() + LINGER_TIMEOUT, linger(stream)).await;
+            let _ = timeout_at(Instant::now() + LINGER_TIMEOUT, linger(stream.into_socket())).await;
         }
     }
 
@@ -85,46 +119,62 @@
             Box::pin(async move { Ok::<_, Infallible>(self.respond(request, client).await) })
         });
         let mut connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream.clone()), service);
+        let mut head_timer = HeadTimer::new(client);
         let mut closing = false;
         let ended = loop {
             let ended = poll_fn(|cx| {
-                let closed = connection.poll_without_shutdown(cx).map(Ended::Closed);
+                if connection.poll_without_shutdown(cx).is_ready() {
+                    return Poll::Ready(Ended::Closed);
+                }
                 // With bytes sent ahead hyper does not read on, and would not see the client go.
-                if closed.is_pending() && client.is_being_served() {
-                    return stream.poll_client_gone(cx).map(|()| Ended::ClientGone);
+                if client.is_being_served() && stream.poll_client_gone(cx).is_ready() {
+                    return Poll::Ready(Ended::ClientGone);
                 }
-                closed
+                head_timer.poll_expired(client, cx).map(|()| Ended::TimedOut)
             });
             tokio::select! {
                 // What has come is read before the connection counts as idle.
                 biased;
-                ended = ended => break ended,
+                ended = ended => match ended {
+                    Ended::TimedOut => {
+                        // The system may have bytes that the runtime does not know of, as after a pause of the whole
+                        // program: they are read first.
+                        yield_now().await;
+                        if poll_fn(|cx| Poll::Ready(connection.poll_without_shutdown(cx).is_ready())).await {
+                            break Ended::Closed;
+                        }
+                        if is_expired(client) && !stream.has_unread_bytes() {
+                            break Ended::TimedOut;
+                        }
+                    }
+                    ended => break ended,
+                },
                 _ = close.wait_for(|close| *close), if !closing => {
+                    if stream.has_unread_bytes() && !client.has_open_request() {
+                        yield_now().await;
+                        continue;
+                    }
                     closing = true;
-                    // A new one waits for its first request, whose response asks the client to close.
-                    if client.has_sent_request() {
-                        pin::Pin::new(&mut connection).graceful_shutdown();
+                    // Whoever is new or has begun a head is waited for: the response asks the client to close.
+                    if client.has_sent_request() && !client.has_begun_head() {
+                        Pin::new(&mut connection).graceful_shutdown();
                     }
                 }
             }
         };
         match ended {
-            // Its request ends with the connection.
-            Ended::ClientGone => None,
-            // It sent no head in time, and is sending none now.
-            Ended::Closed(Err(e)) if e.is_timeout() => None,
+            // Its request ends with the connection, or it has none.
+            Ended::ClientGone | Ended::TimedOut => None,
             // That a client breaks off or sends no HTTP is not logged.
-            Ended::Closed(_) => Some(connection.into_parts().io.into_inner()),
+            Ended::Closed => Some(connection.into_parts().io.into_inner()),
         }
     }
 }
 
 /// Closes the sending side, then reads and drops what the client still sends, up to a bound.
-async fn linger(mut stream: ClientStream) -> io::Result<()> {
+async fn linger(mut stream: Socket) -> io::Result<()> {
     stream.shutdown().await?;
     let mut buffer = vec![0; LINGER_BUFFER_BYTES];
     let mut left = LINGER_MAX_BYTES;
--- a/src/bin/quota-gateway/server/disconnect/tests.rs
+++ b/src/bin/quota-gateway/server/disconnect/tests.rs
@@ -1,9 +1,12 @@
 //! The end of a client's connection is seen behind bytes that nobody reads.
 
 use super::{ClientStream, ReadAheadBudget, MAX_READ_AHEAD_TOTAL, POLL_INTERVAL};
+use crate::server::client::Client;
+use crate::socket::Socket;
 use std::future::poll_fn;
 use std::io::Write;
 use std::net::Shutdown;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -19,7 +22,8 @@
         stream.set_nonblocking(true).unwrap();
         let budget = ReadAheadBudget::default();
         budget.add(MAX_READ_AHEAD_TOTAL);
-        let stream = ClientStream::new(TcpStream::from_std(stream).unwrap(), budget.clone());
+        let socket = Socket::new(TcpStream::from_std(stream).unwrap());
+        let stream = ClientStream::new(socket, Rc::new(Client::new(None)), budget.clone());
         client.write_all(b"GET /look").unwrap();
         let client_gone = || poll_fn(|cx| stream.poll_client_gone(cx));
         assert!(timeout(20 * POLL_INTERVAL, client_gone()).await.is_err(), "it has not gone");
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -16,8 +16,6 @@
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
-/// A client has this long for a complete request, from the moment it connected or got its last response.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(2800);
 /// The decision library ends a request by its deadline; one that it has not ended this long after is failed.
 const DEADLINE_GRACE: Duration = Duration::from_millis(5);
 
@@ -64,8 +62,8 @@
 impl Server {
     /// Makes the response to one request.
     pub(super) async fn respond(&self, request: Request<Incoming>, client: &Client) -> Response {
-        let complete_by = client.idle_since() + REQUEST_TIMEOUT;
         let mut in_progress = RequestInProgress::new(self, client);
+        let complete_by = client.request_deadline();
         let has_body = !request.body().is_end_stream();
         let mut response = match self.handle(request, &mut in_progress, complete_by).await {
             Ok(response) => response,
@@ -84,7 +82,8 @@
         in_progress: &mut RequestInProgress<'_>,
         complete_by: Instant,
     ) -> Result<Response, RequestError> {
-        let received_at = Instant::now();
+        // It may have come while another one was served: its time has run since then.
+        let received_at = in_progress.client.last_arrival();
         let (parts, body) = request.into_parts();
         // Beside a Content-Length hyper drops it unseen, and another request may hide in the body. The protocol
         // has no such requests.
--- a/src/bin/quota-gateway/server/mod.rs
+++ b/src/bin/quota-gateway/server/mod.rs
@@ -74,8 +74,9 @@
         self.draining.set(true);
     }
 
-    /// True while a request has no response.
+    /// True while a request has no response, or has come in part.
     pub fn busy(&self) -> bool {
         self.requests_in_progress.get() > 0
+            || self.clients.borrow().values().any(|client| client.has_begun_head())
     }
 }
--- /dev/null
+++ b/src/bin/quota-gateway/socket.rs
@@ -0,0 +1,177 @@
+//! TCP streams with several handles, whose system calls may fail for a moment.
+
+use socket2::SockRef;
+use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// Attempts to connect, if the reasons for the failures lie on this machine and may pass.
+const MAX_CONNECT_ATTEMPTS: u32 = 4;
+/// Pause before the next one.
+const CONNECT_RETRY: Duration = Duration::from_millis(3);
+
+/// A TCP stream. Clones are handles of the same one; it is closed with the last of them.
+#[derive(Clone)]
+pub struct Socket {
+    stream: Rc<TcpStream>,
+}
+
+impl Socket {
+    /// Small writes are sent at once.
+    pub fn new(stream: TcpStream) -> Self {
+        // It fails on a connection that is already broken, as the next read or write shows.
+        let _ = stream.set_nodelay(true);
+        Socket { stream: Rc::new(stream) }
+    }
+
+    /// Connects. A failure that says nothing of the peer is tried again a few times.
+    ///
+    /// # Errors
+    ///
+    /// The last failure.
+    pub async fn connect(addr: SocketAddr) -> io::Result<Self> {
+        let mut attempts = 1;
+        loop {
+            match TcpStream::connect(addr).await {
+                Ok(stream) => return Ok(Socket::new(stream)),
+                Err(error) if attempts < MAX_CONNECT_ATTEMPTS && is_local(&error) => {}
+                Err(error) => return Err(error),
+            }
+            attempts += 1;
+            sleep(CONNECT_RETRY).await;
+        }
+    }
+
+    /// Waits until something can be written, perhaps.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the runtime is shutting down.
+    pub async fn writable(&self) -> io::Result<()> {
+        self.stream.writable().await
+    }
+
+    /// Writes what the system takes now.
+    ///
+    /// # Errors
+    ///
+    /// `WouldBlock` if it takes nothing now; else the connection is broken.
+    pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        self.stream.try_write(bytes)
+    }
+
+    /// What the system has received and nobody has read, whether or not the runtime knows of it.
+    pub fn unread(&self) -> Unread {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&*self.stream).peek(&mut byte) {
+            Ok(0) => Unread::End,
+            Ok(_) => Unread::Bytes,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Unread::Nothing,
+            Err(_) => Unread::End,
+        }
+    }
+
+    /// True if at least this many bytes lie unread.
+    pub fn has_unread_bytes(&self, count: usize) -> bool {
+        let mut space = vec![MaybeUninit::uninit(); count];
+        SockRef::from(&*self.stream).peek(&mut space).is_ok_and(|bytes| bytes >= count)
+    }
+
+    /// The stream, for polling the system.
+    pub fn as_stream(&self) -> &TcpStream {
+        &self.stream
+    }
+}
+
+/// What lies unread in a socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    /// The peer has sent nothing more.
+    Nothing,
+    /// At least one byte.
+    Bytes,
+    /// The peer has closed its side, or the connection is broken.
+    End,
+}
+
+/// Whether an error of a connect lies on this machine and may pass.
+fn is_local(error: &io::Error) -> bool {
+    let passing = [
+        nix::libc::EADDRNOTAVAIL,
+        nix::libc::EAGAIN,
+        nix::libc::EMFILE,
+        nix::libc::ENFILE,
+        nix::libc::ENOBUFS,
+        nix::libc::ENOMEM,
+    ];
+    error.raw_os_error().is_some_and(|code| passing.contains(&code))
+}
+
+/// True if a call is to be made again once the socket is ready.
+fn is_passing(error: &io::Error) -> bool {
+    error.kind() == ErrorKind::WouldBlock
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            let room = buf.remaining();
+            match self.stream.try_read_buf(buf) {
+                Err(error) if is_passing(&error) => {}
+                Ok(bytes) if 0 < bytes && bytes < room => {
+                    // As the runtime's own stream has it: the socket is empty now.
+                    let _ =
+                        self.stream.try_io(Interest::READABLE, || Err::<(), _>(ErrorKind::WouldBlock.into()));
+                    return Poll::Ready(Ok(()));
+                }
+                result => return Poll::Ready(result.map(drop)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
+                Err(error) if is_passing(&error) => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bufs) {
+                Err(error) if is_passing(&error) => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    }
+}
--- a/src/bin/quota-gateway/upstream/connection.rs
+++ b/src/bin/quota-gateway/upstream/connection.rs
@@ -2,13 +2,11 @@
 
 use super::request::OutgoingRequest;
 use crate::http::Reader;
+use crate::socket::{Socket, Unread};
 use quota_gateway::Outcome;
-use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, ErrorKind};
-use std::mem::MaybeUninit;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// The number of open connections, over all endpoints.
@@ -52,7 +50,7 @@
 /// A connection that is up.
 pub struct Connection {
     /// Reads the responses.
-    pub reader: Reader<TcpStream>,
+    pub reader: Reader<Socket>,
     /// When it came up or last became idle.
     pub idle_since: Instant,
     _permit: ConnectionPermit,
@@ -60,36 +58,32 @@
 
 impl Connection {
     /// A connection that has just come up.
-    pub fn new(stream: TcpStream, permit: ConnectionPermit) -> Self {
-        Connection { reader: Reader::new(stream), idle_since: Instant::now(), _permit: permit }
+    pub fn new(socket: Socket, permit: ConnectionPermit) -> Self {
+        Connection { reader: Reader::new(socket), idle_since: Instant::now(), _permit: permit }
     }
 
     /// Guards against sending on a connection that its endpoint closed or broke while it was idle: the request
     /// would end as a reset, which may have run; and against bytes that came behind a response: they would be read
     /// as the next one. The socket itself is checked, as the runtime may not have seen it yet.
     pub fn is_usable(&self) -> bool {
-        if self.reader.has_unread_bytes() {
-            return false;
-        }
-        let peeked = SockRef::from(&self.reader.io).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        !self.reader.has_unread_bytes() && self.reader.io.unread() == Unread::Nothing
     }
 
     /// Writes a complete request, unless it is refused. Checks that again before each attempt to write the first
     /// byte: a write that stalls has not begun.
     pub async fn write(&self, request: &dyn OutgoingRequest) -> io::Result<Written> {
-        let stream = &self.reader.io;
+        let socket = &self.reader.io;
         let mut message = Vec::new();
         let mut written = 0;
         while written == 0 || written < message.len() {
-            stream.writable().await?;
+            socket.writable().await?;
             if written == 0 {
                 if let Some(outcome) = request.refusal() {
                     return Ok(Written::Refused(outcome));
                 }
                 message = request.encode();
             }
-            match stream.try_write(&message[written..]) {
+            match socket.try_write(&message[written..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(bytes) => written += bytes,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
--- a/src/bin/quota-gateway/upstream/pool.rs
+++ b/src/bin/quota-gateway/upstream/pool.rs
@@ -2,6 +2,7 @@
 
 use super::connection::{Connection, OpenConnections};
 use super::request::Target;
+use crate::socket::Socket;
 use quota_gateway::EndpointId;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -9,7 +10,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
 #[cfg(test)]
@@ -137,14 +137,13 @@
         let permit = self.open.acquire();
         // A vanished machine never answers a connect: it is given up after the settings' time.
         let connect_deadline = Instant::now() + self.connect_timeout;
-        let stream = match timeout_at(deadline.min(connect_deadline), TcpStream::connect(addr)).await {
-            Ok(Ok(stream)) => stream,
+        let socket = match timeout_at(deadline.min(connect_deadline), Socket::connect(addr)).await {
+            Ok(Ok(socket)) => socket,
             Ok(Err(e)) => return Err(connect_error(&e)),
             Err(_) if connect_deadline <= deadline => return Err(ConnectError::Endpoint),
             Err(_) => return Err(ConnectError::Local),
         };
-        let _ = stream.set_nodelay(true);
-        Ok(Connection::new(stream, permit))
+        Ok(Connection::new(socket, permit))
     }
 
     fn is_reusable(&self, connection: &Connection) -> bool {
--- a/src/bin/quota-gateway/upstream/pool/tests.rs
+++ b/src/bin/quota-gateway/upstream/pool/tests.rs
@@ -1,6 +1,6 @@
 //! When a connection is used again.
 
-use super::{Connection, ConnectionPool, Target};
+use super::{Connection, ConnectionPool, Socket, Target};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -13,7 +13,7 @@
     pool.set_address(1, addr);
     let stream = std::net::TcpStream::connect(addr).unwrap();
     stream.set_nonblocking(true).unwrap();
-    let connection = Connection::new(TcpStream::from_std(stream).unwrap(), pool.open.acquire());
+    let connection = Connection::new(Socket::new(TcpStream::from_std(stream).unwrap()), pool.open.acquire());
     pool.put_back(Target { endpoint: 1, addr }, connection);
     tokio::time::advance(Duration::from_millis(8)).await;
     assert!(pool.take_idle(1).is_none(), "a second response may still be on its way");
