Failing tests: interrupted transfers, and transfers that are cut short; late heads

With EINTR for one recv or send in twenty no answer comes; with 30% of the transfers cut short five of the first requests are lost.

--- a/tests/gateway/client_timing.rs
+++ b/tests/gateway/client_timing.rs
@@ -96,3 +96,30 @@
         clients.iter_mut().map(|c| read_message(c).map(|answer| answer.status())).collect();
     assert_eq!(statuses, [Some(200); 6]);
 }
+
+/// A request that is begun late on its connection has its time from its first byte, though it comes in pieces.
+#[test]
+fn a_request_begun_late_has_its_time_from_its_first_byte() {
+    let (endpoint, _) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
+    for (rested, begun_ms, rest_ms) in
+        [(false, 1500, 1000), (false, 2100, 500), (true, 1500, 1000), (true, 2100, 1500)]
+    {
+        let mut client = gateway.connect();
+        if rested {
+            client.get_mut().write_all(get_request(1, 1, 3000).as_bytes()).unwrap();
+            assert_eq!(read_message(&mut client).unwrap().status(), 200);
+        }
+        let request = post_request("once", "", "x");
+        sleep(Duration::from_millis(begun_ms));
+        client.get_mut().write_all(&request.as_bytes()[..20]).unwrap();
+        sleep(Duration::from_millis(rest_ms));
+        client.get_mut().write_all(&request.as_bytes()[20..]).unwrap();
+        let status = read_message(&mut client).map(|answer| answer.status());
+        assert_eq!(
+            status,
+            Some(200),
+            "rested: {rested}, begun after {begun_ms} ms, complete {rest_ms} ms later"
+        );
+    }
+}
--- a/tests/gateway/system_faults.rs
+++ b/tests/gateway/system_faults.rs
@@ -30,3 +30,50 @@
         assert!(gateway.child.wait().unwrap().success());
     }
 }
+
+/// Failures after which no more requests are made.
+const MAX_FAILURES: usize = 5;
+
+/// Makes requests of 300 customers on ten connections; returns the statuses of the answers that are not 200.
+fn statuses_but_success(gateway: &Gateway) -> Vec<Option<u16>> {
+    let mut clients: Vec<_> = (0..10).map(|_| gateway.connect()).collect();
+    let mut failures = Vec::new();
+    for customer in 0..300 {
+        let client = &mut clients[customer % 10];
+        let request = if customer % 3 == 0 {
+            post_request("once", "", &"x".repeat(customer * 50))
+                .replace("9b1f03aa", &format!("{customer:08x}"))
+                .replace("account=0000000000000007", &format!("account={customer:016x}"))
+        } else {
+            get_request(customer as u64, 1, 3000)
+        };
+        client.get_mut().write_all(request.as_bytes()).unwrap();
+        let status = read_message(client).map(|answer| answer.status());
+        if status != Some(200) {
+            failures.push(status);
+            *client = gateway.connect();
+        }
+        if failures.len() >= MAX_FAILURES {
+            break;
+        }
+    }
+    failures
+}
+
+/// Interrupted system calls are made again.
+#[test]
+fn interrupted_transfers_lose_nothing() {
+    let (endpoint, _) = healthy_endpoint();
+    let config = config_with_silent_discovery(&[endpoint]);
+    let gateway = Gateway::with_faults(&config, "recv_eintr=50,send_eintr=50,epoll_eintr=50");
+    assert_eq!(statuses_but_success(&gateway), []);
+}
+
+/// A transfer that was cut short says nothing of what is left in the socket.
+#[test]
+fn transfers_that_are_cut_short_lose_nothing() {
+    let (endpoint, _) = healthy_endpoint();
+    let config = config_with_silent_discovery(&[endpoint]);
+    let gateway = Gateway::with_faults(&config, "recv_short=300,send_short=300");
+    assert_eq!(statuses_but_success(&gateway), []);
+}
