Make interrupted system calls again, and read and write on after short transfers

Cause: the runtime's stream hands EINTR to hyper and to the readers, which take it for a broken connection; and it takes a short read for an empty socket and a short write for a full one, and waits for a change that may not come. Change: Socket polls readiness and calls the system itself until it says that it would block; EINTR is passed over, in connects, writes and looks into the socket, too.

--- a/src/bin/quota-gateway/socket.rs
+++ b/src/bin/quota-gateway/socket.rs
@@ -1,4 +1,8 @@
-//! TCP streams with several handles, whose system calls may fail for a moment.
+//! TCP streams whose system calls may fail for a moment: an interrupted call is made again, and a transfer that was
+//! cut short is taken for nothing more than that.
+//!
+//! The runtime's own stream takes a short read for an empty socket and a short write for a full one, and waits for the
+//! system to report the next change. After a call that was cut short for another reason there may be none.
 
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice};
@@ -8,7 +12,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
@@ -64,17 +68,25 @@
     ///
     /// `WouldBlock` if it takes nothing now; else the connection is broken.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
-        self.stream.try_write(bytes)
+        loop {
+            match self.stream.try_write(bytes) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                result => return result,
+            }
+        }
     }
 
     /// What the system has received and nobody has read, whether or not the runtime knows of it.
     pub fn unread(&self) -> Unread {
         let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.stream).peek(&mut byte) {
-            Ok(0) => Unread::End,
-            Ok(_) => Unread::Bytes,
-            Err(error) if error.kind() == ErrorKind::WouldBlock => Unread::Nothing,
-            Err(_) => Unread::End,
+        loop {
+            return match SockRef::from(&*self.stream).peek(&mut byte) {
+                Ok(0) => Unread::End,
+                Ok(_) => Unread::Bytes,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => Unread::Nothing,
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(_) => Unread::End,
+            };
         }
     }
 
@@ -106,6 +118,7 @@
     let passing = [
         nix::libc::EADDRNOTAVAIL,
         nix::libc::EAGAIN,
+        nix::libc::EINTR,
         nix::libc::EMFILE,
         nix::libc::ENFILE,
         nix::libc::ENOBUFS,
@@ -116,22 +129,15 @@
 
 /// True if a call is to be made again once the socket is ready.
 fn is_passing(error: &io::Error) -> bool {
-    error.kind() == ErrorKind::WouldBlock
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
-            let room = buf.remaining();
             match self.stream.try_read_buf(buf) {
                 Err(error) if is_passing(&error) => {}
-                Ok(bytes) if 0 < bytes && bytes < room => {
-                    // As the runtime's own stream has it: the socket is empty now.
-                    let _ =
-                        self.stream.try_io(Interest::READABLE, || Err::<(), _>(ErrorKind::WouldBlock.into()));
-                    return Poll::Ready(Ok(()));
-                }
                 result => return Poll::Ready(result.map(drop)),
             }
         }
