--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -19,3 +19,6 @@
 pub(super) fn rate_per_endpoint(rules: &Rules, request_rate: f64, capacity: f64) -> f64 {
     request_rate / capacity.max(1.0) * (rules.overload_multiple / 2.0).min(1.0)
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,4 +12,5 @@
 mod races;
 mod service;
 mod stand_ins;
+mod startup;
 mod system_faults;
--- /dev/null
+++ b/tests/gateway/startup.rs
@@ -0,0 +1,55 @@
+//! What happens while the program starts.
+
+use crate::stand_ins::*;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::net::TcpListener;
+use std::process::{Command, Stdio};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// Signals that come while the program still reads its configuration are kept: SIGHUP does not end it, and SIGTERM ends
+/// it with success. The configuration is a pipe, at which the program stands until it is written.
+#[test]
+fn signals_during_the_start_are_handled() {
+    for (number, signal) in ["-HUP", "-TERM"].into_iter().enumerate() {
+        let (endpoint, _) = healthy_endpoint();
+        let config = config_with_silent_discovery(&[endpoint]);
+        let path =
+            std::env::temp_dir().join(format!("quota-gateway-{}-pipe-{number}.json", std::process::id()));
+        assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+        let mut child = spawn_program_at(&path, 256, Stdio::piped(), &[]);
+        // Opened once the program has opened it.
+        let mut pipe = OpenOptions::new().write(true).open(&path).unwrap();
+        std::fs::remove_file(&path).unwrap();
+        std::fs::write(&path, config.to_string()).unwrap();
+        let id = child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+        pipe.write_all(config.to_string().as_bytes()).unwrap();
+        drop(pipe);
+        if signal == "-TERM" {
+            assert!(child.wait().unwrap().success());
+            std::fs::remove_file(&path).unwrap();
+        } else {
+            let gateway = Gateway::read_log((child, path));
+            gateway.wait_until_ready();
+            assert_eq!(gateway.get(1, 1).status(), 200);
+        }
+    }
+}
+
+/// After a restart the address may be in use for a moment.
+#[test]
+fn an_address_in_use_for_a_moment_is_waited_for() {
+    let (endpoint, _) = healthy_endpoint();
+    let former = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = config_with_silent_discovery(&[endpoint]);
+    config["listen"] = former.local_addr().unwrap().to_string().into();
+    let (mut child, path) = spawn_program(&config);
+    sleep(Duration::from_millis(500));
+    assert!(child.try_wait().unwrap().is_none(), "it has given up");
+    drop(former);
+    let gateway = Gateway::read_log((child, path));
+    gateway.wait_until_ready();
+    assert_eq!(gateway.get(1, 1).status(), 200);
+}
