Handle signals from the first step on, wait for an address in use, reload while draining

Causes: main read the configuration before it set its handlers, so that a signal within some 12 ms ended the process; listen and bind failed at once; SIGHUP was not looked at after SIGTERM.

--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -18,7 +18,6 @@
 mod startup;
 mod upstream;
 
-use config::Config;
 use error::StartupError;
 use logging::Log;
 use std::process::ExitCode;
@@ -45,23 +44,34 @@
 fn run() -> Result<(), StartupError> {
     let runtime =
         runtime::Builder::new_current_thread().enable_all().build().map_err(StartupError::Runtime)?;
-    let config = config::load()?;
     let tasks = LocalSet::new();
-    tasks.block_on(&runtime, serve(config))
+    tasks.block_on(&runtime, serve())
 }
 
-/// Starts the gateway and serves until SIGTERM; SIGHUP reloads the configuration.
-async fn serve(config: Config) -> Result<(), StartupError> {
+/// Starts the gateway and serves until SIGTERM; SIGHUP reloads the configuration, during the shutdown, too. Signals are
+/// handled before anything else is done, as the default would end the process.
+async fn serve() -> Result<(), StartupError> {
     let mut terminate = signal_stream("SIGTERM", SignalKind::terminate())?;
     let mut hangup = signal_stream("SIGHUP", SignalKind::hangup())?;
-    let gateway = startup::start(config).await?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => gateway.addresses.reload(),
+    let config = config::load()?;
+    let gateway = tokio::select! {
+        started = startup::start(config) => started?,
+        _ = terminate.recv() => return Ok(()),
+    };
+    let addresses = gateway.addresses;
+    let reload = async {
+        while hangup.recv().await.is_some() {
+            addresses.reload();
         }
+    };
+    let serve_until_end = async {
+        terminate.recv().await;
+        gateway.shutdown.run().await;
+    };
+    tokio::select! {
+        () = serve_until_end => {}
+        () = reload => {}
     }
-    gateway.shutdown.run().await;
     Ok(())
 }
 
--- a/src/bin/quota-gateway/socket.rs
+++ b/src/bin/quota-gateway/socket.rs
@@ -45,7 +45,7 @@
         loop {
             match TcpStream::connect(addr).await {
                 Ok(stream) => return Ok(Socket::new(stream)),
-                Err(error) if attempts < MAX_CONNECT_ATTEMPTS && is_local(&error) => {}
+                Err(error) if attempts < MAX_CONNECT_ATTEMPTS && is_local_shortage(&error) => {}
                 Err(error) => return Err(error),
             }
             attempts += 1;
@@ -113,8 +113,8 @@
     End,
 }
 
-/// Whether an error of a connect lies on this machine and may pass.
-fn is_local(error: &io::Error) -> bool {
+/// Whether an error of opening or connecting a socket lies on this machine and may pass.
+pub fn is_local_shortage(error: &io::Error) -> bool {
     let passing = [
         nix::libc::EADDRNOTAVAIL,
         nix::libc::EAGAIN,
--- a/tests/gateway/startup.rs
+++ b/tests/gateway/startup.rs
@@ -6,7 +6,7 @@
 use std::net::TcpListener;
 use std::process::{Command, Stdio};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Signals that come while the program still reads its configuration are kept: SIGHUP does not end it, and SIGTERM ends
 /// it with success. The configuration is a pipe, at which the program stands until it is written.
@@ -53,3 +53,18 @@
     gateway.wait_until_ready();
     assert_eq!(gateway.get(1, 1).status(), 200);
 }
+
+/// While it waits for its address the program can be ended.
+#[test]
+fn sigterm_ends_the_wait_for_the_address() {
+    let former = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = config_with_silent_discovery(&[unused_address()]);
+    config["listen"] = former.local_addr().unwrap().to_string().into();
+    let (mut child, path) = spawn_program(&config);
+    sleep(Duration::from_millis(300));
+    let start = Instant::now();
+    assert!(Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap().success());
+    assert!(child.wait().unwrap().success());
+    assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+    std::fs::remove_file(path).unwrap();
+}
