--- /dev/null
+++ b/tests/gateway/crossings.rs
@@ -0,0 +1,120 @@
+//! Two rare events that coincide.
+
+use crate::stand_ins::*;
+use std::io::{BufReader, Read, Write};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// A response without a length that its endpoint ends is forwarded; one that is reset, has no end or is too long is
+/// none, and is not repeated.
+#[test]
+fn a_response_without_a_length_counts_once_its_endpoint_has_ended_it() {
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    let long = format!("{head}{}", "x".repeat(65 * 1024));
+    let cases = [
+        ("ended", "stock: 12", 200),
+        ("reset", "stock: 12", 502),
+        ("without end", "stock: 12", 502),
+        ("too long", &long, 502),
+    ];
+    for (name, body, status) in cases {
+        let count = Arc::new(AtomicUsize::new(0));
+        let seen = count.clone();
+        let text = format!("{head}{body}");
+        let addr = start_server(move |_| {
+            seen.fetch_add(1, Ordering::SeqCst);
+            match name {
+                "reset" => Reply::SendAndReset(text.clone()),
+                "without end" => Reply::Send(text.clone()),
+                _ => Reply::SendAndClose(text.clone()),
+            }
+        });
+        let gateway = Gateway::new(&config_with_silent_discovery(&[addr]));
+        let start = Instant::now();
+        let request = post_request("once", "", "x").replace("Remaining-Ms: 3000", "Remaining-Ms: 800");
+        let answer = gateway.exchange(&request);
+        assert_eq!(answer.status(), status, "{name}");
+        assert!(status != 200 || answer.body == body.as_bytes());
+        assert!(start.elapsed() < Duration::from_millis(1400), "{name}: {:?}", start.elapsed());
+        assert_eq!(count.load(Ordering::SeqCst), 1, "{name}");
+    }
+}
+
+/// A list that discovery has told holds, though the watch that should follow it is turned away.
+#[test]
+fn a_complete_list_holds_though_its_watch_is_refused() {
+    let (one, got_one) = healthy_endpoint();
+    let (two, _) = healthy_endpoint();
+    let first = Discovery::new();
+    let mut config = config(&[one, two], start_counter(Arc::default()), first.addr);
+    let gateway = Gateway::new(&config);
+    let servers = serde_json::json!([list_entry(0, one, "Terminating"), list_entry(1, two, "Ready")]);
+    let list = serde_json::json!({"version": 9, "full": true, "servers": servers}).to_string();
+    let (listed_to, listed) = channel();
+    let crowded = start_server(move |call| {
+        if call.line.contains("stream=1") {
+            return Reply::Send(response(503, "", ""));
+        }
+        let _ = listed_to.send(());
+        Reply::Send(response(200, "", &list))
+    });
+    config["discovery"] = crowded.to_string().into();
+    assert!(!gateway.reload(&config.to_string()).contains("stands"));
+    for _ in 0..3 {
+        listed.recv_timeout(TEST_TIMEOUT).expect("the list is asked for");
+    }
+    let before = got_one.lock().unwrap().len();
+    for customer in 0..10 {
+        assert_eq!(gateway.get(customer, 1).status(), 200);
+    }
+    assert_eq!(got_one.lock().unwrap().len(), before, "sent to a draining endpoint");
+}
+
+/// A keyed request whose first attempt broke is sent again within its window only, however late the connection for
+/// that comes up.
+#[test]
+fn a_keyed_retry_is_not_sent_past_its_window() {
+    let (begun_to, begun) = channel();
+    let (go_on, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let breaks = start_server(move |_| {
+        let _ = begun_to.send(());
+        let _ = wait.lock().unwrap().recv();
+        Reply::SendAndClose(String::new())
+    });
+    let late = StalledEndpoint::new();
+    let discovery = Discovery::new();
+    let mut config = config(&[breaks], start_counter(Arc::default()), discovery.addr);
+    config["settings"]["limits"]["connect-timeout-ms"] = 20_000.into();
+    config["settings"]["categories"][1]["aim-ms"] = 3900.into();
+    let gateway = Gateway::new(&config);
+    let (_, mut watch) = discovery.next_watch();
+    let mut client = gateway.connect();
+    let request = post_request("order", IDEMPOTENCY_KEY_HEADER, "x")
+        .replace("Remaining-Ms: 3000", "Remaining-Ms: 4000");
+    client.get_mut().write_all(request.as_bytes()).unwrap();
+    begun.recv_timeout(TEST_TIMEOUT).unwrap();
+    // The window is 2.5 s long.
+    let first_began = Instant::now();
+    let bad = serde_json::json!({"id": 7});
+    let servers =
+        serde_json::json!([bad, list_entry(0, breaks, "Terminating"), list_entry(1, late.addr, "Ready")]);
+    push_update(
+        &mut watch,
+        &serde_json::json!({"version": 8, "full": false, "servers": servers}).to_string(),
+    );
+    gateway.wait_for_log("an entry of the list");
+    sleep(Duration::from_secs(2).saturating_sub(first_began.elapsed()));
+    go_on.send(()).unwrap();
+    late.wait_for_pending(1);
+    sleep(Duration::from_millis(2600).saturating_sub(first_began.elapsed()));
+    let mut repeated = Vec::new();
+    let mut connection = BufReader::new(late.accept_next());
+    assert_eq!(read_message(&mut client).expect("an answer").status(), 502);
+    connection.get_mut().set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+    let _ = connection.read_to_end(&mut repeated);
+    assert!(repeated.is_empty(), "sent again: {}", String::from_utf8_lossy(&repeated));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod client_timing;
 mod clients;
 mod counter;
+mod crossings;
 mod discovery;
 mod log_output;
 mod peers;
--- a/tests/gateway/stand_ins/server.rs
+++ b/tests/gateway/stand_ins/server.rs
@@ -1,11 +1,15 @@
 //! A server that replies to each request as the test has it. Stands in for endpoints, the counter and discovery.
 
 use super::http::{read_message, Message};
+use socket2::SockRef;
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// What was written has been read by the other side after this, if that reads at all.
+const RESET_DELAY: Duration = Duration::from_millis(50);
 
 /// What a stand-in server does with a message.
 pub enum Reply {
@@ -13,6 +17,8 @@
     Send(String),
     /// Writes this and closes the connection.
     SendAndClose(String),
+    /// Writes this and resets the connection once it has arrived.
+    SendAndReset(String),
     /// Says nothing until the other side has closed, then notes that by the sender.
     StaySilent(Sender<Instant>),
 }
@@ -36,6 +42,12 @@
                             stream.shutdown(Shutdown::Both).unwrap();
                             return;
                         }
+                        Reply::SendAndReset(text) => {
+                            stream.write_all(text.as_bytes()).unwrap();
+                            std::thread::sleep(RESET_DELAY);
+                            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                            return;
+                        }
                         Reply::StaySilent(closed) => {
                             let _ = from.read(&mut [0]);
                             let _ = closed.send(Instant::now());
