Forward a 200 without a length once its endpoint has ended it

Cause: http/head.rs took a 200 without Content-Length or chunks for an error, as its end could not be told from a break.

--- a/src/bin/quota-gateway/http/error.rs
+++ b/src/bin/quota-gateway/http/error.rs
@@ -22,8 +22,6 @@
     UnknownTransferEncoding,
     #[error("both a content length and a transfer encoding")]
     LengthAndTransferEncoding,
-    #[error("a response without a length")]
-    MissingLength,
     #[error("bad chunk")]
     InvalidChunkSize,
     #[error("chunk line too long")]
--- a/src/bin/quota-gateway/http/head.rs
+++ b/src/bin/quota-gateway/http/head.rs
@@ -133,8 +133,7 @@
             (_, true, Some(_)) => Err(MalformedResponse::LengthAndTransferEncoding),
             (_, true, None) => Ok(Body::ChunkSize),
             (_, false, Some(length)) => Ok(Body::Length(length)),
-            // Its end can't be told from a break, so it might be half a body.
-            (200, false, None) => Err(MalformedResponse::MissingLength),
+            // Its end is that of the connection. A break resets the connection, and is told from that.
             (_, false, None) => Ok(Body::UntilClose),
         }
     }
--- a/src/bin/quota-gateway/http/tests.rs
+++ b/src/bin/quota-gateway/http/tests.rs
@@ -29,6 +29,7 @@
         ),
         ("HTTP/1.1 200 OK\r\nConnection: close, keep-alive\r\nContent-Length: 4\r\n\r\nfine", false, false),
         ("HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nfine", false, false),
+        ("HTTP/1.1 200 OK\r\n\r\nfine", false, false),
     ] {
         let (head, body, has_more) = read(text).unwrap();
         assert_eq!((head.keep_alive, &body[..], has_more), (keep, &b"fine"[..], more), "{text}");
@@ -48,7 +49,6 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfine\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nfine",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nfine",
-        "HTTP/1.1 200 OK\r\n\r\nfine",
         "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine",
         "noise\r\n\r\n",
     ] {
@@ -58,10 +58,36 @@
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     assert!(read(&format!("{chunked}4;{}", "x".repeat(MAX_HEAD_BYTES * 2))).is_err());
     assert!(read(&format!("{chunked}ffffffff\r\n{}", "x".repeat(MAX_BODY_BYTES + 1))).is_err());
+    assert!(read(&format!("HTTP/1.1 200 OK\r\n\r\n{}", "x".repeat(MAX_BODY_BYTES + 1))).is_err());
     assert!(read(&"HTTP/1.1 102 Wait\r\n\r\n".repeat(1000)).is_err());
     assert!(read(&format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(MAX_HEAD_BYTES * 2))).is_err());
 }
 
+/// Yields these bytes, then the error of a broken connection.
+struct Broken<'a>(&'a [u8]);
+
+impl AsyncRead for Broken<'_> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.0.is_empty() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        buffer.put_slice(std::mem::take(&mut self.0));
+        Poll::Ready(Ok(()))
+    }
+}
+
+#[test]
+fn a_break_is_no_end_of_a_body_without_a_length() {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    let mut reader = Reader::new(Broken(b"HTTP/1.1 200 OK\r\n\r\nfine"));
+    let result = runtime.block_on(reader.read_response(MAX_BODY_BYTES));
+    assert_eq!(result.err().map(|error| error.kind()), Some(io::ErrorKind::ConnectionReset));
+}
+
 /// Yields one byte a read.
 struct ByteByByte<'a>(&'a [u8]);
 
