Refuse a keyed retry at its first byte once the key's window is about to end

Cause: policy/forwarding.rs looked at the window when it decided on a retry; the driver wrote it whenever its connection had come up, up to the connect time-out later, when the endpoint executes it again. Change: SendAttempt says within which time its first byte has to be written, 150 ms before the window's end (a program may be held up for so long); AttemptRequest::refusal asks right before the write.

--- a/emulator/src/simulation/actions.rs
+++ b/emulator/src/simulation/actions.rs
@@ -24,7 +24,8 @@
     /// Carries out an action. Returns an event that follows from it at once.
     fn carry_out(&mut self, gateway: u32, action: &Action) -> Option<GatewayEvent> {
         match *action {
-            Action::SendAttempt { id, endpoint, timeout_ms } => {
+            // Attempts are sent at once here.
+            Action::SendAttempt { id, endpoint, timeout_ms, .. } => {
                 return self.send_attempt(gateway, id, endpoint, timeout_ms);
             }
             Action::CancelAttempt { id, attempt } => self.cancel_attempt(id, attempt),
--- a/src/api/action.rs
+++ b/src/api/action.rs
@@ -13,6 +13,9 @@
         endpoint: EndpointId,
         /// Time after which the attempt has timed out.
         timeout_ms: Millis,
+        /// Time within which its first byte has to be written, or it must not be sent: it might be executed twice.
+        /// Infinite for an attempt that can't be.
+        start_within_ms: Millis,
     },
     /// Cancel an attempt that is in flight.
     CancelAttempt {
--- a/src/bin/quota-gateway/driver/actions.rs
+++ b/src/bin/quota-gateway/driver/actions.rs
@@ -30,8 +30,8 @@
     /// Carries out one action. Returns the event that reports an action which failed at once.
     fn perform(self: &Rc<Self>, action: Action) -> Option<Event> {
         match action {
-            Action::SendAttempt { id, endpoint, timeout_ms } => {
-                return self.send_attempt(id, endpoint, duration(timeout_ms));
+            Action::SendAttempt { id, endpoint, timeout_ms, start_within_ms } => {
+                return self.send_attempt(id, endpoint, duration(timeout_ms), duration(start_within_ms));
             }
             Action::CancelAttempt { id, attempt } => {
                 self.requests.borrow_mut().cancel_attempt(id, attempt.into());
@@ -63,9 +63,10 @@
         id: RequestId,
         endpoint: EndpointId,
         timeout: Duration,
+        start_within: Duration,
     ) -> Option<Event> {
         let addr = self.pool.address(endpoint);
-        let started = self.requests.borrow_mut().start_attempt(id, addr, timeout);
+        let started = self.requests.borrow_mut().start_attempt(id, addr, timeout, start_within);
         match started {
             Ok(attempt) => {
                 self.spawn_attempt(id, endpoint, attempt);
--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -11,20 +11,21 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// An attempt about to be written. It is refused once its request is answered, or its endpoint is not ready any more
-/// at the address that it had.
+/// An attempt about to be written. It is refused once its request is answered, its endpoint is not ready any more at
+/// the address that it had, or it might be executed twice.
 struct AttemptRequest {
     driver: Rc<Driver>,
     request: RequestId,
     target: Target,
     forwarded: Rc<ForwardedRequest>,
     deadline: Instant,
+    start_by: Instant,
     written: Rc<Cell<bool>>,
 }
 
 impl OutgoingRequest for AttemptRequest {
     fn refusal(&self) -> Option<Outcome> {
-        if self.driver.requests.borrow().is_answered(self.request) {
+        if self.driver.requests.borrow().is_answered(self.request) || Instant::now() >= self.start_by {
             return Some(Outcome::NotSent);
         }
         let ready = self.driver.endpoints.borrow().is_ready(self.target.endpoint);
@@ -88,6 +89,7 @@
             target,
             forwarded: attempt.forwarded,
             deadline: attempt.deadline,
+            start_by: attempt.start_by,
             written: attempt.written.clone(),
         };
         let result = tokio::select! {
--- a/src/bin/quota-gateway/driver/requests.rs
+++ b/src/bin/quota-gateway/driver/requests.rs
@@ -53,6 +53,8 @@
     pub started_at: Instant,
     /// When it times out.
     pub deadline: Instant,
+    /// Its first byte must not be written after this.
+    pub start_by: Instant,
     /// What is sent.
     pub forwarded: Rc<ForwardedRequest>,
     /// Yields once the attempt is cancelled.
@@ -187,6 +189,7 @@
         id: RequestId,
         addr: Option<SocketAddr>,
         timeout: Duration,
+        start_within: Duration,
     ) -> Result<StartedAttempt, UnsentAttempt> {
         let Some(request) = self.open.get_mut(&id) else {
             return Err(UnsentAttempt { number: 0, request_answered: true });
@@ -194,6 +197,7 @@
         let number = request.attempts.len();
         let now = Instant::now();
         let deadline = request.deadline.min(now + timeout);
+        let start_by = now + start_within;
         let may_start = request.may_start_attempt(&self.limits, now, deadline);
         let Some(addr) = addr.filter(|_| may_start) else {
             request.attempts.push(None);
@@ -203,7 +207,16 @@
         let written = Rc::new(Cell::new(false));
         request.attempts.push(Some(Attempt { cancel: Some(cancel), written: written.clone() }));
         let forwarded = request.forwarded.clone();
-        Ok(StartedAttempt { number, addr, started_at: now, deadline, forwarded, cancelled, written })
+        Ok(StartedAttempt {
+            number,
+            addr,
+            started_at: now,
+            deadline,
+            start_by,
+            forwarded,
+            cancelled,
+            written,
+        })
     }
 
     /// Cancels an attempt. Its task closes the connection, then reports the end; it counts as in flight until then.
--- a/src/bin/quota-gateway/driver/requests/tests.rs
+++ b/src/bin/quota-gateway/driver/requests/tests.rs
@@ -27,7 +27,7 @@
 }
 
 fn start(requests: &mut OpenRequests, id: RequestId) -> Option<StartedAttempt> {
-    requests.start_attempt(id, Some(address()), TIMEOUT).ok()
+    requests.start_attempt(id, Some(address()), TIMEOUT, TIMEOUT).ok()
 }
 
 fn served(units: f64, body: &'static str) -> EndpointResponse {
@@ -46,8 +46,8 @@
     }
     let mut requests = open_requests(false);
     let (id, _response) = insert(&mut requests);
-    assert!(requests.start_attempt(id, None, TIMEOUT).is_err(), "without an address");
-    assert!(requests.start_attempt(id, Some(address()), Duration::ZERO).is_err(), "out of time");
+    assert!(requests.start_attempt(id, None, TIMEOUT, TIMEOUT).is_err(), "without an address");
+    assert!(requests.start_attempt(id, Some(address()), Duration::ZERO, TIMEOUT).is_err(), "out of time");
     assert!(start(&mut requests, id + 1).is_none(), "of no open request");
 }
 
--- a/src/bin/simulator-adapter/actions.rs
+++ b/src/bin/simulator-adapter/actions.rs
@@ -23,7 +23,8 @@
 /// Adds the action of an instance to the reply.
 pub fn encode(action: &Action, instance: u32, reply: &mut Reply) {
     match action {
-        Action::SendAttempt { id, endpoint, timeout_ms } => {
+        // The simulator sends at once.
+        Action::SendAttempt { id, endpoint, timeout_ms, .. } => {
             reply.record(code::ISSUE, instance).u64(*id).f64(*timeout_ms).u32(*endpoint);
         }
         Action::Reject { id, retry_after_ms } => {
--- a/src/policy/forwarding.rs
+++ b/src/policy/forwarding.rs
@@ -17,6 +17,9 @@
 const EARLY_TIMEOUT_TICKS: f64 = 2.0;
 /// Advice to a client whose request found no endpoint or failed, as a share of the latency objective.
 const RETRY_AFTER_SHARE: f64 = 0.5;
+/// A repeat is written this long before the key's window ends, in ms: the program may be held up for so long
+/// between its last look at the clock and the write.
+const WRITE_DELAY_MS: f64 = 150.0;
 /// How the load of the fleet is estimated.
 const FLEET_LOAD: LoadParameters = LoadParameters {
     averaging_ms: 1500.0, // some dozens of requests
@@ -77,10 +80,8 @@
         if open.deadline <= cx.now || attempts >= cx.settings.limits.max_attempts.max(1) {
             return false;
         }
-        if let Idempotency::WithKey { window_ms, .. } = cx.class(&open.request).idempotency {
-            if open.first_execution.is_some_and(|first| cx.now - first.started_at >= window_ms) {
-                return false;
-            }
+        if repeat_time_left(cx, open) <= 0.0 {
+            return false;
         }
         let has_ceiling = cx.plan(open.account()).ceiling_rate > 0.0;
         attempts > 0 || !has_ceiling || self.quota.customers.fits_ceiling(&open.request)
@@ -92,7 +93,8 @@
         self.quota.customers.attempt_started(&open.request, first);
         open.attempts.push(Attempt { endpoint, started_at: cx.now, endpoint_in_flight, in_flight: true });
         let timeout_ms = attempt_timeout(cx, open);
-        cx.actions.push(Action::SendAttempt { id: open.request.id, endpoint, timeout_ms });
+        let start_within_ms = repeat_time_left(cx, open);
+        cx.actions.push(Action::SendAttempt { id: open.request.id, endpoint, timeout_ms, start_within_ms });
         self.load.request_started(cx.now);
         if first {
             self.retry_budget.refill(RETRIES_PER_REQUEST, MAX_SAVED_RETRIES);
@@ -202,6 +204,17 @@
     }
 }
 
+/// Time in which another attempt may be written, in ms: an endpoint drops a repeat within the key's window
+/// only. Infinite where nothing can be executed twice by that.
+fn repeat_time_left(cx: &Context, open: &OpenRequest) -> Millis {
+    match (cx.class(&open.request).idempotency, open.first_execution) {
+        (Idempotency::WithKey { window_ms, .. }, Some(first)) => {
+            first.started_at + window_ms - WRITE_DELAY_MS - cx.now
+        }
+        _ => f64::INFINITY,
+    }
+}
+
 /// How long an attempt that starts now may take, in ms.
 fn attempt_timeout(cx: &Context, open: &OpenRequest) -> Millis {
     let remaining_ms = open.deadline - cx.now;
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -65,7 +65,9 @@
 
     fn check(&mut self, action: &Action) {
         match *action {
-            Action::SendAttempt { id, endpoint, timeout_ms } => self.check_attempt(id, endpoint, timeout_ms),
+            Action::SendAttempt { id, endpoint, timeout_ms, .. } => {
+                self.check_attempt(id, endpoint, timeout_ms);
+            }
             Action::Reject { id, .. } => {
                 let request = self.requests.get_mut(&id).expect("a known request");
                 assert!(!std::mem::replace(&mut request.answered, true), "answered twice");
