--- a/tests/gateway/client_timing.rs
+++ b/tests/gateway/client_timing.rs
@@ -123,3 +123,30 @@
         );
     }
 }
+
+/// A request of which a part has come when connections close for the end is waited for and served.
+#[test]
+fn half_a_head_at_the_end_is_waited_for() {
+    let (endpoint, _) = healthy_endpoint();
+    let mut gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
+    let mut clients: Vec<_> = (0..4).map(|_| gateway.connect()).collect();
+    for (customer, rested) in clients.iter_mut().enumerate().skip(2) {
+        rested.get_mut().write_all(get_request(customer as u64, 1, 3000).as_bytes()).unwrap();
+        assert_eq!(read_message(rested).unwrap().status(), 200);
+    }
+    gateway.signal("-TERM");
+    sleep(Duration::from_millis(400));
+    let request = |customer: usize| get_request(10 + customer as u64, 1, 3000);
+    for (customer, client) in clients.iter_mut().enumerate() {
+        client.get_mut().write_all(&request(customer).as_bytes()[..40]).unwrap();
+    }
+    // Connections close 0.6 s after the signal, and the program may end 1 s after it.
+    sleep(Duration::from_millis(800));
+    for (customer, client) in clients.iter_mut().enumerate() {
+        client.get_mut().write_all(&request(customer).as_bytes()[40..]).unwrap();
+    }
+    let statuses: Vec<_> =
+        clients.iter_mut().map(|c| read_message(c).map(|answer| answer.status())).collect();
+    assert_eq!(statuses, [Some(200); 4]);
+    assert!(gateway.child.wait().unwrap().success());
+}
--- a/tests/gateway/system_faults.rs
+++ b/tests/gateway/system_faults.rs
@@ -2,7 +2,11 @@
 
 use crate::stand_ins::*;
 use std::io::Write;
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// A connection that the system has accepted stays in its queue when accepting it fails, and is served after that,
 /// also at the end of the listener.
@@ -22,7 +26,7 @@
         for (customer, open) in opens.iter_mut().enumerate() {
             open.get_mut().write_all(get_request(customer as u64, 1, 3000).as_bytes()).unwrap();
         }
-        std::thread::sleep(Duration::from_millis(800));
+        sleep(Duration::from_millis(800));
         gateway.signal("-CONT");
         let statuses: Vec<_> =
             opens.iter_mut().map(|open| read_message(open).map(|answer| answer.status())).collect();
@@ -77,3 +81,62 @@
     let gateway = Gateway::with_faults(&config, "recv_short=300,send_short=300");
     assert_eq!(statuses_but_success(&gateway), []);
 }
+
+/// Signals are taken in though reading them is interrupted.
+#[test]
+fn interrupted_reads_of_signals_do_not_end_the_program() {
+    let (endpoint, _) = healthy_endpoint();
+    let config = config_with_silent_discovery(&[endpoint]);
+    let mut gateway = Gateway::with_faults(&config, "unix_eintr=400");
+    for customer in 0..10 {
+        assert!(!gateway.reload(&config.to_string()).contains("stands"));
+        assert_eq!(gateway.get(customer, 1).status(), 200);
+    }
+    gateway.signal("-TERM");
+    assert!(gateway.child.wait().unwrap().success());
+}
+
+/// Requests in flight at once in the test of a cold endpoint.
+const CONCURRENT_REQUESTS: u64 = 40;
+
+/// An endpoint that serves each request for a while, and the number of those that it got.
+fn slow_endpoint() -> (SocketAddr, Arc<AtomicUsize>) {
+    let count = Arc::new(AtomicUsize::new(0));
+    let seen = count.clone();
+    let addr = start_server(move |_| {
+        seen.fetch_add(1, Ordering::SeqCst);
+        sleep(Duration::from_millis(300));
+        Reply::Send(response(200, "", "done"))
+    });
+    (addr, count)
+}
+
+/// The gateway's own wall clock may be off when it starts: an endpoint whose start is news is cold all the same.
+#[test]
+fn an_endpoint_that_has_just_started_is_cold_whatever_the_wall_clock_says() {
+    for faults in ["seed=1", "wall_clock_s=3600", "wall_clock_s=-3600"] {
+        let (warm, _) = slow_endpoint();
+        let (cold, got_cold) = slow_endpoint();
+        let discovery = Discovery::new();
+        let config = config(&[warm], start_counter(Arc::default()), discovery.addr);
+        let gateway = Gateway::with_faults(&config, faults);
+        let (_, mut watch) = discovery.next_watch();
+        push_update(&mut watch, "");
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let mut started = list_entry(1, cold, "Ready");
+        started["started_ms"] = (now.as_millis() as u64).into();
+        let bad = serde_json::json!({"id": 7});
+        let change = serde_json::json!({"version": 8, "full": false, "servers": [bad, started]});
+        push_update(&mut watch, &change.to_string());
+        gateway.wait_for_log("an entry of the list");
+        let mut clients: Vec<_> = (0..CONCURRENT_REQUESTS).map(|_| gateway.connect()).collect();
+        for (customer, client) in (0..).zip(&mut clients) {
+            client.get_mut().write_all(get_request(customer, 1, 3000).as_bytes()).unwrap();
+        }
+        for client in &mut clients {
+            read_message(client).expect("an answer");
+        }
+        let sent = got_cold.load(Ordering::SeqCst);
+        assert!(sent <= 5, "{faults}: {sent} of {CONCURRENT_REQUESTS} requests sent to a cold endpoint");
+    }
+}
