Take in signals by a pipe of our own that bears interrupted reads

Cause: the runtime's signal driver panics on any error of its pipe but EWOULDBLOCK ('Bad read on self-pipe'), EINTR included, which ends the process.

--- a/src/bin/quota-gateway/error.rs
+++ b/src/bin/quota-gateway/error.rs
@@ -12,8 +12,8 @@
     Config(#[from] ConfigError),
     #[error("{0}")]
     Runtime(io::Error),
-    #[error("{signal}: {source}")]
-    SignalHandler { signal: &'static str, source: io::Error },
+    #[error("signal handlers: {0}")]
+    SignalHandler(io::Error),
     #[error("listen {addr}: {source}")]
     Listen { addr: SocketAddr, source: io::Error },
     #[error("peer_listen {addr}: {source}")]
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -14,15 +14,16 @@
 mod reload;
 mod server;
 mod shutdown;
+mod signals;
 mod socket;
 mod startup;
 mod upstream;
 
 use error::StartupError;
 use logging::Log;
+use signals::SignalStream;
 use std::process::ExitCode;
 use tokio::runtime;
-use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::LocalSet;
 
 /// Exit status if the program can't start.
@@ -51,16 +52,17 @@
 /// Starts the gateway and serves until SIGTERM; SIGHUP reloads the configuration, during the shutdown, too. Signals are
 /// handled before anything else is done, as the default would end the process.
 async fn serve() -> Result<(), StartupError> {
-    let mut terminate = signal_stream("SIGTERM", SignalKind::terminate())?;
-    let mut hangup = signal_stream("SIGHUP", SignalKind::hangup())?;
+    let mut terminate = SignalStream::terminate().map_err(StartupError::SignalHandler)?;
+    let mut hangup = SignalStream::hangup().map_err(StartupError::SignalHandler)?;
     let config = config::load()?;
     let gateway = tokio::select! {
         started = startup::start(config) => started?,
-        _ = terminate.recv() => return Ok(()),
+        () = terminate.recv() => return Ok(()),
     };
     let addresses = gateway.addresses;
     let reload = async {
-        while hangup.recv().await.is_some() {
+        loop {
+            hangup.recv().await;
             addresses.reload();
         }
     };
@@ -69,12 +71,7 @@
         gateway.shutdown.run().await;
     };
     tokio::select! {
-        () = serve_until_end => {}
-        () = reload => {}
+        () = serve_until_end => Ok(()),
+        () = reload => Ok(()),
     }
-    Ok(())
-}
-
-fn signal_stream(name: &'static str, kind: SignalKind) -> Result<Signal, StartupError> {
-    signal(kind).map_err(|source| StartupError::SignalHandler { signal: name, source })
 }
