--- a/src/bin/quota-gateway/driver/endpoints.rs
+++ b/src/bin/quota-gateway/driver/endpoints.rs
@@ -1,5 +1,6 @@
 //! The endpoints as the list names them: their ids and states. Their addresses are the connection pool's.
 
+use super::start_times::StartTimes;
 use crate::discovery::list::{EndpointEntry, EndpointList, EntryState};
 use crate::upstream::ConnectionPool;
 use quota_gateway::{Endpoint, EndpointId, EndpointState};
@@ -32,20 +33,41 @@
 
 struct AssignedId {
     id: EndpointId,
+    start: Start,
     /// When the endpoint was removed, if it was.
     removed_at: Option<Instant>,
 }
 
+/// When an endpoint started, in Unix milliseconds; 0 if that is long past.
+#[derive(Clone, Copy)]
+struct Start {
+    /// As the list has it.
+    listed_ms: f64,
+    /// As it is taken.
+    judged_ms: f64,
+}
+
 impl EndpointIds {
-    /// The id of an endpoint that the list names, as removed or not.
-    fn get_or_assign(&mut self, name: String, removed: bool) -> EndpointId {
+    /// The id of an endpoint that the list names, as removed or not, and when it started. `judge` tells that for a
+    /// start that is news.
+    fn get_or_assign(
+        &mut self,
+        name: String,
+        removed: bool,
+        listed_ms: f64,
+        judge: impl FnOnce() -> f64,
+    ) -> (EndpointId, f64) {
         let removed_at = removed.then(Instant::now);
         let assigned = self.assigned.entry(name).or_insert_with(|| {
             self.last_id += 1;
-            AssignedId { id: self.last_id, removed_at }
+            AssignedId { id: self.last_id, start: Start { listed_ms: 0.0, judged_ms: 0.0 }, removed_at }
         });
+        if listed_ms > assigned.start.listed_ms {
+            assigned.start = Start { listed_ms, judged_ms: judge() };
+        }
         assigned.removed_at = removed_at;
-        assigned.id
+        let started_ms = if listed_ms > 0.0 { assigned.start.judged_ms } else { listed_ms };
+        (assigned.id, started_ms)
     }
 
     /// Marks all endpoints as removed that a complete list does not name.
@@ -69,12 +91,18 @@
     /// The states of those that are listed with an address and not removed.
     states: HashMap<EndpointId, EndpointState>,
     topology: TopologyNames,
+    start_times: StartTimes,
 }
 
 impl Endpoints {
     /// None is known until a list comes.
     pub fn new(topology: TopologyNames) -> Self {
-        Endpoints { ids: EndpointIds::default(), states: HashMap::new(), topology }
+        Endpoints {
+            ids: EndpointIds::default(),
+            states: HashMap::new(),
+            topology,
+            start_times: StartTimes::default(),
+        }
     }
 
     /// True if an endpoint takes new requests.
@@ -92,11 +120,17 @@
         self.ids.drop_expired();
     }
 
-    /// Applies a list, also to the pool's addresses. Returns the entries in the library's terms.
-    pub fn update(&mut self, list: EndpointList, pool: &ConnectionPool) -> Vec<Endpoint> {
+    /// Discovery has reported all changes up to now.
+    pub fn synced(&mut self) {
+        self.start_times.synced();
+    }
+
+    /// Applies a list, also to the pool's addresses. Returns the entries in the library's terms; `now_ms` is the
+    /// present Unix time there.
+    pub fn update(&mut self, list: EndpointList, pool: &ConnectionPool, now_ms: f64) -> Vec<Endpoint> {
         let mut endpoints = Vec::with_capacity(list.endpoints.valid.len());
         for entry in list.endpoints.valid {
-            endpoints.push(self.update_entry(entry, pool));
+            endpoints.push(self.update_entry(entry, pool, now_ms));
         }
         if list.complete {
             self.remove_unlisted(&endpoints, pool);
@@ -104,12 +138,14 @@
         endpoints
     }
 
-    fn update_entry(&mut self, entry: EndpointEntry, pool: &ConnectionPool) -> Endpoint {
+    fn update_entry(&mut self, entry: EndpointEntry, pool: &ConnectionPool, now_ms: f64) -> Endpoint {
         let state = endpoint_state(entry.state);
         let hash_key = xxh3_64(entry.id.as_bytes());
-        let id = self.ids.get_or_assign(entry.id, state == EndpointState::Removed);
+        let judge = || self.start_times.judge(entry.started_ms, now_ms);
+        let is_removed = state == EndpointState::Removed;
+        let (id, started_at) = self.ids.get_or_assign(entry.id, is_removed, entry.started_ms, judge);
         match entry.addr {
-            Some(addr) if state != EndpointState::Removed => {
+            Some(addr) if !is_removed => {
                 self.states.insert(id, state);
                 pool.set_address(id, addr);
             }
@@ -126,7 +162,7 @@
             cell: entry.cell,
             state,
             weight: entry.weight,
-            started_at: entry.started_ms,
+            started_at,
         }
     }
 
--- a/src/bin/quota-gateway/driver/endpoints/tests.rs
+++ b/src/bin/quota-gateway/driver/endpoints/tests.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+const NOW_MS: f64 = 1_700_000_000_000.0;
+
 fn address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 9))
 }
@@ -44,7 +46,7 @@
     }
 
     fn update(&mut self, complete: bool, entries: Vec<EndpointEntry>) -> Vec<Endpoint> {
-        self.endpoints.update(list(complete, entries), &self.pool)
+        self.endpoints.update(list(complete, entries), &self.pool, NOW_MS)
     }
 }
 
@@ -93,3 +95,17 @@
     fleet.endpoints.drop_expired();
     assert_ne!(fleet.update(false, vec![entry("s-1", EntryState::Ready)])[0].id, first);
 }
+
+/// What is judged once holds for as long as the list says the same.
+#[test]
+fn a_start_is_judged_when_it_is_news() {
+    let mut fleet = Fleet::new();
+    let entry_started = |started_ms| EndpointEntry { started_ms, ..entry("s-1", EntryState::Ready) };
+    let old = NOW_MS - 3_600_000.0;
+    assert_eq!(fleet.update(true, vec![entry_started(old)])[0].started_at, old);
+    fleet.endpoints.synced();
+    assert_eq!(fleet.update(false, vec![entry_started(old)])[0].started_at, old);
+    assert_eq!(fleet.update(false, vec![entry_started(old + 1000.0)])[0].started_at, NOW_MS);
+    assert_eq!(fleet.update(true, vec![entry_started(old + 1000.0)])[0].started_at, NOW_MS);
+    assert_eq!(fleet.update(true, vec![entry_started(0.0)])[0].started_at, 0.0);
+}
--- a/src/bin/quota-gateway/driver/events.rs
+++ b/src/bin/quota-gateway/driver/events.rs
@@ -123,11 +123,12 @@
             self.bad_entry_warning.warn("discovery", "an entry of the list can't be read and is passed over");
         }
         let complete = list.complete;
-        let endpoints = self.endpoints.borrow_mut().update(list, &self.pool);
+        let endpoints = self.endpoints.borrow_mut().update(list, &self.pool, self.clock.now_ms());
         self.dispatch(Event::EndpointUpdate { complete, endpoints });
     }
 
     fn discovery_synced(&self) {
         self.discovery_synced.set(true);
+        self.endpoints.borrow_mut().synced();
     }
 }
--- a/src/bin/quota-gateway/driver/mod.rs
+++ b/src/bin/quota-gateway/driver/mod.rs
@@ -6,6 +6,7 @@
 //! - `attempts`: the tasks that send attempts and health checks
 //! - `requests`: the open requests and their attempts
 //! - `endpoints`: the endpoints' ids and states
+//! - `start_times`: when endpoints started, where clocks may be off
 
 mod actions;
 mod attempts;
@@ -14,6 +15,7 @@
 mod events;
 mod messages;
 mod requests;
+mod start_times;
 
 pub use endpoints::TopologyNames;
 pub use messages::{FinalResponse, ForwardedRequest, IncomingRequest};
