--- a/src/bin/quota-gateway/driver/actions.rs
+++ b/src/bin/quota-gateway/driver/actions.rs
@@ -37,9 +37,13 @@
                 self.requests.borrow_mut().cancel_attempt(id, attempt.into());
             }
             Action::Reject { id, retry_after_ms } => {
+                tracing::debug!(id, retry_after_ms, "rejected");
                 self.requests.borrow_mut().respond(id, FinalResponse::Rejected { retry_after_ms });
             }
-            Action::Fail { id } => self.requests.borrow_mut().respond(id, FinalResponse::Failed),
+            Action::Fail { id } => {
+                tracing::debug!(id, "failed");
+                self.requests.borrow_mut().respond(id, FinalResponse::Failed);
+            }
             Action::SetTimer { token, after_ms } => self.set_timer(token, duration(after_ms)),
             Action::CheckHealth { endpoint } => self.check_health(endpoint),
             Action::AddToCounter { key, amount, ttl_ms } => {
@@ -69,6 +73,7 @@
         let started = self.requests.borrow_mut().start_attempt(id, addr, timeout, start_within);
         match started {
             Ok(attempt) => {
+                tracing::debug!(id, attempt = attempt.number, endpoint, "attempt");
                 self.spawn_attempt(id, endpoint, attempt);
                 None
             }
--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -1,6 +1,7 @@
 //! The tasks that send attempts and health checks. Each reports its end as an event.
 
 use super::events::AttemptReport;
+use super::guard::{refusal_outcome, GuardedAttempt, ToldTime};
 use super::messages::ForwardedRequest;
 use super::requests::{EndpointResponse, StartedAttempt};
 use super::Driver;
@@ -9,40 +10,36 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
-/// An attempt about to be written. It is refused once its request is answered, its endpoint is not ready any more at
-/// the address that it had, or it might be executed twice.
+/// An attempt about to be written, if the guard lets it.
 struct AttemptRequest {
     driver: Rc<Driver>,
-    request: RequestId,
-    target: Target,
+    guarded: GuardedAttempt,
     forwarded: Rc<ForwardedRequest>,
     deadline: Instant,
-    start_by: Instant,
+    /// The remaining time that was told.
+    told: Cell<Duration>,
     written: Rc<Cell<bool>>,
 }
 
 impl OutgoingRequest for AttemptRequest {
     fn refusal(&self) -> Option<Outcome> {
-        if self.driver.requests.borrow().is_answered(self.request) || Instant::now() >= self.start_by {
-            return Some(Outcome::NotSent);
-        }
-        let ready = self.driver.endpoints.borrow().is_ready(self.target.endpoint);
-        let at_same_address = self.driver.pool.address(self.target.endpoint) == Some(self.target.addr);
-        if ready && at_same_address {
-            return None;
-        }
-        // As good as rejected by the endpoint: another one may be tried.
-        Some(Outcome::Rejected)
+        let refusal = self.driver.check_before_write(&self.guarded).err()?;
+        self.driver.metrics.attempt_refusals.increment(refusal);
+        tracing::debug!(id = self.guarded.request, endpoint = self.guarded.target.endpoint, %refusal, "not sent");
+        Some(refusal_outcome(refusal))
     }
 
     fn encode(&self) -> Vec<u8> {
-        self.forwarded.encode(self.deadline.saturating_duration_since(Instant::now()))
+        self.told.set(self.deadline.saturating_duration_since(Instant::now()));
+        self.forwarded.encode(self.told.get())
     }
 
     fn on_written(&self) {
         self.written.set(true);
+        self.driver.check_after_write(&self.guarded, ToldTime { remaining: self.told.get() });
     }
 }
 
@@ -85,11 +82,10 @@
         let target = Target { endpoint, addr: attempt.addr };
         let outgoing = AttemptRequest {
             driver: self.clone(),
-            request,
-            target,
+            guarded: GuardedAttempt { request, target, start_by: attempt.start_by },
             forwarded: attempt.forwarded,
             deadline: attempt.deadline,
-            start_by: attempt.start_by,
+            told: Cell::default(),
             written: attempt.written.clone(),
         };
         let result = tokio::select! {
--- a/src/bin/quota-gateway/driver/endpoints.rs
+++ b/src/bin/quota-gateway/driver/endpoints.rs
@@ -90,6 +90,12 @@
     ids: EndpointIds,
     /// The states of those that are listed with an address and not removed.
     states: HashMap<EndpointId, EndpointState>,
+    /// How many of them are ready.
+    ready_count: usize,
+    /// Since when those are not ready that drain or were removed.
+    not_ready_since: HashMap<EndpointId, Instant>,
+    /// When those started that are ready and did not start long ago, in Unix milliseconds.
+    started_at: HashMap<EndpointId, f64>,
     topology: TopologyNames,
     start_times: StartTimes,
 }
@@ -100,6 +106,9 @@
         Endpoints {
             ids: EndpointIds::default(),
             states: HashMap::new(),
+            ready_count: 0,
+            not_ready_since: HashMap::new(),
+            started_at: HashMap::new(),
             topology,
             start_times: StartTimes::default(),
         }
@@ -112,12 +121,42 @@
 
     /// True if any endpoint takes new requests.
     pub fn any_ready(&self) -> bool {
-        self.states.values().any(|state| *state == EndpointState::Ready)
+        self.ready_count > 0
+    }
+
+    /// How many endpoints take new requests.
+    pub fn ready_count(&self) -> usize {
+        self.ready_count
+    }
+
+    /// Since when an endpoint takes no new requests; none if it does, or it was removed long ago.
+    pub fn not_ready_since(&self, id: EndpointId) -> Option<Instant> {
+        self.not_ready_since.get(&id).copied()
+    }
+
+    /// When a ready endpoint started, in Unix milliseconds; none if that is long past.
+    pub fn started_at(&self, id: EndpointId) -> Option<f64> {
+        self.started_at.get(&id).copied()
     }
 
     /// Forgets endpoints that were removed long ago.
     pub fn drop_expired(&mut self) {
         self.ids.drop_expired();
+        self.not_ready_since
+            .retain(|id, since| self.states.contains_key(id) || since.elapsed() < REMOVED_ID_RETENTION);
+    }
+
+    fn record_state(&mut self, id: EndpointId, state: EndpointState, started_at: f64) {
+        if state == EndpointState::Ready {
+            self.not_ready_since.remove(&id);
+        } else {
+            self.not_ready_since.entry(id).or_insert_with(Instant::now);
+        }
+        if state == EndpointState::Ready && started_at > 0.0 {
+            self.started_at.insert(id, started_at);
+        } else {
+            self.started_at.remove(&id);
+        }
     }
 
     /// Discovery has reported all changes up to now.
@@ -135,6 +174,7 @@
         if list.complete {
             self.remove_unlisted(&endpoints, pool);
         }
+        self.ready_count = self.states.values().filter(|state| **state == EndpointState::Ready).count();
         endpoints
     }
 
@@ -144,6 +184,7 @@
         let judge = || self.start_times.judge(entry.started_ms, now_ms);
         let is_removed = state == EndpointState::Removed;
         let (id, started_at) = self.ids.get_or_assign(entry.id, is_removed, entry.started_ms, judge);
+        self.record_state(id, state, started_at);
         match entry.addr {
             Some(addr) if !is_removed => {
                 self.states.insert(id, state);
@@ -174,6 +215,8 @@
             let is_listed = listed.contains(id);
             if !is_listed {
                 pool.remove(*id);
+                self.not_ready_since.entry(*id).or_insert_with(Instant::now);
+                self.started_at.remove(id);
             }
             is_listed
         });
--- a/src/bin/quota-gateway/driver/events.rs
+++ b/src/bin/quota-gateway/driver/events.rs
@@ -1,7 +1,7 @@
 //! What comes in: each method turns something that happened into an event of the decision library.
 
 use super::messages::{ForwardedRequest, IncomingRequest, StartedRequest};
-use super::requests::EndpointResponse;
+use super::requests::{EndpointResponse, NewRequest};
 use super::{Driver, FinalResponse};
 use crate::counter::CounterReplyHandler;
 use crate::discovery::list::EndpointList;
@@ -43,7 +43,14 @@
         let elapsed_ms = incoming.received_at.elapsed().as_secs_f64() * 1000.0;
         let timeout_ms = (incoming.remaining_ms - elapsed_ms - RESPONSE_MARGIN_MS).max(0.0);
         let deadline = Instant::now() + Duration::from_secs_f64(timeout_ms / 1000.0);
-        let id = self.requests.borrow_mut().insert(forwarded, deadline, client);
+        let new = NewRequest {
+            transaction_id: incoming.transaction_id,
+            forwarded,
+            deadline,
+            client_deadline: incoming.received_at + Duration::from_secs_f64(incoming.remaining_ms / 1000.0),
+        };
+        let id = self.requests.borrow_mut().insert(new, client);
+        tracing::debug!(txn = %format_args!("{:016x}", incoming.transaction_id), id, timeout_ms, "request");
         self.dispatch(Event::Request(Request {
             id,
             customer: incoming.customer,
@@ -75,8 +82,21 @@
     }
 
     pub(super) fn attempt_ended(self: &Rc<Self>, report: AttemptReport) {
-        let finished =
-            self.requests.borrow_mut().finish_attempt(report.request, report.number, report.served);
+        self.metrics.attempts.increment(report.outcome.into());
+        tracing::debug!(
+            id = report.request,
+            attempt = report.number,
+            endpoint = report.endpoint,
+            outcome = ?report.outcome,
+            elapsed_ms = report.elapsed_ms,
+            "attempt ended"
+        );
+        let finished = self.requests.borrow_mut().finish_attempt(
+            report.request,
+            report.number,
+            report.outcome,
+            report.served,
+        );
         let Some(finished) = finished else { return };
         self.dispatch(Event::AttemptEnded(AttemptEnd {
             id: report.request,
@@ -123,6 +143,13 @@
             self.bad_entry_warning.warn("discovery", "an entry of the list can't be read and is passed over");
         }
         let complete = list.complete;
+        self.metrics.list_updates.inc();
+        tracing::debug!(
+            version = list.version,
+            complete,
+            entries = list.endpoints.valid.len(),
+            "endpoint list"
+        );
         let endpoints = self.endpoints.borrow_mut().update(list, &self.pool, self.clock.now_ms());
         self.dispatch(Event::EndpointUpdate { complete, endpoints });
     }
--- /dev/null
+++ b/src/bin/quota-gateway/driver/guard.rs
@@ -0,0 +1,164 @@
+//! The guard of the rules on sending: the one place that says whether an attempt may be written, and that looks once
+//! more at what has been written. What it finds broken then is counted and logged with the ids; it is a fault of the
+//! program, as the answer before the write should have been no.
+
+use super::requests::RequestRecord;
+use super::slow_start_check::SlowStartCheck;
+use super::Driver;
+use crate::metrics::{AttemptRefusal, Metrics, Rule};
+use crate::upstream::Target;
+use quota_gateway::{Outcome, RequestId, Rules};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[cfg(test)]
+mod tests;
+
+/// An attempt that begins this long after its client has gone breaks a rule.
+const CLOSED_REQUEST_GRACE: Duration = Duration::from_millis(100);
+/// On sockets each time limit of the rules is this much longer.
+const SOCKET_SLACK: Duration = Duration::from_millis(50);
+/// An attempt may tell this much more time than its client has left, and the program be held up for so long between
+/// looking at the clock and writing.
+const TIME_SLACK: Duration = Duration::from_millis(150);
+
+/// What the guard needs to know of an attempt.
+pub struct GuardedAttempt {
+    /// Its request.
+    pub request: RequestId,
+    /// Where it goes.
+    pub target: Target,
+    /// Its first byte must not be written after this.
+    pub start_by: Instant,
+}
+
+/// What is known when an attempt has been written.
+pub struct WrittenAttempt<'a> {
+    /// Its request.
+    pub record: &'a RequestRecord,
+    /// Since when its endpoint is not ready; none if it is.
+    pub not_ready_since: Option<Instant>,
+    /// Its first byte must not be written after this.
+    pub start_by: Instant,
+    /// The remaining time that it told, and when that was made out.
+    pub told: ToldTime,
+    /// When its last byte was written.
+    pub written_at: Instant,
+}
+
+/// The remaining time that an attempt told its endpoint.
+#[derive(Clone, Copy)]
+pub struct ToldTime {
+    /// The time.
+    pub remaining: Duration,
+}
+
+/// The guard's own state: one for the process.
+pub struct Guard {
+    metrics: Rc<Metrics>,
+    drain_grace: Duration,
+    slow_start: RefCell<SlowStartCheck>,
+    violations: Cell<u64>,
+}
+
+impl Guard {
+    /// For these rules.
+    pub fn new(rules: &Rules, metrics: Rc<Metrics>) -> Self {
+        Guard {
+            metrics,
+            drain_grace: Duration::from_secs_f64(rules.drain_grace_ms.clamp(0.0, 86_400_000.0) / 1000.0),
+            slow_start: RefCell::new(SlowStartCheck::new(rules)),
+            violations: Cell::new(0),
+        }
+    }
+
+    /// The rules that an attempt broke in being written.
+    pub fn broken_rules(&self, attempt: &WrittenAttempt<'_>) -> Vec<Rule> {
+        let since = |at: Option<Instant>| at.map_or(Duration::ZERO, |at| attempt.written_at - at);
+        let record = attempt.record;
+        let left = record.client_deadline.saturating_duration_since(attempt.written_at);
+        let checks = [
+            (Rule::SendForClosedRequest, since(record.ended_at) > CLOSED_REQUEST_GRACE),
+            (Rule::SendToDraining, since(attempt.not_ready_since) > self.drain_grace + SOCKET_SLACK),
+            (Rule::RemainingTime, attempt.told.remaining > left + TIME_SLACK),
+            (Rule::Repeat, record.must_not_repeat || attempt.written_at > attempt.start_by + TIME_SLACK),
+        ];
+        checks.into_iter().filter(|(_, is_broken)| *is_broken).map(|(rule, _)| rule).collect()
+    }
+
+    /// Counts and logs a broken rule.
+    pub fn report(&self, rule: Rule, what: &str) {
+        self.violations.set(self.violations.get() + 1);
+        self.metrics.violations.increment(rule);
+        tracing::error!("rule broken: {rule}: {what}");
+    }
+
+    /// How many rules were broken.
+    pub fn violations(&self) -> u64 {
+        self.violations.get()
+    }
+}
+
+impl Driver {
+    /// Whether an attempt may be written now. Asked right before its first byte: finding a connection takes time, in
+    /// which the client may go, the endpoint drain and the time for a repeat pass.
+    pub(super) fn check_before_write(&self, attempt: &GuardedAttempt) -> Result<(), AttemptRefusal> {
+        let record = self.requests.borrow().record(attempt.request);
+        let record = record.filter(|record| record.ended_at.is_none());
+        let record = record.ok_or(AttemptRefusal::RequestAnswered)?;
+        if record.must_not_repeat {
+            return Err(AttemptRefusal::MayHaveRun);
+        }
+        if Instant::now() >= attempt.start_by {
+            return Err(AttemptRefusal::RepeatWindowOver);
+        }
+        if !self.endpoints.borrow().is_ready(attempt.target.endpoint) {
+            return Err(AttemptRefusal::EndpointNotReady);
+        }
+        if self.pool.address(attempt.target.endpoint) != Some(attempt.target.addr) {
+            return Err(AttemptRefusal::EndpointMoved);
+        }
+        Ok(())
+    }
+
+    /// Looks once more at an attempt whose last byte has just been written.
+    pub(super) fn check_after_write(&self, attempt: &GuardedAttempt, told: ToldTime) {
+        let written_at = Instant::now();
+        let endpoint = attempt.target.endpoint;
+        let Some(record) = self.requests.borrow().record(attempt.request) else { return };
+        let endpoints = self.endpoints.borrow();
+        let written = WrittenAttempt {
+            record: &record,
+            not_ready_since: endpoints.not_ready_since(endpoint),
+            start_by: attempt.start_by,
+            told,
+            written_at,
+        };
+        let mut broken = self.guard.broken_rules(&written);
+        let age_ms = endpoints.started_at(endpoint).map(|started_at| self.clock.now_ms() - started_at);
+        let mut slow_start = self.guard.slow_start.borrow_mut();
+        if !slow_start.record(endpoint, age_ms, endpoints.ready_count(), written_at) {
+            broken.push(Rule::SlowStart);
+        }
+        for rule in broken {
+            let what = format!(
+                "txn {:016x} to endpoint {endpoint} at {}",
+                record.transaction_id, attempt.target.addr
+            );
+            self.guard.report(rule, &what);
+        }
+    }
+}
+
+/// The outcome of an attempt that was refused, in the decision library's terms.
+pub fn refusal_outcome(refusal: AttemptRefusal) -> Outcome {
+    match refusal {
+        AttemptRefusal::RequestAnswered | AttemptRefusal::RepeatWindowOver | AttemptRefusal::MayHaveRun => {
+            Outcome::NotSent
+        }
+        // As good as rejected by the endpoint: another one may be tried.
+        AttemptRefusal::EndpointNotReady | AttemptRefusal::EndpointMoved => Outcome::Rejected,
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/driver/guard/tests.rs
@@ -0,0 +1,66 @@
+//! What counts as a broken rule.
+
+use super::{Guard, ToldTime, WrittenAttempt};
+use crate::driver::requests::RequestRecord;
+use crate::metrics::{Metrics, Rule};
+use quota_gateway::Rules;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// An attempt that breaks no rule, but for what a test changes.
+struct Case {
+    record: RequestRecord,
+    not_ready_since: Option<Instant>,
+    start_by: Instant,
+    told: Duration,
+    now: Instant,
+}
+
+impl Case {
+    fn new() -> Self {
+        let now = Instant::now() + 100 * SECOND;
+        let record = RequestRecord {
+            transaction_id: 1,
+            client_deadline: now + SECOND,
+            ended_at: None,
+            must_not_repeat: false,
+        };
+        Case { record, not_ready_since: None, start_by: now, told: SECOND, now }
+    }
+
+    fn broken_rules(&self) -> Vec<Rule> {
+        let rules = Rules { drain_grace_ms: 2000.0, ..Rules::default() };
+        let written = WrittenAttempt {
+            record: &self.record,
+            not_ready_since: self.not_ready_since,
+            start_by: self.start_by,
+            told: ToldTime { remaining: self.told },
+            written_at: self.now,
+        };
+        Guard::new(&rules, Metrics::new()).broken_rules(&written)
+    }
+}
+
+#[test]
+fn each_rule_is_broken_past_its_slack_and_not_before() {
+    let ms = Duration::from_millis;
+    assert_eq!(Case::new().broken_rules(), []);
+    let mut case = Case::new();
+    case.record.ended_at = Some(case.now - ms(100));
+    case.not_ready_since = Some(case.now - ms(2050));
+    case.start_by = case.now - ms(150);
+    case.told = SECOND + ms(150);
+    assert_eq!(case.broken_rules(), []);
+    case.record.ended_at = Some(case.now - ms(101));
+    assert_eq!(case.broken_rules(), [Rule::SendForClosedRequest]);
+    case.not_ready_since = Some(case.now - ms(2051));
+    case.told = SECOND + ms(151);
+    case.start_by = case.now - ms(151);
+    let all = [Rule::SendForClosedRequest, Rule::SendToDraining, Rule::RemainingTime, Rule::Repeat];
+    assert_eq!(case.broken_rules(), all);
+    let mut case = Case::new();
+    case.record.must_not_repeat = true;
+    assert_eq!(case.broken_rules(), [Rule::Repeat]);
+}
--- a/src/bin/quota-gateway/driver/messages.rs
+++ b/src/bin/quota-gateway/driver/messages.rs
@@ -38,6 +38,8 @@
     pub head: Vec<u8>,
     /// The empty line that ends the head, and the body.
     pub body: Vec<u8>,
+    /// It must not be executed twice, and endpoints don't drop repeats.
+    pub must_not_repeat: bool,
 }
 
 impl ForwardedRequest {
--- a/src/bin/quota-gateway/driver/mod.rs
+++ b/src/bin/quota-gateway/driver/mod.rs
@@ -5,6 +5,8 @@
 //! - `actions`: the library's loop, and what it asks for
 //! - `attempts`: the tasks that send attempts and health checks
 //! - `requests`: the open requests and their attempts
+//! - `guard`: whether an attempt may be written, and whether what was written broke a rule
+//! - `slow_start_check`: what endpoints in slow start may get
 //! - `endpoints`: the endpoints' ids and states
 //! - `start_times`: when endpoints started, where clocks may be off
 
@@ -13,8 +15,10 @@
 mod clock;
 mod endpoints;
 mod events;
+mod guard;
 mod messages;
 mod requests;
+mod slow_start_check;
 mod start_times;
 
 pub use endpoints::TopologyNames;
@@ -22,10 +26,12 @@
 
 use crate::counter::CounterClient;
 use crate::gossip::GossipSocket;
+use crate::metrics::Metrics;
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::upstream::ConnectionPool;
 use clock::Clock;
 use endpoints::Endpoints;
+use guard::Guard;
 use quota_gateway::{Action, Gateway, Settings};
 use requests::{AttemptLimits, OpenRequests};
 use std::cell::{Cell, RefCell};
@@ -53,6 +59,8 @@
     discovery_synced: Cell<bool>,
     started_at: Instant,
     bad_entry_warning: RateLimitedWarning,
+    guard: Guard,
+    metrics: Rc<Metrics>,
 }
 
 impl Driver {
@@ -64,6 +72,7 @@
         pool: ConnectionPool,
         counter: Option<CounterClient>,
         gossip: Option<Rc<GossipSocket>>,
+        metrics: Rc<Metrics>,
     ) -> Rc<Self> {
         let clock = Clock::new();
         let limits = AttemptLimits {
@@ -73,6 +82,7 @@
         };
         // Ids go on from the clock: a late event of a request from before a restart names none of now.
         let first_id = (clock.now_ms() as u64) << REQUEST_ID_SHIFT;
+        let guard = Guard::new(&settings.rules, metrics.clone());
         let decisions = Gateway::new(settings, seed, clock.now_ms());
         Rc::new(Driver {
             clock,
@@ -86,15 +96,32 @@
             discovery_synced: Cell::new(false),
             started_at: Instant::now(),
             bad_entry_warning: RateLimitedWarning::default(),
+            guard,
+            metrics,
         })
     }
 
+    /// The counters of this process.
+    pub fn metrics(&self) -> &Rc<Metrics> {
+        &self.metrics
+    }
+
+    /// The guard of the rules.
+    pub fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
     /// True once requests can be served: the list is fresh, or discovery is silent, and an endpoint is ready.
     pub fn is_ready(&self) -> bool {
         let discovery_settled = self.discovery_synced.get() || self.started_at.elapsed() > DISCOVERY_PATIENCE;
         discovery_settled && self.endpoints.borrow().any_ready()
     }
 
+    /// Requests that have no final response.
+    pub fn open_request_count(&self) -> usize {
+        self.requests.borrow().unanswered_count()
+    }
+
     /// Periodic clean-up: closes expired idle connections and forgets endpoints removed long ago.
     pub fn sweep(&self) {
         self.pool.close_expired();
--- a/src/bin/quota-gateway/driver/requests.rs
+++ b/src/bin/quota-gateway/driver/requests.rs
@@ -2,7 +2,7 @@
 
 use super::messages::{FinalResponse, ForwardedRequest};
 use bytes::Bytes;
-use quota_gateway::RequestId;
+use quota_gateway::{Outcome, RequestId};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -29,12 +29,44 @@
     /// Where the final response goes. Taken when that is given, or when the client has gone.
     client: Option<oneshot::Sender<FinalResponse>>,
     forwarded: Rc<ForwardedRequest>,
+    transaction_id: u64,
     deadline: Instant,
+    /// The client waits until then.
+    client_deadline: Instant,
+    /// When it got its final response, or its client went.
+    ended_at: Option<Instant>,
+    /// An attempt that has ended may have been executed.
+    may_have_run: bool,
     /// One entry for each attempt, in the order of sending: the index is the attempt's number. `None` once the
     /// attempt has ended, or where it was never sent.
     attempts: Vec<Option<Attempt>>,
 }
 
+/// What a new request brings.
+pub struct NewRequest {
+    /// The client's id of it.
+    pub transaction_id: u64,
+    /// What endpoints get.
+    pub forwarded: ForwardedRequest,
+    /// Its final response is due by then.
+    pub deadline: Instant,
+    /// The client waits until then.
+    pub client_deadline: Instant,
+}
+
+/// What the rules on sending rest on, for one request.
+#[derive(Clone, Copy)]
+pub struct RequestRecord {
+    /// The client's id of it.
+    pub transaction_id: u64,
+    /// The client waits until then.
+    pub client_deadline: Instant,
+    /// When it got its final response, or its client went.
+    pub ended_at: Option<Instant>,
+    /// It may have been executed, and must not be executed again.
+    pub must_not_repeat: bool,
+}
+
 /// An attempt in flight.
 struct Attempt {
     /// Tells the attempt's task to end; taken once used.
@@ -120,6 +152,7 @@
 
     fn respond(&mut self, response: FinalResponse) {
         if let Some(client) = self.client.take() {
+            self.ended_at = Some(Instant::now());
             // A client that has just gone needs no response.
             let _ = client.send(response);
         }
@@ -146,29 +179,44 @@
     }
 
     /// Adds a request. Its final response goes to `client`.
-    pub fn insert(
-        &mut self,
-        forwarded: ForwardedRequest,
-        deadline: Instant,
-        client: oneshot::Sender<FinalResponse>,
-    ) -> RequestId {
+    pub fn insert(&mut self, new: NewRequest, client: oneshot::Sender<FinalResponse>) -> RequestId {
         let id = self.next_id;
         self.next_id += 1;
         let request = OpenRequest {
             client: Some(client),
-            forwarded: Rc::new(forwarded),
-            deadline,
+            forwarded: Rc::new(new.forwarded),
+            transaction_id: new.transaction_id,
+            deadline: new.deadline,
+            client_deadline: new.client_deadline,
+            ended_at: None,
+            may_have_run: false,
             attempts: Vec::new(),
         };
         self.open.insert(id, request);
         id
     }
 
+    /// How many requests have no final response.
+    pub fn unanswered_count(&self) -> usize {
+        self.open.values().filter(|request| !request.is_answered()).count()
+    }
+
     /// The ids of all open requests.
     pub fn ids(&self) -> Vec<RequestId> {
         self.open.keys().copied().collect()
     }
 
+    /// What the rules on sending rest on; none if the request is no longer open.
+    pub fn record(&self, id: RequestId) -> Option<RequestRecord> {
+        let request = self.open.get(&id)?;
+        Some(RequestRecord {
+            transaction_id: request.transaction_id,
+            client_deadline: request.client_deadline,
+            ended_at: request.ended_at,
+            must_not_repeat: request.may_have_run && request.forwarded.must_not_repeat,
+        })
+    }
+
     /// True once a request has its final response or is no longer open.
     pub fn is_answered(&self, id: RequestId) -> bool {
         self.open.get(&id).is_none_or(OpenRequest::is_answered)
@@ -232,10 +280,12 @@
         &mut self,
         id: RequestId,
         number: usize,
+        outcome: Outcome,
         served: Option<EndpointResponse>,
     ) -> Option<FinishedAttempt> {
         let request = self.open.get_mut(&id)?;
         request.attempts[number] = None;
+        request.may_have_run |= !outcome.never_executed();
         let mut actual_units = None;
         if let Some(served) = served.filter(|_| !request.is_answered()) {
             // A number beyond what one request can take is as good as none.
--- a/src/bin/quota-gateway/driver/requests/tests.rs
+++ b/src/bin/quota-gateway/driver/requests/tests.rs
@@ -1,9 +1,9 @@
 //! When an attempt may be sent, what answers a request, and when it is no longer open.
 
-use super::{AttemptLimits, EndpointResponse, OpenRequests, StartedAttempt};
+use super::{AttemptLimits, EndpointResponse, NewRequest, OpenRequests, StartedAttempt};
 use crate::driver::messages::{FinalResponse, ForwardedRequest};
 use bytes::Bytes;
-use quota_gateway::RequestId;
+use quota_gateway::{Outcome, RequestId};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -22,8 +22,10 @@
 
 fn insert(requests: &mut OpenRequests) -> (RequestId, oneshot::Receiver<FinalResponse>) {
     let (client, response) = oneshot::channel();
-    let forwarded = ForwardedRequest { head: Vec::new(), body: Vec::new() };
-    (requests.insert(forwarded, Instant::now() + TIMEOUT, client), response)
+    let forwarded = ForwardedRequest { head: Vec::new(), body: Vec::new(), must_not_repeat: true };
+    let deadline = Instant::now() + TIMEOUT;
+    let new = NewRequest { transaction_id: 7, forwarded, deadline, client_deadline: deadline };
+    (requests.insert(new, client), response)
 }
 
 fn start(requests: &mut OpenRequests, id: RequestId) -> Option<StartedAttempt> {
@@ -41,7 +43,7 @@
         let (id, _response) = insert(&mut requests);
         assert!(start(&mut requests, id).is_some());
         assert_eq!(start(&mut requests, id).is_some(), second_is_sent, "beside another one");
-        requests.finish_attempt(id, 0, None);
+        requests.finish_attempt(id, 0, Outcome::NotSent, None);
         assert!(start(&mut requests, id).is_none(), "past the limit: one that was not sent counts as well");
     }
     let mut requests = open_requests(false);
@@ -57,10 +59,10 @@
     let (id, mut response) = insert(&mut requests);
     start(&mut requests, id).unwrap();
     start(&mut requests, id).unwrap();
-    let first = requests.finish_attempt(id, 1, Some(served(MAX_UNITS, "first"))).unwrap();
+    let first = requests.finish_attempt(id, 1, Outcome::Success, Some(served(MAX_UNITS, "first"))).unwrap();
     assert!(first.request_answered);
     assert_eq!(first.actual_units, Some(MAX_UNITS));
-    let second = requests.finish_attempt(id, 0, Some(served(1.0, "second"))).unwrap();
+    let second = requests.finish_attempt(id, 0, Outcome::Success, Some(served(1.0, "second"))).unwrap();
     assert_eq!(second.actual_units, None, "it did not answer the request");
     assert!(matches!(response.try_recv(), Ok(FinalResponse::Success { body, .. }) if body == "first"));
     assert!(requests.ids().is_empty());
@@ -71,7 +73,8 @@
     let mut requests = open_requests(false);
     let (id, _response) = insert(&mut requests);
     start(&mut requests, id).unwrap();
-    let finished = requests.finish_attempt(id, 0, Some(served(MAX_UNITS + 1.0, ""))).unwrap();
+    let finished =
+        requests.finish_attempt(id, 0, Outcome::Success, Some(served(MAX_UNITS + 1.0, ""))).unwrap();
     assert!(finished.request_answered);
     assert_eq!(finished.actual_units, None);
 }
@@ -98,7 +101,24 @@
     requests.respond(id, FinalResponse::Failed);
     assert!(requests.is_answered(id));
     assert_eq!(requests.ids(), [id]);
-    assert!(requests.finish_attempt(id, 0, None).unwrap().request_answered);
+    assert!(requests.finish_attempt(id, 0, Outcome::NotSent, None).unwrap().request_answered);
     assert!(requests.ids().is_empty());
-    assert!(requests.finish_attempt(id, 0, None).is_none());
+    assert!(requests.finish_attempt(id, 0, Outcome::NotSent, None).is_none());
+}
+
+/// What may have run and must not run again is on record until the request is no longer open.
+#[test]
+fn a_request_that_may_have_run_is_on_record() {
+    for (outcome, may_have_run) in
+        [(Outcome::Rejected, false), (Outcome::ConnectFailed, false), (Outcome::ConnectionReset, true)]
+    {
+        let mut requests = open_requests(false);
+        let (id, _response) = insert(&mut requests);
+        start(&mut requests, id).unwrap();
+        requests.finish_attempt(id, 0, outcome, None);
+        let record = requests.record(id).unwrap();
+        assert_eq!((record.must_not_repeat, record.ended_at), (may_have_run, None));
+        requests.respond(id, FinalResponse::Failed);
+        assert!(requests.record(id).is_none());
+    }
 }
--- /dev/null
+++ b/src/bin/quota-gateway/driver/slow_start_check/tests.rs
@@ -0,0 +1,39 @@
+//! How much an endpoint in slow start may get.
+
+use super::SlowStartCheck;
+use quota_gateway::Rules;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn check() -> SlowStartCheck {
+    SlowStartCheck::new(&Rules {
+        slow_start_min_capacity: 0.25,
+        slow_start_ms: 10_000.0,
+        overload_multiple: 2.0,
+        overload_window_ms: 1000.0,
+        ..Rules::default()
+    })
+}
+
+/// Of 105 attempts to 10 endpoints a cold one may get 10.5 * 0.25 * 2 = 5.25, and 3 roots of that and 3 more: 15.1.
+#[test]
+fn a_cold_endpoint_may_get_its_part_and_a_margin() {
+    let mut check = check();
+    let now = Instant::now();
+    for _ in 0..90 {
+        assert!(check.record(1, None, 10, now));
+    }
+    let kept = (0..20).take_while(|_| check.record(2, Some(0.0), 10, now)).count();
+    assert_eq!(kept, 15);
+    assert!(check.record(2, Some(10_000.0), 10, now), "it is warm");
+    assert!(check.record(3, Some(0.0), 10, now), "another one");
+}
+
+#[test]
+fn attempts_older_than_the_window_do_not_count() {
+    let mut check = check();
+    let start = Instant::now();
+    for second in 0..100 {
+        assert!(check.record(2, Some(0.0), 10, start + Duration::from_millis(300 * second)), "{second}");
+    }
+}
--- a/src/bin/quota-gateway/logging.rs
+++ b/src/bin/quota-gateway/logging.rs
@@ -7,8 +7,12 @@
 use std::sync::mpsc::channel;
 use std::thread;
 use std::time::Duration;
+use tracing::level_filters::LevelFilter;
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 
+/// Names the least important level that is logged: `error`, `warn`, `info` (the default), `debug` or `trace`. At `debug`
+/// each request and attempt is logged with its ids, and each connection with the reason for its end.
+const LEVEL_VARIABLE: &str = "RELAY_LOG";
 /// Lines that may wait to be written, some 100 KB. Later ones are dropped and counted.
 const MAX_WAITING_LINES: usize = 1024;
 /// At its end the program waits this long for the last lines.
@@ -25,7 +29,8 @@
     pub fn start() -> Self {
         let builder = NonBlockingBuilder::default().buffered_lines_limit(MAX_WAITING_LINES);
         let (writer, worker) = builder.thread_name("log").finish(stderr());
-        tracing_subscriber::fmt().with_writer(writer.clone()).with_ansi(false).without_time().init();
+        let log = tracing_subscriber::fmt().with_writer(writer.clone()).with_max_level(level());
+        log.with_ansi(false).without_time().init();
         panic::set_hook(Box::new(log_panic));
         Log { writer, worker }
     }
@@ -50,6 +55,11 @@
     }
 }
 
+fn level() -> LevelFilter {
+    let named = std::env::var(LEVEL_VARIABLE).ok();
+    named.and_then(|name| name.parse().ok()).unwrap_or(LevelFilter::INFO)
+}
+
 /// Logs a panic. The standard hook would write to standard error itself, and might wait for its reader.
 fn log_panic(info: &PanicHookInfo<'_>) {
     let location = info.location().map(ToString::to_string).unwrap_or_default();
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -10,6 +10,7 @@
 mod gossip;
 mod http;
 mod logging;
+mod metrics;
 mod rate_limited_warning;
 mod reload;
 mod server;
--- /dev/null
+++ b/src/bin/quota-gateway/metrics/family.rs
@@ -0,0 +1,40 @@
+//! Counters by the value of a label.
+
+use super::options;
+use prometheus::{IntCounter, IntCounterVec, Registry};
+use std::marker::PhantomData;
+
+/// The values of a label, in their order.
+pub trait Label: Copy + 'static {
+    /// The label's name.
+    const NAME: &'static str;
+    /// All values.
+    const ALL: &'static [Self];
+    /// The value's place in `ALL`.
+    fn index(self) -> usize;
+    /// The value as it is written.
+    fn text(self) -> &'static str;
+}
+
+/// A counter for each value of a label.
+pub struct CounterFamily<L> {
+    counters: Vec<IntCounter>,
+    label: PhantomData<L>,
+}
+
+impl<L: Label> CounterFamily<L> {
+    /// All at 0.
+    pub(super) fn register(registry: &Registry, name: &str, help: &str) -> Self {
+        let family = IntCounterVec::new(options(name, help), &[L::NAME]);
+        let family = family.expect("the name of a metric is valid, as a test shows");
+        // It fails for a name that is there already, and the counters then count unseen.
+        let _ = registry.register(Box::new(family.clone()));
+        let counters = L::ALL.iter().map(|value| family.with_label_values(&[value.text()])).collect();
+        CounterFamily { counters, label: PhantomData }
+    }
+
+    /// Counts one more.
+    pub fn increment(&self, value: L) {
+        self.counters[value.index()].inc();
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/metrics/labels.rs
@@ -0,0 +1,143 @@
+//! The values of the metrics' labels.
+
+use super::family::Label;
+use quota_gateway::Outcome;
+
+/// Defines an enumeration as a label.
+macro_rules! label {
+    ($(#[$doc:meta])* $name:ident, $label:literal, { $($(#[$value_doc:meta])* $value:ident => $text:literal,)* }) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum $name {
+            $($(#[$value_doc])* $value,)*
+        }
+
+        impl Label for $name {
+            const NAME: &'static str = $label;
+            const ALL: &'static [Self] = &[$($name::$value,)*];
+
+            fn index(self) -> usize {
+                self as usize
+            }
+
+            fn text(self) -> &'static str {
+                match self {
+                    $($name::$value => $text,)*
+                }
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.write_str(self.text())
+            }
+        }
+    };
+}
+
+label! {
+    /// How a request ended.
+    RequestEnd, "outcome", {
+        /// An endpoint served it.
+        Success => "success",
+        /// It was rejected and never ran.
+        Rejected => "rejected",
+        /// It failed and may have run.
+        Failed => "failed",
+        /// It was wrong, or not complete in time.
+        Invalid => "invalid",
+        /// The gateway answered itself: a check of its health, or a collection of metrics.
+        HealthCheck => "health_check",
+        /// Its client went before it had a response.
+        Disconnected => "disconnected",
+    }
+}
+
+label! {
+    /// How an attempt ended.
+    AttemptOutcome, "outcome", {
+        /// The endpoint served it.
+        Success => "success",
+        /// The endpoint turned it away, or it was not to be sent there any more.
+        Rejected => "rejected",
+        /// The endpoint answered with an error.
+        ErrorResponse => "error_response",
+        /// No connection came up.
+        ConnectFailed => "connect_failed",
+        /// The connection broke, or the response can't be read.
+        ConnectionReset => "connection_reset",
+        /// No response came in time.
+        Timeout => "timeout",
+        /// It was cancelled after it was written.
+        Cancelled => "cancelled",
+        /// Nothing left this machine.
+        NotSent => "not_sent",
+    }
+}
+
+label! {
+    /// Why an attempt was not written, right before its first byte.
+    AttemptRefusal, "reason", {
+        /// The request has its response, or the client has gone.
+        RequestAnswered => "request_answered",
+        /// The endpoint drains or was removed.
+        EndpointNotReady => "endpoint_not_ready",
+        /// The endpoint has another address.
+        EndpointMoved => "endpoint_moved",
+        /// The endpoint might execute the request twice.
+        RepeatWindowOver => "repeat_window_over",
+        /// The request may have run and must not run twice.
+        MayHaveRun => "may_have_run",
+    }
+}
+
+label! {
+    /// Why a client's connection ended.
+    ConnectionEnd, "reason", {
+        /// HTTP's own end: the client closed it or sent what is no HTTP, or the gateway's response asked to close.
+        Finished => "finished",
+        /// The client went while its request was served.
+        ClientGone => "client_gone",
+        /// No complete head came in time.
+        TimedOut => "timed_out",
+        /// It gave up its slot to another client.
+        Evicted => "evicted",
+        /// There was no slot for it.
+        NoSlot => "no_slot",
+        /// The gateway ends, and it had no request.
+        Draining => "draining",
+    }
+}
+
+label! {
+    /// A rule that must never be broken.
+    Rule, "rule", {
+        /// An attempt was written over 0.1 s after its request had ended.
+        SendForClosedRequest => "send_for_closed_request",
+        /// An attempt was written to an endpoint past the grace time of its draining or removal.
+        SendToDraining => "send_to_draining",
+        /// An attempt told more time than its client has left.
+        RemainingTime => "remaining_time",
+        /// An attempt was written that may be executed a second time.
+        Repeat => "repeat",
+        /// A connection was closed under a complete request without a response.
+        CloseUnanswered => "close_unanswered",
+        /// An endpoint in slow start was sent more than this gateway's share of what it bears.
+        SlowStart => "slow_start",
+    }
+}
+
+impl From<Outcome> for AttemptOutcome {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Success => AttemptOutcome::Success,
+            Outcome::Rejected => AttemptOutcome::Rejected,
+            Outcome::ErrorResponse => AttemptOutcome::ErrorResponse,
+            Outcome::ConnectFailed => AttemptOutcome::ConnectFailed,
+            Outcome::ConnectionReset => AttemptOutcome::ConnectionReset,
+            Outcome::Timeout => AttemptOutcome::Timeout,
+            Outcome::Cancelled => AttemptOutcome::Cancelled,
+            Outcome::NotSent => AttemptOutcome::NotSent,
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/metrics/mod.rs
@@ -0,0 +1,88 @@
+//! Counters of what the gateway does and why, in the text format of Prometheus, at `/health/metrics`.
+//!
+//! - `family`: a counter for each value of a label
+//! - `labels`: the values
+
+mod family;
+mod labels;
+#[cfg(test)]
+mod tests;
+
+pub use labels::{AttemptOutcome, AttemptRefusal, ConnectionEnd, RequestEnd, Rule};
+
+use family::CounterFamily;
+use prometheus::{IntCounter, Opts, Registry, TextEncoder};
+use std::rc::Rc;
+
+/// All counters. One instance counts for the whole process.
+pub struct Metrics {
+    registry: Registry,
+    /// Final responses to clients.
+    pub requests: CounterFamily<RequestEnd>,
+    /// Attempts that ended.
+    pub attempts: CounterFamily<AttemptOutcome>,
+    /// Attempts that were not written after all, right before their first byte.
+    pub attempt_refusals: CounterFamily<AttemptRefusal>,
+    /// Connections of clients that ended.
+    pub connections_ended: CounterFamily<ConnectionEnd>,
+    /// Rules broken, as the guard has found.
+    pub violations: CounterFamily<Rule>,
+    /// Clients' connections accepted.
+    pub connections_accepted: IntCounter,
+    /// Failures to accept one.
+    pub accept_errors: IntCounter,
+    /// Updates of the endpoint list.
+    pub list_updates: IntCounter,
+    /// Configurations taken over at SIGHUP.
+    pub reloads: IntCounter,
+    /// Configurations not taken over at SIGHUP.
+    pub failed_reloads: IntCounter,
+}
+
+impl Metrics {
+    /// All counters, at 0.
+    pub fn new() -> Rc<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| register_counter(&registry, name, help);
+        Rc::new(Metrics {
+            requests: CounterFamily::register(&registry, "requests", "Final responses to clients"),
+            attempts: CounterFamily::register(&registry, "attempts", "Attempts on endpoints that ended"),
+            attempt_refusals: CounterFamily::register(
+                &registry,
+                "attempt_refusals",
+                "Attempts not written after all",
+            ),
+            connections_ended: CounterFamily::register(
+                &registry,
+                "client_connections_ended",
+                "Connections of clients that ended",
+            ),
+            violations: CounterFamily::register(&registry, "rule_violations", "Rules broken"),
+            connections_accepted: counter("client_connections_accepted", "Connections of clients accepted"),
+            accept_errors: counter("accept_errors", "Failures to accept a client"),
+            list_updates: counter("endpoint_list_updates", "Updates of the endpoint list"),
+            reloads: counter("reloads", "Configurations taken over at SIGHUP"),
+            failed_reloads: counter("failed_reloads", "Configurations not taken over at SIGHUP"),
+            registry,
+        })
+    }
+
+    /// The counters in the text format.
+    pub fn encode(&self) -> String {
+        // It fails on families without a name or a value only; each has both.
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
+
+/// Options of a metric of this program.
+fn options(name: &str, help: &str) -> Opts {
+    Opts::new(format!("gateway_{name}_total"), help)
+}
+
+fn register_counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::with_opts(options(name, help));
+    let counter = counter.expect("the name of a metric is valid, as a test shows");
+    // It fails for a name that is there already, and the counter then counts unseen.
+    let _ = registry.register(Box::new(counter.clone()));
+    counter
+}
--- a/src/bin/quota-gateway/reload.rs
+++ b/src/bin/quota-gateway/reload.rs
@@ -2,7 +2,9 @@
 //! restart.
 
 use crate::config::{self, Config};
+use crate::metrics::Metrics;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::sync::watch;
 
 /// The addresses that a reload changes. Their users subscribe to them.
@@ -10,13 +12,15 @@
     pub discovery: watch::Sender<SocketAddr>,
     /// Absent if the counter is not used.
     pub counter: Option<watch::Sender<SocketAddr>>,
+    metrics: Rc<Metrics>,
 }
 
 impl ReloadableAddresses {
-    pub fn new(discovery: SocketAddr, counter: Option<SocketAddr>) -> Self {
+    pub fn new(discovery: SocketAddr, counter: Option<SocketAddr>, metrics: Rc<Metrics>) -> Self {
         ReloadableAddresses {
             discovery: watch::Sender::new(discovery),
             counter: counter.map(watch::Sender::new),
+            metrics,
         }
     }
 
@@ -25,9 +29,13 @@
         match config::load() {
             Ok(config) => {
                 self.update(&config);
+                self.metrics.reloads.inc();
                 tracing::info!("SIGHUP: configuration reloaded");
             }
-            Err(error) => tracing::warn!("SIGHUP: the old configuration stands: {error}"),
+            Err(error) => {
+                self.metrics.failed_reloads.inc();
+                tracing::warn!("SIGHUP: the old configuration stands: {error}");
+            }
         }
     }
 
--- a/src/bin/quota-gateway/server/accept.rs
+++ b/src/bin/quota-gateway/server/accept.rs
@@ -2,6 +2,7 @@
 
 use super::client::Client;
 use super::Server;
+use crate::metrics::ConnectionEnd;
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::socket::{Socket, Unread};
 use nix::libc::{EMFILE, ENFILE, ENOBUFS, ENOMEM};
@@ -90,14 +91,17 @@
                 Err(e) => {
                     queue.is_held_up();
                     errors_in_a_row += 1;
+                    self.driver.metrics().accept_errors.inc();
                     pause_after_error(&e, errors_in_a_row).await;
                     warning.warn("accept", e);
                     continue;
                 }
             };
             errors_in_a_row = 0;
+            self.driver.metrics().connections_accepted.inc();
             let Some(slot) = self.acquire_slot().await else {
                 let _ = stream.try_write(self.no_slot_response.as_bytes());
+                self.driver.metrics().connections_ended.increment(ConnectionEnd::NoSlot);
                 continue;
             };
             let client = Rc::new(Client::new(queue.first_arrival(&stream)));
--- a/src/bin/quota-gateway/server/connection.rs
+++ b/src/bin/quota-gateway/server/connection.rs
@@ -3,6 +3,7 @@
 use super::client::Client;
 use super::disconnect::ClientStream;
 use super::Server;
+use crate::metrics::{ConnectionEnd, Rule};
 use crate::socket::Socket;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -91,9 +92,24 @@
             // program: the runtime takes in what has come, then the connection reads it.
             yield_now().await;
             let ended = poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_ready())).await;
-            if ended || !client.has_open_request() {
+            if ended {
                 return;
             }
+            if !client.has_open_request() {
+                return self.record_end(ConnectionEnd::Evicted);
+            }
+        }
+    }
+
+    fn record_end(&self, end: ConnectionEnd) {
+        self.driver.metrics().connections_ended.increment(end);
+        tracing::debug!(reason = %end, "connection of a client ended");
+    }
+
+    /// No connection may be closed under a complete request without a response, unless its client has gone.
+    fn check_end(&self, client: &Client, stream: &ClientStream) {
+        if client.is_being_served() && !stream.has_ended() {
+            self.driver.guard().report(Rule::CloseUnanswered, "the connection ended first");
         }
     }
 
@@ -164,12 +180,18 @@
                 }
             }
         };
-        match ended {
-            // Its request ends with the connection, or it has none.
-            Ended::ClientGone | Ended::TimedOut => None,
-            // That a client breaks off or sends no HTTP is not logged.
-            Ended::Closed => Some(connection.into_parts().io.into_inner()),
+        let reason = match ended {
+            Ended::ClientGone => ConnectionEnd::ClientGone,
+            Ended::TimedOut => ConnectionEnd::TimedOut,
+            Ended::Closed if closing => ConnectionEnd::Draining,
+            Ended::Closed => ConnectionEnd::Finished,
+        };
+        self.record_end(reason);
+        if !matches!(ended, Ended::Closed) {
+            return None;
         }
+        self.check_end(client, &stream);
+        Some(stream)
     }
 }
 
--- a/src/bin/quota-gateway/server/disconnect.rs
+++ b/src/bin/quota-gateway/server/disconnect.rs
@@ -197,6 +197,11 @@
         self.inner.borrow().socket.unread() == Unread::Bytes
     }
 
+    /// True once the client is known to have closed its side, or the connection to be broken.
+    pub fn has_ended(&self) -> bool {
+        self.inner.borrow().ended
+    }
+
     /// The socket, to drop what still comes.
     pub fn into_socket(self) -> Socket {
         self.inner.borrow().socket.clone()
@@ -221,7 +226,7 @@
             return Poll::Ready(Ok(()));
         }
         let before = buf.filled().len();
-        ready!(Pin::new(&mut inner.socket).poll_read(cx, buf))?;
+        ready!(Pin::new(&mut inner.socket).poll_read(cx, buf)).inspect_err(|_| inner.ended = true)?;
         if buf.filled().len() > before {
             inner.client.bytes_read(Instant::now());
         } else if buf.remaining() > 0 {
--- a/src/bin/quota-gateway/server/forward.rs
+++ b/src/bin/quota-gateway/server/forward.rs
@@ -37,7 +37,7 @@
     if class.method == Method::POST || !body.is_empty() {
         push_header(&mut head, CONTENT_LENGTH.as_str(), body.len().to_string().as_bytes());
     }
-    ForwardedRequest { head, body: [b"\r\n", body].concat() }
+    ForwardedRequest { head, body: [b"\r\n", body].concat(), must_not_repeat: class.must_not_repeat }
 }
 
 fn push_header(head: &mut Vec<u8>, name: &str, value: &[u8]) {
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -7,6 +7,7 @@
 use super::Server;
 use crate::driver::{FinalResponse, ForwardedRequest, IncomingRequest};
 use crate::http::MAX_BODY_BYTES;
+use crate::metrics::RequestEnd;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -27,13 +28,15 @@
     transaction_id: Option<u64>,
     /// Its id at the driver, while the driver owes a final response.
     driver_id: Option<RequestId>,
+    /// How it ended; none until its response is made.
+    end: Option<RequestEnd>,
 }
 
 impl<'a> RequestInProgress<'a> {
     fn new(server: &'a Server, client: &'a Client) -> Self {
         server.requests_in_progress.set(server.requests_in_progress.get() + 1);
         client.request_started();
-        RequestInProgress { server, client, transaction_id: None, driver_id: None }
+        RequestInProgress { server, client, transaction_id: None, driver_id: None, end: None }
     }
 
     /// Guards against a second copy of an open request. The open one is not touched.
@@ -50,6 +53,8 @@
     fn drop(&mut self) {
         self.server.requests_in_progress.set(self.server.requests_in_progress.get() - 1);
         self.client.request_ended();
+        let end = self.end.unwrap_or(RequestEnd::Disconnected);
+        self.server.driver.metrics().requests.increment(end);
         if let Some(transaction_id) = self.transaction_id {
             self.server.open_transactions.borrow_mut().remove(&transaction_id);
         }
@@ -67,7 +72,11 @@
         let has_body = !request.body().is_end_stream();
         let mut response = match self.handle(request, &mut in_progress, complete_by).await {
             Ok(response) => response,
-            Err(error) => response::request_error(&error, has_body),
+            Err(error) => {
+                tracing::debug!(%error, "request not accepted");
+                in_progress.end = Some(RequestEnd::Invalid);
+                response::request_error(&error, has_body)
+            }
         };
         in_progress.driver_id = None;
         if self.draining.get() {
@@ -91,6 +100,7 @@
             return Err(RequestError::TransferEncoding);
         }
         if let Some(response) = self.health_response(parts.uri.path()) {
+            in_progress.end = Some(RequestEnd::HealthCheck);
             return Ok(response);
         }
         let ParsedRequest { incoming, class } =
@@ -106,12 +116,16 @@
         let body = read_body(body, complete_by.min(received_at + remaining)).await?;
         let forwarded = forwarded_request(class, &parts.uri, &parts.headers, &body);
         let final_response = self.forward(&incoming, forwarded, in_progress).await;
+        in_progress.end = Some(request_end(&final_response));
         Ok(response::final_response(final_response))
     }
 
-    /// The response to the gateway's own health checks.
+    /// The response to checks of the gateway's own health, and to the collection of its metrics.
     fn health_response(&self, path: &str) -> Option<Response> {
         let healthy = match path {
+            "/health/metrics" => {
+                return Some(response::plain(StatusCode::OK, self.driver.metrics().encode()));
+            }
             "/health/ready" => self.driver.is_ready() && !self.draining.get(),
             "/health/live" => true,
             _ => return None,
@@ -139,6 +153,14 @@
     }
 }
 
+fn request_end(response: &FinalResponse) -> RequestEnd {
+    match response {
+        FinalResponse::Success { .. } => RequestEnd::Success,
+        FinalResponse::Rejected { .. } => RequestEnd::Rejected,
+        FinalResponse::Failed => RequestEnd::Failed,
+    }
+}
+
 /// Reads a request's body, which has to be complete by the deadline.
 async fn read_body(body: Incoming, deadline: Instant) -> Result<Bytes, RequestError> {
     if body.size_hint().exact() == Some(0) {
--- a/src/bin/quota-gateway/server/request.rs
+++ b/src/bin/quota-gateway/server/request.rs
@@ -110,6 +110,8 @@
     name: String,
     /// The method of all its requests.
     pub method: Method,
+    /// Its requests must not be executed twice, and endpoints don't drop repeats.
+    pub must_not_repeat: bool,
     /// Its requests need an idempotency key.
     needs_key: bool,
     /// No client waits longer.
@@ -120,7 +122,8 @@
     fn new(name: String, class: &Class) -> Self {
         let method = if class.idempotency == Idempotency::Idempotent { Method::GET } else { Method::POST };
         let needs_key = matches!(class.idempotency, Idempotency::WithKey { .. });
-        ClassRoute { name, method, needs_key, deadline_ms: class.deadline_ms }
+        let must_not_repeat = class.idempotency == Idempotency::NotIdempotent;
+        ClassRoute { name, method, must_not_repeat, needs_key, deadline_ms: class.deadline_ms }
     }
 }
 
--- a/src/bin/quota-gateway/shutdown.rs
+++ b/src/bin/quota-gateway/shutdown.rs
@@ -2,6 +2,7 @@
 //! waits for the open requests and fails those that are left before SIGKILL would cut them off.
 
 use crate::driver::Driver;
+use crate::metrics::Rule;
 use crate::server::Server;
 use quota_gateway::Settings;
 use std::rc::Rc;
@@ -30,6 +31,8 @@
 const FINAL_WRITE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Interval at which open requests are checked for.
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Checks in a row that find no open request before the program ends.
+const IDLE_CHECKS: u32 = 2;
 /// Guards the conversion of a deadline into a `Duration`.
 const MAX_DEADLINE_MS: f64 = 86_400_000.0;
 
@@ -47,6 +50,7 @@
     /// Returns when the process may exit.
     pub async fn run(mut self) {
         let started_at = Instant::now();
+        tracing::info!("SIGTERM: draining");
         self.server.drain();
         sleep(ACCEPT_PERIOD).await;
         // From now on idle connections close, the others after their responses, and nobody listens any more. Other
@@ -58,6 +62,12 @@
             self.driver.fail_open_requests();
             let _ = timeout(FINAL_WRITE_TIMEOUT, self.client_slots.all_free()).await;
         }
+        let unanswered = self.driver.open_request_count();
+        if unanswered > 0 {
+            self.driver.guard().report(Rule::CloseUnanswered, &format!("{unanswered} at the end"));
+        }
+        let (waited, violations) = (started_at.elapsed(), self.driver.guard().violations());
+        tracing::info!("ended after {waited:?}, {violations} rules broken");
     }
 
     /// Waits until the last connection has ended, or until no request is open and the quiet period is over: a
@@ -69,10 +79,13 @@
         }
     }
 
+    /// Looks twice: after a pause of the whole program, requests that have come are read between the two.
     async fn until_idle(&self, not_before: Instant) {
         sleep_until(not_before).await;
-        while self.server.busy() {
+        let mut idle_checks = 0;
+        while idle_checks < IDLE_CHECKS {
             sleep(BUSY_CHECK_INTERVAL).await;
+            idle_checks = if self.server.busy() { 0 } else { idle_checks + 1 };
         }
     }
 }
--- a/src/bin/quota-gateway/startup.rs
+++ b/src/bin/quota-gateway/startup.rs
@@ -7,6 +7,7 @@
 use crate::driver::{Driver, TopologyNames};
 use crate::error::StartupError;
 use crate::gossip::{self, GossipSocket};
+use crate::metrics::Metrics;
 use crate::reload::ReloadableAddresses;
 use crate::server::Server;
 use crate::shutdown::{open_request_limit, Acceptor, ClientSlots, Shutdown};
@@ -49,12 +50,20 @@
     settings.limits.max_connections = budget.endpoints.try_into().unwrap_or(u32::MAX);
 
     let counter_addr = config.counter.filter(|_| settings.counter.is_some());
-    let addresses = ReloadableAddresses::new(config.discovery, counter_addr);
+    let metrics = Metrics::new();
+    let addresses = ReloadableAddresses::new(config.discovery, counter_addr, metrics.clone());
     let (counter_client, counter_queues) = CounterClient::new();
     let counter_client = counter_addr.map(|_| counter_client);
     let names = TopologyNames { zones: config.zone_names, kinds: config.kind_names };
-    let driver =
-        Driver::new(settings.clone(), config.seed, names, pool, counter_client, gossip_socket.clone());
+    let driver = Driver::new(
+        settings.clone(),
+        config.seed,
+        names,
+        pool,
+        counter_client,
+        gossip_socket.clone(),
+        metrics.clone(),
+    );
 
     if let (Some(addr), Some(counter)) = (&addresses.counter, settings.counter) {
         counter::spawn(counter_queues, &addr.subscribe(), counter.timeout_ms, driver.clone());
--- a/tests/gateway/service.rs
+++ b/tests/gateway/service.rs
@@ -198,3 +198,38 @@
         assert!(gateway.child.wait().unwrap().success());
     }
 }
+
+/// The counters tell how requests, attempts and connections ended, and that no rule was broken.
+#[test]
+fn metrics_are_served_as_text() {
+    let (backend, _) = healthy_endpoint();
+    let gateway = Gateway::new(&config_with_silent_discovery(&[backend]));
+    assert_eq!(gateway.get(1, 1).status(), 200);
+    assert_eq!(gateway.exchange("GET /none HTTP/1.1\r\nHost: x\r\n\r\n").status(), 404);
+    let metrics = gateway.exchange("GET /health/metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(metrics.status(), 200);
+    let text = String::from_utf8(metrics.body).unwrap();
+    for line in [
+        "gateway_requests_total{outcome=\"success\"} 1",
+        "gateway_requests_total{outcome=\"invalid\"} 1",
+        "gateway_attempts_total{outcome=\"success\"} 1",
+        "gateway_accept_errors_total 0",
+    ] {
+        assert!(text.lines().any(|other| other == line), "{line}\n{text}");
+    }
+    let violations = text.lines().filter(|line| line.starts_with("gateway_rule_violations_total"));
+    assert!(violations.clone().count() == 6 && violations.clone().all(|line| line.ends_with(" 0")), "{text}");
+}
+
+/// At the level `debug` a request can be followed by its id.
+#[test]
+fn the_debug_log_follows_a_request_by_its_id() {
+    let (backend, _) = healthy_endpoint();
+    let gateway = Gateway::with_environment(
+        &config_with_silent_discovery(&[backend]),
+        &[("RELAY_LOG", "debug".to_owned())],
+    );
+    assert_eq!(gateway.get(0xabc, 1).status(), 200);
+    gateway.wait_for_log("txn=0000000000000abc");
+    gateway.wait_for_log("outcome=Success");
+}
--- a/tests/gateway/stand_ins/gateway.rs
+++ b/tests/gateway/stand_ins/gateway.rs
@@ -65,8 +65,12 @@
 
     /// Starts the program with system calls that fail as `faults` says, and waits until it is ready.
     pub fn with_faults(config: &serde_json::Value, faults: &str) -> Self {
-        let gateway =
-            Gateway::read_log(spawn_program_with(config, Stdio::piped(), &fault_environment(faults)));
+        Gateway::with_environment(config, &fault_environment(faults))
+    }
+
+    /// Starts the program with these environment variables, and waits until it is ready.
+    pub fn with_environment(config: &serde_json::Value, environment: &[(&str, String)]) -> Self {
+        let gateway = Gateway::read_log(spawn_program_with(config, Stdio::piped(), environment));
         gateway.wait_until_ready();
         gateway
     }
