--- /dev/null
+++ b/soak/src/clients.rs
@@ -0,0 +1,312 @@
+//! The load: clients that behave, and some that leave early, send slowly or send ahead.
+
+use crate::gateway::FRONT_DELAY;
+use crate::gateway_config::DEADLINE;
+use crate::http::{Connection, Message};
+use crate::judge::Class;
+use crate::world::World;
+use rand::seq::IndexedRandom;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+/// Mean pause of a client between two requests.
+const PAUSE_MS: std::ops::Range<u64> = 5..200;
+/// A connection comes up within this time or not at all.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// An answer may come this long after the client's time, and earns nothing then.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Largest amount that a client sends ahead before it leaves.
+const MAX_SENT_AHEAD: usize = 3 << 20;
+/// Customers of one client.
+const CUSTOMERS: u64 = 50;
+
+/// A connection to a gateway.
+struct Open {
+    connection: Connection,
+    gateway: usize,
+    generation: u32,
+    opened_at: Instant,
+    is_reused: bool,
+}
+
+/// How a request is sent.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Manner {
+    Plain,
+    /// In two pieces, with a pause.
+    Slowly,
+    /// The client leaves before its answer, by closing or by a reset.
+    Leaves {
+        resets: bool,
+        sends_ahead: bool,
+    },
+    /// Another request behind it on the same connection.
+    SendsAhead,
+}
+
+/// One request.
+struct Request {
+    transaction: u64,
+    class: Class,
+    remaining: Duration,
+    text: String,
+}
+
+/// What became of a request.
+enum End {
+    Answered(Message),
+    /// The connection ended without an answer.
+    Closed,
+    TimedOut,
+}
+
+/// One client.
+pub struct Client {
+    world: Rc<World>,
+    number: u64,
+    rng: ChaCha8Rng,
+    kept: Option<Open>,
+}
+
+impl Client {
+    /// The client of this number.
+    pub fn new(world: Rc<World>, number: u64) -> Self {
+        let rng = crate::stream(world.seed, "client", number);
+        Client { world, number, rng, kept: None }
+    }
+
+    /// Makes requests until the load ends.
+    pub async fn run(mut self) {
+        while !self.world.has_ended() {
+            sleep(Duration::from_millis(self.rng.random_range(PAUSE_MS))).await;
+            let request = self.new_request();
+            match self.draw_manner() {
+                Manner::Leaves { resets, sends_ahead } => self.leave(&request, resets, sends_ahead).await,
+                Manner::SendsAhead => self.send_two(&request).await,
+                manner => self.make(&request, manner == Manner::Slowly).await,
+            }
+        }
+    }
+
+    fn draw_manner(&mut self) -> Manner {
+        match self.rng.random_range(0..100) {
+            0..8 => Manner::Leaves { resets: self.rng.random(), sends_ahead: self.rng.random() },
+            8..12 => Manner::Slowly,
+            12..16 => Manner::SendsAhead,
+            _ => Manner::Plain,
+        }
+    }
+
+    fn new_request(&mut self) -> Request {
+        let class = *[Class::Look, Class::Order, Class::Once].choose(&mut self.rng).unwrap_or(&Class::Look);
+        let remaining = Duration::from_millis(self.rng.random_range(150..DEADLINE.as_millis() as u64));
+        let transaction = self.world.next_transaction();
+        let customer = self.number * CUSTOMERS + self.rng.random_range(0..CUSTOMERS);
+        let body_length = if class == Class::Look { 0 } else { self.rng.random_range(0..4000) };
+        let text = request_text(class, transaction, customer, remaining, body_length);
+        Request { transaction, class, remaining, text }
+    }
+
+    /// A connection that may be used, opened if there is none.
+    async fn connect(&mut self) -> Option<Open> {
+        if let Some(kept) = self.kept.take() {
+            return Some(kept);
+        }
+        let (gateway, address, generation) = self.pick_gateway()?;
+        let connecting = TcpStream::connect(address);
+        let stream = timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
+        let connection = Connection::new(stream);
+        Some(Open { connection, gateway, generation, opened_at: Instant::now(), is_reused: false })
+    }
+
+    fn pick_gateway(&mut self) -> Option<(usize, std::net::SocketAddr, u32)> {
+        let gateways = self.world.gateways.borrow();
+        let admitted: Vec<_> = gateways.iter().enumerate().filter(|(_, state)| state.is_admitted).collect();
+        let (index, state) = admitted.choose(&mut self.rng)?;
+        Some((*index, state.address, state.generation))
+    }
+
+    /// Makes a request and sees it through. One that crosses the end of a resting connection is sent once more.
+    async fn make(&mut self, request: &Request, slowly: bool) {
+        for _ in 0..2 {
+            let Some(mut open) = self.connect().await else { return };
+            if !self.send(&mut open, request, slowly).await && !open.is_reused {
+                return self.judge_closed(&open, request);
+            }
+            let end = self.receive(&mut open, Instant::now() + request.remaining + ANSWER_SLACK).await;
+            match end {
+                End::Answered(answer) => {
+                    self.world.judge.borrow_mut().answered(
+                        request.transaction,
+                        answer.status(),
+                        &answer.body,
+                    );
+                    return self.keep(open, &answer);
+                }
+                End::TimedOut => return self.judge_timed_out(&open, request),
+                End::Closed if open.is_reused && !self.was_forwarded(request) => {
+                    self.world.judge.borrow_mut().count("requests that crossed a close");
+                }
+                End::Closed => return self.judge_closed(&open, request),
+            }
+        }
+    }
+
+    /// Sends a request; false if the connection broke.
+    async fn send(&mut self, open: &mut Open, request: &Request, slowly: bool) -> bool {
+        let mut rest = request.text.as_bytes();
+        if slowly {
+            let (first, last) = rest.split_at(self.rng.random_range(1..rest.len()));
+            if open.connection.send(first).await.is_err() {
+                return false;
+            }
+            sleep(Duration::from_millis(self.rng.random_range(1..800))).await;
+            rest = last;
+        }
+        self.world.judge.borrow_mut().request_sent(
+            request.transaction,
+            request.class,
+            open.gateway,
+            request.remaining,
+        );
+        open.connection.send(rest).await.is_ok()
+    }
+
+    async fn receive(&self, open: &mut Open, deadline: Instant) -> End {
+        match timeout_at(deadline, open.connection.receive()).await {
+            Ok(Ok(Some(answer))) => End::Answered(answer),
+            Ok(_) => End::Closed,
+            Err(_) => End::TimedOut,
+        }
+    }
+
+    fn keep(&mut self, mut open: Open, answer: &Message) {
+        if !answer.closes() && self.rng.random_range(0..10) > 0 {
+            open.is_reused = true;
+            self.kept = Some(open);
+        }
+    }
+
+    fn was_forwarded(&self, request: &Request) -> bool {
+        self.world.judge.borrow().was_forwarded(request.transaction)
+    }
+
+    fn was_killed(&self, open: &Open) -> bool {
+        let gateways = self.world.gateways.borrow();
+        gateways[open.gateway].killed_generation.is_some_and(|killed| killed >= open.generation)
+    }
+
+    /// A request whose connection ended without an answer is lost, unless its gateway was killed, or the front should
+    /// not have opened the connection any more.
+    fn judge_closed(&self, open: &Open, request: &Request) {
+        if self.was_killed(open) {
+            return self.world.judge.borrow_mut().count("requests of killed gateways");
+        }
+        if !open.is_reused && self.was_opened_too_late(open) {
+            return self.world.judge.borrow_mut().count("requests to gateways that were ending");
+        }
+        let how = if open.is_reused { "closed, reused connection" } else { "closed, new connection" };
+        self.world.judge.borrow_mut().lost(request.transaction, how);
+    }
+
+    fn was_opened_too_late(&self, open: &Open) -> bool {
+        let gateways = self.world.gateways.borrow();
+        let state = &gateways[open.gateway];
+        // The process has been replaced, or was told to end long before.
+        state.generation != open.generation
+            && state.terminated_at.is_none()
+            && open.opened_at.elapsed() > DEADLINE
+            || state.terminated_at.is_some_and(|at| open.opened_at > at + 2 * FRONT_DELAY)
+    }
+
+    fn judge_timed_out(&self, open: &Open, request: &Request) {
+        if !self.was_killed(open) {
+            self.world.judge.borrow_mut().lost(request.transaction, "no answer in time");
+        }
+    }
+
+    /// Sends a request and goes before its answer.
+    async fn leave(&mut self, request: &Request, resets: bool, sends_ahead: bool) {
+        let Some(mut open) = self.connect().await else { return };
+        if !self.send(&mut open, request, false).await {
+            return;
+        }
+        if sends_ahead {
+            let noise = vec![b'x'; self.rng.random_range(0..MAX_SENT_AHEAD)];
+            let _ = timeout(request.remaining, open.connection.send(&noise)).await;
+        }
+        sleep(Duration::from_millis(self.rng.random_range(0..60))).await;
+        if resets {
+            open.connection.reset();
+        } else {
+            drop(open);
+        }
+        self.world.judge.borrow_mut().client_closed(request.transaction);
+    }
+
+    /// Sends two requests together and reads both answers.
+    async fn send_two(&mut self, first: &Request) {
+        let second = self.new_request();
+        let Some(mut open) = self.connect().await else { return };
+        for request in [first, &second] {
+            if !self.send(&mut open, request, false).await {
+                return;
+            }
+        }
+        for request in [first, &second] {
+            let deadline = Instant::now() + request.remaining + ANSWER_SLACK;
+            match self.receive(&mut open, deadline).await {
+                End::Answered(answer) => {
+                    self.world.judge.borrow_mut().answered(
+                        request.transaction,
+                        answer.status(),
+                        &answer.body,
+                    );
+                    // Behind this nothing more is answered.
+                    if answer.closes() {
+                        return;
+                    }
+                }
+                End::TimedOut => return self.judge_timed_out(&open, request),
+                // Whoever sends ahead bears that the connection ends behind an answer.
+                End::Closed if self.was_forwarded(request) => return self.judge_closed(&open, request),
+                End::Closed => return,
+            }
+        }
+        open.is_reused = true;
+        self.kept = Some(open);
+    }
+}
+
+fn request_text(
+    class: Class,
+    transaction: u64,
+    customer: u64,
+    remaining: Duration,
+    body_length: usize,
+) -> String {
+    let (method, name) = match class {
+        Class::Look => ("GET", "look"),
+        Class::Order => ("POST", "order"),
+        Class::Once => ("POST", "once"),
+    };
+    let key = match class {
+        Class::Order => format!("Idempotency-Key: key-{transaction:016x}\r\n"),
+        Class::Look | Class::Once => String::new(),
+    };
+    let length = match class {
+        Class::Look => String::new(),
+        Class::Order | Class::Once => format!("Content-Length: {body_length}\r\n"),
+    };
+    format!(
+        "{method} /{name}?account={customer:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: {transaction:016x}\r\n\
+         X-Lane: {name}\r\nX-Plan: plus\r\nX-Remaining-Ms: {}\r\n{key}{length}\
+         X-Quota: units=1,spread=1,first=0\r\n\r\n{}",
+        remaining.as_millis(),
+        "b".repeat(body_length)
+    )
+}
--- /dev/null
+++ b/soak/src/gateway_config.rs
@@ -0,0 +1,100 @@
+//! The configuration and the rules of a run.
+
+use crate::fleet::{Fleet, KNOWN_VERSION};
+use crate::judge::RuleFigures;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest time that a client waits.
+pub const DEADLINE: Duration = Duration::from_secs(2);
+/// SIGKILL follows SIGTERM after the longest deadline and this.
+pub const KILL_GRACE: Duration = Duration::from_millis(700);
+
+/// What the gateways are told and the judge goes by.
+pub const RULES: RuleFigures = RuleFigures {
+    drain_grace: Duration::from_secs(2),
+    key_window: Duration::from_secs(1),
+    overload_window: Duration::from_millis(1500),
+    capacity_per_s: 40.0,
+    initial_share: 0.16,
+    warm_up: Duration::from_secs(8),
+    overload_multiple: 4.0,
+};
+
+/// The addresses that a gateway is started with.
+#[derive(Clone, Copy)]
+pub struct Addresses {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// The counter.
+    pub counter: SocketAddr,
+}
+
+/// The configuration of one of `count` gateways.
+pub fn gateway_config(index: usize, count: usize, addresses: &Addresses, known: &Value, seed: u64) -> Value {
+    json!({
+        "name": format!("n{index}"),
+        "listen": addresses.listen,
+        "discovery": addresses.discovery,
+        "counter": addresses.counter,
+        "seed": format!("{seed:x}"),
+        "known": known,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "settings": settings(index, count),
+    })
+}
+
+/// The list that gateways know at their start.
+pub fn known_list(fleet: &Fleet) -> Value {
+    let mut list: Value = serde_json::from_str(&fleet.complete_list()).unwrap_or_default();
+    list["version"] = KNOWN_VERSION.into();
+    list
+}
+
+fn class(name: &str, effect: &str) -> Value {
+    json!({
+        "name": name, "aim-ms": 1500.0, "give-up-ms": millis(DEADLINE), "value": 1.0, "late-worth": 0.2,
+        "effect": effect, "group": "all", "window-ms": millis(RULES.key_window)
+    })
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
+
+fn settings(index: usize, count: usize) -> Value {
+    json!({
+        "balancers": count,
+        "position": index,
+        "locality": index % 2,
+        "zones": ["room-a", "room-b"],
+        "kinds": ["std"],
+        "granularity-ms": 2.0,
+        "membership-mode": "push",
+        "categories": [
+            class("look", "read_like"), class("order", "idempotency_key"), class("once", "non_idempotent")
+        ],
+        "tiers-of-service": [{
+            "name": "plus", "refill": 2000.0, "store-size": 4000.0, "max-out": 0, "pays": 1.0, "extra-worth": 0.0,
+            "excess-cost": 0.5, "cap-rate": 0.0, "cap-depth": 0.0, "ceiling-slack": 0.0
+        }],
+        "domain": {
+            "may-count": true, "counter-timeout-ms": 50.0, "count-fee": 0.01, "units-top": 4, "trued-up": true,
+            "peer-intake": 0.0
+        },
+        "limits": {
+            "try-limit": 4, "may-duplicate": false, "cancel": true, "probing": false, "peers": false,
+            "retry-after": true, "max-retry-after-ms": 500.0, "connect-timeout-ms": 250.0, "idle-close-ms": 8000.0,
+            "streams-per-conn": 1
+        },
+        "penalties": {"cross-zone": 0.013, "waste": 0.16, "probe": 0.0, "late-fail": 0.05, "handshake": 0.01},
+        "rules": {
+            "answer-slack-ms": 16.0, "cold-from": RULES.initial_share, "warm-up-ms": millis(RULES.warm_up),
+            "drain-grace-ms": millis(RULES.drain_grace), "fall-multiple": RULES.overload_multiple,
+            "fall-ms": millis(RULES.overload_window), "ask-within-ms": 10000.0
+        }
+    })
+}
