The guard and slow start take the same start for an endpoint whose start lies ahead

Cause: start_times.rs left starts ahead of this clock as they came, so that the check of slow start took an endpoint for wholly cold for as long as the clock is behind, while the library had its ramp begin at once: false alarms of the guard.

--- a/src/bin/quota-gateway/driver/start_times.rs
+++ b/src/bin/quota-gateway/driver/start_times.rs
@@ -24,9 +24,11 @@
     }
 
     /// The time of a start that was not known before, in Unix milliseconds of this machine. `started_ms` is the listed
-    /// one, 0 for one long past; `now_ms` the present time. A start older than the last word from discovery allows is
-    /// taken for one of now: one of the clocks is off, and a cold endpoint must not be taken for a warm one.
+    /// one, 0 for one long past; `now_ms` the present time. A start that lies ahead, or is older than the last word from
+    /// discovery allows, is taken for one of now: one of the clocks is off, and a cold endpoint must not be taken for a
+    /// warm one.
     pub fn judge(&self, started_ms: f64, now_ms: f64) -> f64 {
+        let started_ms = started_ms.min(now_ms);
         let Some(synced_at) = self.synced_at else { return started_ms };
         let max_age_ms = synced_at.elapsed().as_secs_f64() * 1000.0 + PROPAGATION_MS;
         if started_ms > 0.0 && now_ms - started_ms > max_age_ms {
--- a/src/bin/quota-gateway/driver/start_times/tests.rs
+++ b/src/bin/quota-gateway/driver/start_times/tests.rs
@@ -11,6 +11,7 @@
 async fn news_of_a_start_long_past_is_a_start_of_now() {
     let mut times = StartTimes::default();
     assert_eq!(times.judge(NOW_MS - HOUR_MS, NOW_MS), NOW_MS - HOUR_MS, "the first list may be old");
+    assert_eq!(times.judge(NOW_MS + HOUR_MS, NOW_MS), NOW_MS, "nothing starts later than it is heard of");
     times.synced();
     advance(Duration::from_secs(2)).await;
     assert_eq!(times.judge(NOW_MS - HOUR_MS, NOW_MS), NOW_MS);
--- a/src/bin/quota-gateway/logging.rs
+++ b/src/bin/quota-gateway/logging.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use tracing::level_filters::LevelFilter;
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::fmt::time::uptime;
 
 /// Names the least important level that is logged: `error`, `warn`, `info` (the default), `debug` or `trace`. At `debug`
 /// each request and attempt is logged with its ids, and each connection with the reason for its end.
@@ -30,7 +31,8 @@
         let builder = NonBlockingBuilder::default().buffered_lines_limit(MAX_WAITING_LINES);
         let (writer, worker) = builder.thread_name("log").finish(stderr());
         let log = tracing_subscriber::fmt().with_writer(writer.clone()).with_max_level(level());
-        log.with_ansi(false).without_time().init();
+        // Time since the start of the process: the wall clock may be stepped.
+        log.with_ansi(false).with_timer(uptime()).init();
         panic::set_hook(Box::new(log_panic));
         Log { writer, worker }
     }
