Failing test: a client that went during a pause, behind what it had sent ahead

The program was held up for 150 ms; the client had sent its request and up to 3 MB behind it, and closed. Time in logs is the process's own; the soak moves discovery for paused gateways, too.

--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/crossings.rs
@@ -118,3 +118,36 @@
     let _ = connection.read_to_end(&mut repeated);
     assert!(repeated.is_empty(), "sent again: {}", String::from_utf8_lossy(&repeated));
 }
+
+/// A client that has sent its request and gone while the program was held up gets nothing sent for it, whatever it has
+/// sent behind that, on a new connection and on one that has rested.
+#[test]
+fn a_client_that_went_during_a_pause_gets_nothing_sent() {
+    let (endpoint, received) = healthy_endpoint();
+    let mut config = config_with_silent_discovery(&[endpoint]);
+    // Nothing is waited for before the attempt.
+    config["settings"]["domain"]["may-count"] = false.into();
+    let gateway = Gateway::new(&config);
+    // So that a connection to the endpoint is there.
+    assert_eq!(gateway.get(90, 1).status(), 200);
+    let cases = [(false, 0), (true, 0), (false, 300_000), (true, 1_000_000), (false, 2_000_000)];
+    for (case, (is_reused, sent_ahead)) in (0..).zip(cases) {
+        sleep(Duration::from_millis(50));
+        let mut client = gateway.connect();
+        if is_reused {
+            client.get_mut().write_all(get_request(20 + case, 1, 3000).as_bytes()).unwrap();
+            assert_eq!(read_message(&mut client).unwrap().status(), 200);
+            sleep(Duration::from_millis(50));
+        }
+        received.lock().unwrap().clear();
+        gateway.signal("-STOP");
+        client.get_mut().write_all(get_request(30 + case, 1, 3000).as_bytes()).unwrap();
+        client.get_mut().write_all(&vec![b'x'; sent_ahead]).unwrap();
+        drop(client);
+        sleep(Duration::from_millis(150));
+        gateway.signal("-CONT");
+        assert_eq!(gateway.get(case, 1).status(), 200);
+        let sent: Vec<_> = received.lock().unwrap().iter().map(|m| m.headers["x-txn"].clone()).collect();
+        assert_eq!(sent, [format!("{case:016x}")], "reused: {is_reused}, {sent_ahead} bytes sent ahead");
+    }
+}
