Know the client's end before an attempt's first byte, also behind what it has sent ahead

Cause: the connection's task reads some 100 KB a turn; an attempt's task, run between two turns, wrote its request before the end behind more than that was read. With a program held up for 0.15 s the end was old by then. Change: right before the first byte the attempt looks into the client's socket (a peek): with bytes unread it lets the connection read them, bounded in turns, and at their end the guard refuses with the reason client_gone.

--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -5,14 +5,20 @@
 use super::messages::ForwardedRequest;
 use super::requests::{EndpointResponse, StartedAttempt};
 use super::Driver;
-use crate::upstream::{AttemptResult, CompleteResponse, OutgoingRequest, Target};
+use crate::socket::{Unread, WeakSocket};
+use crate::upstream::{AttemptResult, CompleteResponse, OutgoingRequest, Settled, Target};
 use quota_gateway::{EndpointId, Outcome, RequestId};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
+/// Turns of all tasks for which an attempt waits until its client's connection has read what has come: more than a
+/// client's and the gateway's system hold of one connection.
+const MAX_READING_TURNS: u32 = 64;
+
 /// An attempt about to be written, if the guard lets it.
 struct AttemptRequest {
     driver: Rc<Driver>,
@@ -25,6 +31,16 @@
 }
 
 impl OutgoingRequest for AttemptRequest {
+    fn settle(&self) -> Option<Settled<'_>> {
+        let client = self.driver.requests.borrow().client_socket(self.guarded.request)?;
+        let unread = client.unread();
+        self.guarded.client.set(unread);
+        (unread == Unread::Bytes).then(|| {
+            let read = async move { self.guarded.client.set(read_what_came(client).await) };
+            Box::pin(read) as Settled<'_>
+        })
+    }
+
     fn refusal(&self) -> Option<Outcome> {
         let refusal = self.driver.check_before_write(&self.guarded).err()?;
         self.driver.metrics.attempt_refusals.increment(refusal);
@@ -43,6 +59,19 @@
     }
 }
 
+/// Lets the client's connection read what has come: its end may lie behind that, and is known only then. It reads some
+/// 100 KB and more a turn. Returns what lies unread then.
+async fn read_what_came(client: WeakSocket) -> Unread {
+    for _ in 0..MAX_READING_TURNS {
+        yield_now().await;
+        let unread = client.unread();
+        if unread != Unread::Bytes {
+            return unread;
+        }
+    }
+    Unread::Bytes
+}
+
 /// A health check belongs to no request and is never refused.
 struct HealthCheckRequest {
     addr: SocketAddr,
@@ -82,7 +111,12 @@
         let target = Target { endpoint, addr: attempt.addr };
         let outgoing = AttemptRequest {
             driver: self.clone(),
-            guarded: GuardedAttempt { request, target, start_by: attempt.start_by },
+            guarded: GuardedAttempt {
+                request,
+                target,
+                start_by: attempt.start_by,
+                client: Cell::new(Unread::Nothing),
+            },
             forwarded: attempt.forwarded,
             deadline: attempt.deadline,
             told: Cell::default(),
--- a/src/bin/quota-gateway/driver/events.rs
+++ b/src/bin/quota-gateway/driver/events.rs
@@ -7,6 +7,7 @@
 use crate::discovery::list::EndpointList;
 use crate::discovery::EndpointListHandler;
 use crate::gossip::GossipHandler;
+use crate::socket::WeakSocket;
 use quota_gateway::{AttemptEnd, EndpointId, Event, LoadReport, Outcome, Request, RequestId};
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,6 +39,7 @@
         self: &Rc<Self>,
         incoming: &IncomingRequest,
         forwarded: ForwardedRequest,
+        client_socket: WeakSocket,
     ) -> StartedRequest {
         let (client, response) = oneshot::channel();
         let elapsed_ms = incoming.received_at.elapsed().as_secs_f64() * 1000.0;
@@ -48,6 +50,7 @@
             forwarded,
             deadline,
             client_deadline: incoming.received_at + Duration::from_secs_f64(incoming.remaining_ms / 1000.0),
+            client_socket,
         };
         let id = self.requests.borrow_mut().insert(new, client);
         tracing::debug!(txn = %format_args!("{:016x}", incoming.transaction_id), id, timeout_ms, "request");
--- a/src/bin/quota-gateway/driver/guard.rs
+++ b/src/bin/quota-gateway/driver/guard.rs
@@ -6,6 +6,7 @@
 use super::slow_start_check::SlowStartCheck;
 use super::Driver;
 use crate::metrics::{AttemptRefusal, Metrics, Rule};
+use crate::socket::Unread;
 use crate::upstream::Target;
 use quota_gateway::{Outcome, RequestId, Rules};
 use std::cell::{Cell, RefCell};
@@ -32,6 +33,8 @@
     pub target: Target,
     /// Its first byte must not be written after this.
     pub start_by: Instant,
+    /// What lay unread in the client's socket right before the write.
+    pub client: Cell<Unread>,
 }
 
 /// What is known when an attempt has been written.
@@ -108,6 +111,9 @@
         let record = self.requests.borrow().record(attempt.request);
         let record = record.filter(|record| record.ended_at.is_none());
         let record = record.ok_or(AttemptRefusal::RequestAnswered)?;
+        if attempt.client.get() == Unread::End {
+            return Err(AttemptRefusal::ClientGone);
+        }
         if record.must_not_repeat {
             return Err(AttemptRefusal::MayHaveRun);
         }
@@ -155,9 +161,10 @@
 /// The outcome of an attempt that was refused, in the decision library's terms.
 pub fn refusal_outcome(refusal: AttemptRefusal) -> Outcome {
     match refusal {
-        AttemptRefusal::RequestAnswered | AttemptRefusal::RepeatWindowOver | AttemptRefusal::MayHaveRun => {
-            Outcome::NotSent
-        }
+        AttemptRefusal::RequestAnswered
+        | AttemptRefusal::ClientGone
+        | AttemptRefusal::RepeatWindowOver
+        | AttemptRefusal::MayHaveRun => Outcome::NotSent,
         // As good as rejected by the endpoint: another one may be tried.
         AttemptRefusal::EndpointNotReady | AttemptRefusal::EndpointMoved => Outcome::Rejected,
     }
--- a/src/bin/quota-gateway/driver/messages.rs
+++ b/src/bin/quota-gateway/driver/messages.rs
@@ -28,7 +28,7 @@
     pub is_retry: bool,
     /// Time that the client still waits, counted from `received_at`.
     pub remaining_ms: f64,
-    /// When its head had been read.
+    /// When its head had come.
     pub received_at: Instant,
 }
 
--- a/src/bin/quota-gateway/driver/requests.rs
+++ b/src/bin/quota-gateway/driver/requests.rs
@@ -1,6 +1,7 @@
 //! Open requests and their attempts. The one owner of who still waits for a response.
 
 use super::messages::{FinalResponse, ForwardedRequest};
+use crate::socket::WeakSocket;
 use bytes::Bytes;
 use quota_gateway::{Outcome, RequestId};
 use std::cell::Cell;
@@ -33,6 +34,7 @@
     deadline: Instant,
     /// The client waits until then.
     client_deadline: Instant,
+    client_socket: WeakSocket,
     /// When it got its final response, or its client went.
     ended_at: Option<Instant>,
     /// An attempt that has ended may have been executed.
@@ -52,6 +54,8 @@
     pub deadline: Instant,
     /// The client waits until then.
     pub client_deadline: Instant,
+    /// The client's connection.
+    pub client_socket: WeakSocket,
 }
 
 /// What the rules on sending rest on, for one request.
@@ -188,6 +192,7 @@
             transaction_id: new.transaction_id,
             deadline: new.deadline,
             client_deadline: new.client_deadline,
+            client_socket: new.client_socket,
             ended_at: None,
             may_have_run: false,
             attempts: Vec::new(),
@@ -217,6 +222,11 @@
         })
     }
 
+    /// The connection of a request's client; none if the request is no longer open.
+    pub fn client_socket(&self, id: RequestId) -> Option<WeakSocket> {
+        Some(self.open.get(&id)?.client_socket.clone())
+    }
+
     /// True once a request has its final response or is no longer open.
     pub fn is_answered(&self, id: RequestId) -> bool {
         self.open.get(&id).is_none_or(OpenRequest::is_answered)
--- a/src/bin/quota-gateway/driver/requests/tests.rs
+++ b/src/bin/quota-gateway/driver/requests/tests.rs
@@ -2,6 +2,7 @@
 
 use super::{AttemptLimits, EndpointResponse, NewRequest, OpenRequests, StartedAttempt};
 use crate::driver::messages::{FinalResponse, ForwardedRequest};
+use crate::socket::WeakSocket;
 use bytes::Bytes;
 use quota_gateway::{Outcome, RequestId};
 use std::net::SocketAddr;
@@ -24,7 +25,13 @@
     let (client, response) = oneshot::channel();
     let forwarded = ForwardedRequest { head: Vec::new(), body: Vec::new(), must_not_repeat: true };
     let deadline = Instant::now() + TIMEOUT;
-    let new = NewRequest { transaction_id: 7, forwarded, deadline, client_deadline: deadline };
+    let new = NewRequest {
+        transaction_id: 7,
+        forwarded,
+        deadline,
+        client_deadline: deadline,
+        client_socket: WeakSocket::default(),
+    };
     (requests.insert(new, client), response)
 }
 
--- a/src/bin/quota-gateway/metrics/labels.rs
+++ b/src/bin/quota-gateway/metrics/labels.rs
@@ -80,6 +80,8 @@
     AttemptRefusal, "reason", {
         /// The request has its response, or the client has gone.
         RequestAnswered => "request_answered",
+        /// The client has closed its side, or its connection broke.
+        ClientGone => "client_gone",
         /// The endpoint drains or was removed.
         EndpointNotReady => "endpoint_not_ready",
         /// The endpoint has another address.
--- a/src/bin/quota-gateway/server/connection.rs
+++ b/src/bin/quota-gateway/server/connection.rs
@@ -119,7 +119,7 @@
         client.connection_ended();
         if let Some(stream) = stream {
             // The client may reset the connection meanwhile.
-            let _ = timeout_at(Instant::now() + LINGER_TIMEOUT, linger(stream.into_socket())).await;
+            let _ = timeout_at(Instant::now() + LINGER_TIMEOUT, linger(stream.socket())).await;
         }
     }
 
@@ -130,9 +130,10 @@
         client: &Client,
         mut close: watch::Receiver<bool>,
     ) -> Option<ClientStream> {
-        // Boxed, as the connection is taken apart at its end.
+        let socket = stream.socket().downgrade();
         let service = service_fn(|request| {
-            Box::pin(async move { Ok::<_, Infallible>(self.respond(request, client).await) })
+            let socket = socket.clone();
+            Box::pin(async move { Ok::<_, Infallible>(self.respond(request, client, socket).await) })
         });
         let mut connection = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
--- a/src/bin/quota-gateway/server/disconnect.rs
+++ b/src/bin/quota-gateway/server/disconnect.rs
@@ -34,7 +34,7 @@
 /// Bytes of one client that are dropped at most, to bound the work.
 const MAX_DROPPED: u64 = 64 << 20;
 /// Room for one read.
-const READ_BUFFER_BYTES: usize = 2048;
+const READ_BUFFER_BYTES: usize = 4096;
 /// Room for one read of bytes that are dropped.
 const DROP_BUFFER_BYTES: usize = 16 * 1024;
 /// Bytes that come within this time of one another count as having come together, with the first of them.
@@ -202,8 +202,8 @@
         self.inner.borrow().ended
     }
 
-    /// The socket, to drop what still comes.
-    pub fn into_socket(self) -> Socket {
+    /// Another handle of its socket.
+    pub fn socket(&self) -> Socket {
         self.inner.borrow().socket.clone()
     }
 }
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -8,6 +8,7 @@
 use crate::driver::{FinalResponse, ForwardedRequest, IncomingRequest};
 use crate::http::MAX_BODY_BYTES;
 use crate::metrics::RequestEnd;
+use crate::socket::WeakSocket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -66,11 +67,16 @@
 
 impl Server {
     /// Makes the response to one request.
-    pub(super) async fn respond(&self, request: Request<Incoming>, client: &Client) -> Response {
+    pub(super) async fn respond(
+        &self,
+        request: Request<Incoming>,
+        client: &Client,
+        client_socket: WeakSocket,
+    ) -> Response {
         let mut in_progress = RequestInProgress::new(self, client);
         let complete_by = client.request_deadline();
         let has_body = !request.body().is_end_stream();
-        let mut response = match self.handle(request, &mut in_progress, complete_by).await {
+        let mut response = match self.handle(request, client_socket, &mut in_progress, complete_by).await {
             Ok(response) => response,
             Err(error) => {
                 tracing::debug!(%error, "request not accepted");
@@ -88,6 +94,7 @@
     async fn handle(
         &self,
         request: Request<Incoming>,
+        client_socket: WeakSocket,
         in_progress: &mut RequestInProgress<'_>,
         complete_by: Instant,
     ) -> Result<Response, RequestError> {
@@ -115,7 +122,7 @@
         let remaining = Duration::from_secs_f64(incoming.remaining_ms / 1000.0);
         let body = read_body(body, complete_by.min(received_at + remaining)).await?;
         let forwarded = forwarded_request(class, &parts.uri, &parts.headers, &body);
-        let final_response = self.forward(&incoming, forwarded, in_progress).await;
+        let final_response = self.forward(&incoming, forwarded, client_socket, in_progress).await;
         in_progress.end = Some(request_end(&final_response));
         Ok(response::final_response(final_response))
     }
@@ -139,9 +146,10 @@
         &self,
         incoming: &IncomingRequest,
         forwarded: ForwardedRequest,
+        client_socket: WeakSocket,
         in_progress: &mut RequestInProgress<'_>,
     ) -> FinalResponse {
-        let started = self.driver.start_request(incoming, forwarded);
+        let started = self.driver.start_request(incoming, forwarded, client_socket);
         in_progress.driver_id = Some(started.id);
         in_progress.client.request_complete();
         let response = timeout_at(started.deadline + DEADLINE_GRACE, started.response).await;
--- a/src/bin/quota-gateway/socket.rs
+++ b/src/bin/quota-gateway/socket.rs
@@ -9,7 +9,7 @@
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -96,12 +96,30 @@
         SockRef::from(&*self.stream).peek(&mut space).is_ok_and(|bytes| bytes >= count)
     }
 
+    /// A handle that does not keep the socket open.
+    pub fn downgrade(&self) -> WeakSocket {
+        WeakSocket { stream: Rc::downgrade(&self.stream) }
+    }
+
     /// The stream, for polling the system.
     pub fn as_stream(&self) -> &TcpStream {
         &self.stream
     }
 }
 
+/// A handle that does not keep the socket open.
+#[derive(Clone, Default)]
+pub struct WeakSocket {
+    stream: Weak<TcpStream>,
+}
+
+impl WeakSocket {
+    /// What lies unread in the socket; its end, once it is closed here.
+    pub fn unread(&self) -> Unread {
+        self.stream.upgrade().map_or(Unread::End, |stream| Socket { stream }.unread())
+    }
+}
+
 /// What lies unread in a socket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unread {
--- a/src/bin/quota-gateway/upstream/connection.rs
+++ b/src/bin/quota-gateway/upstream/connection.rs
@@ -78,6 +78,9 @@
         while written == 0 || written < message.len() {
             socket.writable().await?;
             if written == 0 {
+                if let Some(settled) = request.settle() {
+                    settled.await;
+                }
                 if let Some(outcome) = request.refusal() {
                     return Ok(Written::Refused(outcome));
                 }
--- a/src/bin/quota-gateway/upstream/request.rs
+++ b/src/bin/quota-gateway/upstream/request.rs
@@ -1,7 +1,9 @@
 //! What an attempt sends, and where.
 
 use quota_gateway::{EndpointId, Outcome};
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 
 /// Where an attempt goes.
 #[derive(Clone, Copy)]
@@ -12,8 +14,15 @@
     pub addr: SocketAddr,
 }
 
-/// A request about to be written. `refusal` and `encode` are called right before its first byte.
+/// What `OutgoingRequest::settle` returns.
+pub type Settled<'a> = Pin<Box<dyn Future<Output = ()> + 'a>>;
+
+/// A request about to be written. `settle`, `refusal` and `encode` are called right before its first byte, in this order.
 pub trait OutgoingRequest {
+    /// Waits until what has happened by now is known, if it isn't.
+    fn settle(&self) -> Option<Settled<'_>> {
+        None
+    }
     /// The attempt's outcome, if it must not be sent after all.
     fn refusal(&self) -> Option<Outcome>;
     /// The bytes to write. They state the remaining time, which passes while a connection comes up.
