Failing test: requests sent ahead when the end begins

Found by reading: while draining each response asks to close, and hyper closes behind it, with the requests that were read with the first one. Of three sent ahead two are closed unanswered.

--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/crossings.rs
@@ -151,3 +151,34 @@
         assert_eq!(sent, [format!("{case:016x}")], "reused: {is_reused}, {sent_ahead} bytes sent ahead");
     }
 }
+
+/// Requests that were sent ahead on one connection are all answered, though the end begins meanwhile.
+#[test]
+fn requests_sent_ahead_are_answered_at_the_end() {
+    for pieces in [1, 3] {
+        let (begun_to, begun) = channel();
+        let endpoint = start_server(move |message| {
+            let _ = begun_to.send(());
+            sleep(Duration::from_millis(400));
+            Reply::Send(response(200, "", &message.headers["x-txn"]))
+        });
+        let mut gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
+        let mut client = gateway.connect();
+        let requests: Vec<_> = (1..=3).map(|customer| get_request(customer, 1, 3000)).collect();
+        if pieces == 1 {
+            client.get_mut().write_all(requests.concat().as_bytes()).unwrap();
+        } else {
+            for request in &requests {
+                client.get_mut().write_all(request.as_bytes()).unwrap();
+                sleep(Duration::from_millis(20));
+            }
+        }
+        begun.recv_timeout(TEST_TIMEOUT).unwrap();
+        gateway.signal("-TERM");
+        let bodies: Vec<_> = (1..=3).map(|_| read_message(&mut client).map(|answer| answer.body)).collect();
+        let expected: Vec<_> =
+            (1..=3).map(|customer| Some(format!("{customer:016x}").into_bytes())).collect();
+        assert_eq!(bodies, expected, "in {pieces} pieces");
+        assert!(gateway.child.wait().unwrap().success());
+    }
+}
