Answer requests sent ahead before a draining connection closes

Cause: while draining each response asked to close, and at the end of the listener hyper was told to close behind the present request; what it had read behind that was dropped. Change: a response asks to close only if nothing behind its request is known to have come (heads counted, bytes sent ahead); after the listener's end a connection closes once it is idle and nothing lies unread. Such a connection is closed unread: a request that crosses that is not taken.

--- a/src/bin/quota-gateway/server/client.rs
+++ b/src/bin/quota-gateway/server/client.rs
@@ -31,6 +31,31 @@
     Ended,
 }
 
+/// Counts the empty lines that end heads.
+#[derive(Default)]
+struct HeadEndCounter {
+    count: Cell<u64>,
+    /// Something stands in the line that has begun.
+    line_has_text: Cell<bool>,
+}
+
+impl HeadEndCounter {
+    fn scan(&self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                b'\n' if !self.line_has_text.get() => self.count.set(self.count.get() + 1),
+                b'\n' => self.line_has_text.set(false),
+                b'\r' => {}
+                _ => self.line_has_text.set(true),
+            }
+        }
+    }
+
+    fn count(&self) -> u64 {
+        self.count.get()
+    }
+}
+
 /// What the server knows of one client's connection.
 pub struct Client {
     phase: Cell<Phase>,
@@ -43,6 +68,12 @@
     last_arrival: Cell<Instant>,
     /// When the first byte of a head came that is not complete.
     head_begun_at: Cell<Option<Instant>>,
+    /// Ends of heads in what was read, and of paragraphs in bodies, which look alike.
+    head_ends: HeadEndCounter,
+    /// Requests whose head has come.
+    requests: Cell<u64>,
+    /// Bytes that it has sent ahead of a response and that are not taken in yet.
+    sent_ahead: Cell<usize>,
     /// When the head of the last request was begun, or was read where it came earlier.
     request_begun_at: Cell<Instant>,
     evicted: Notify,
@@ -60,13 +91,17 @@
             first_arrival: Cell::new(first_arrival),
             last_arrival: Cell::new(now),
             head_begun_at: Cell::new(None),
+            head_ends: HeadEndCounter::default(),
+            requests: Cell::new(0),
+            sent_ahead: Cell::new(0),
             request_begun_at: Cell::new(now),
             evicted: Notify::new(),
         }
     }
 
     /// Bytes that the program got at this time are taken in, for a head or a body.
-    pub fn bytes_read(&self, read_at: Instant) {
+    pub fn bytes_read(&self, bytes: &[u8], read_at: Instant) {
+        self.head_ends.scan(bytes);
         let arrived_at = self.first_arrival.take().unwrap_or(read_at);
         self.last_arrival.set(arrived_at);
         // What is read with a body may belong to the next head; that has only begun with the next bytes.
@@ -75,8 +110,19 @@
         }
     }
 
+    /// It has sent this much ahead of a response that is not taken in yet.
+    pub fn set_sent_ahead(&self, bytes: usize) {
+        self.sent_ahead.set(bytes);
+    }
+
+    /// True if another request may have come, whole or in part, behind the one that is being served.
+    pub fn may_have_sent_more(&self) -> bool {
+        self.head_ends.count() > self.requests.get() || self.sent_ahead.get() > 0 || self.has_begun_head()
+    }
+
     /// The head of a request has come. Its last byte came no later than the bytes that were read last.
     pub fn request_started(&self) {
+        self.requests.set(self.requests.get() + 1);
         let begun_at = self.head_begun_at.take().unwrap_or(self.last_arrival.get());
         self.request_begun_at.set(begun_at.max(self.idle_since.get()));
         if self.phase.get() == Phase::New {
@@ -167,6 +213,11 @@
         self.head_begun_at.get().is_some()
     }
 
+    /// True once it has a response to its last request, and has sent nothing more as far as it was read.
+    pub fn is_idle(&self) -> bool {
+        self.phase.get() == Phase::Idle && !self.has_begun_head()
+    }
+
     /// True while it has a request without a response.
     pub fn has_open_request(&self) -> bool {
         matches!(self.phase.get(), Phase::Receiving | Phase::Serving)
--- a/src/bin/quota-gateway/server/client/tests.rs
+++ b/src/bin/quota-gateway/server/client/tests.rs
@@ -13,7 +13,7 @@
     let client = Client::new(None);
     assert_eq!(client.head_deadline(), Some(connected_at + Duration::from_millis(2300)));
     advance(2 * SECOND).await;
-    client.bytes_read(Instant::now());
+    client.bytes_read(b"x", Instant::now());
     assert_eq!(client.head_deadline(), Some(connected_at + Duration::from_millis(2800)));
     client.request_started();
     assert_eq!(client.head_deadline(), None);
@@ -24,7 +24,7 @@
 #[tokio::test(start_paused = true)]
 async fn the_time_for_a_later_request_runs_from_its_first_byte() {
     let client = Client::new(None);
-    client.bytes_read(Instant::now());
+    client.bytes_read(b"x", Instant::now());
     client.request_started();
     client.request_complete();
     advance(SECOND).await;
@@ -33,11 +33,11 @@
     assert_eq!(client.head_deadline(), Some(idle_since + Duration::from_millis(2300)));
     advance(2 * SECOND).await;
     let begun_at = Instant::now();
-    client.bytes_read(begun_at);
+    client.bytes_read(b"x", begun_at);
     assert!(client.has_begun_head());
     assert_eq!(client.head_deadline(), Some(begun_at + Duration::from_millis(2300)));
     advance(SECOND).await;
-    client.bytes_read(Instant::now());
+    client.bytes_read(b"x", Instant::now());
     client.request_started();
     assert!(!client.has_begun_head());
     assert_eq!(client.request_deadline(), begun_at + Duration::from_millis(2800));
@@ -49,9 +49,34 @@
     let held_up_since = Instant::now();
     advance(SECOND).await;
     let client = Client::new(Some(held_up_since));
-    client.bytes_read(Instant::now());
+    client.bytes_read(b"x", Instant::now());
     assert_eq!(client.last_arrival(), held_up_since);
     advance(SECOND).await;
-    client.bytes_read(Instant::now());
+    client.bytes_read(b"x", Instant::now());
     assert_eq!(client.last_arrival(), Instant::now());
 }
+
+/// Requests that came together are known to have come, whole or in part, however they were cut into pieces.
+#[tokio::test(start_paused = true)]
+async fn a_request_behind_another_one_is_known() {
+    let read = |pieces: &[&str]| {
+        let client = Client::new(None);
+        for piece in pieces {
+            client.bytes_read(piece.as_bytes(), Instant::now());
+        }
+        client.request_started();
+        client.request_complete();
+        client
+    };
+    let head = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    assert!(!read(&[head]).may_have_sent_more());
+    assert!(!read(&[&head[..20], &head[20..27], &head[27..]]).may_have_sent_more());
+    assert!(read(&[head, head]).may_have_sent_more());
+    assert!(read(&[&head[..20], &(head[20..].to_owned() + head)]).may_have_sent_more());
+    let client = read(&[head]);
+    client.set_sent_ahead(1);
+    assert!(client.may_have_sent_more());
+    client.set_sent_ahead(0);
+    client.bytes_read(b"G", Instant::now());
+    assert!(client.may_have_sent_more());
+}
--- a/src/bin/quota-gateway/server/connection.rs
+++ b/src/bin/quota-gateway/server/connection.rs
@@ -40,6 +40,8 @@
     ClientGone,
     /// The client has sent no complete head in time.
     TimedOut,
+    /// Connections close, and the client has its last response.
+    Drained,
 }
 
 /// Wakes a connection when its client has to have a complete head.
@@ -140,16 +142,12 @@
             .serve_connection(TokioIo::new(stream.clone()), service);
         let mut head_timer = HeadTimer::new(client);
         let mut closing = false;
+        let mut has_shut_down = false;
         let ended = loop {
+            let may_drain = closing && !has_shut_down;
             let ended = poll_fn(|cx| {
-                if connection.poll_without_shutdown(cx).is_ready() {
-                    return Poll::Ready(Ended::Closed);
-                }
-                // With bytes sent ahead hyper does not read on, and would not see the client go.
-                if client.is_being_served() && stream.poll_client_gone(cx).is_ready() {
-                    return Poll::Ready(Ended::ClientGone);
-                }
-                head_timer.poll_expired(client, cx).map(|()| Ended::TimedOut)
+                let served = connection.poll_without_shutdown(cx).is_ready();
+                poll_ended(served, may_drain, &stream, client, &mut head_timer, cx)
             });
             tokio::select! {
                 // What has come is read before the connection counts as idle.
@@ -166,18 +164,19 @@
                             break Ended::TimedOut;
                         }
                     }
+                    Ended::Drained => {
+                        // As above: a request may have come, and is answered first.
+                        yield_now().await;
+                        if !stream.has_unread_bytes() {
+                            has_shut_down = true;
+                            Pin::new(&mut connection).graceful_shutdown();
+                        }
+                    }
                     ended => break ended,
                 },
                 _ = close.wait_for(|close| *close), if !closing => {
-                    if stream.has_unread_bytes() && !client.has_open_request() {
-                        yield_now().await;
-                        continue;
-                    }
+                    // Whoever is new or has begun a request is waited for.
                     closing = true;
-                    // Whoever is new or has begun a head is waited for: the response asks the client to close.
-                    if client.has_sent_request() && !client.has_begun_head() {
-                        Pin::new(&mut connection).graceful_shutdown();
-                    }
                 }
             }
         };
@@ -185,15 +184,39 @@
             Ended::ClientGone => ConnectionEnd::ClientGone,
             Ended::TimedOut => ConnectionEnd::TimedOut,
             Ended::Closed if closing => ConnectionEnd::Draining,
-            Ended::Closed => ConnectionEnd::Finished,
+            Ended::Closed | Ended::Drained => ConnectionEnd::Finished,
         };
         self.record_end(reason);
         if !matches!(ended, Ended::Closed) {
             return None;
         }
         self.check_end(client, &stream);
-        Some(stream)
+        // A resting connection is closed unread: a request that crosses that may be sent again.
+        (!has_shut_down).then_some(stream)
+    }
+}
+
+/// Whether requests on a connection end for now. `served` tells that hyper has ended it; `may_drain` that it closes once
+/// it is idle.
+fn poll_ended(
+    served: bool,
+    may_drain: bool,
+    stream: &ClientStream,
+    client: &Client,
+    head_timer: &mut HeadTimer,
+    cx: &mut Context<'_>,
+) -> Poll<Ended> {
+    if served {
+        return Poll::Ready(Ended::Closed);
+    }
+    // With bytes sent ahead hyper does not read on, and would not see the client go.
+    if client.is_being_served() && stream.poll_client_gone(cx).is_ready() {
+        return Poll::Ready(Ended::ClientGone);
+    }
+    if may_drain && client.is_idle() {
+        return Poll::Ready(Ended::Drained);
     }
+    head_timer.poll_expired(client, cx).map(|()| Ended::TimedOut)
 }
 
 /// Closes the sending side, then reads and drops what the client still sends, up to a bound.
--- a/src/bin/quota-gateway/server/disconnect.rs
+++ b/src/bin/quota-gateway/server/disconnect.rs
@@ -115,6 +115,7 @@
             _ => self.read_ahead.push_back(Arrival { at: now, bytes: BytesMut::from(bytes) }),
         }
         self.read_ahead_bytes += bytes.len();
+        self.client.set_sent_ahead(self.read_ahead_bytes);
         self.budget.add(bytes.len());
     }
 
@@ -157,12 +158,14 @@
     fn take_read_ahead(&mut self, buf: &mut ReadBuf<'_>) {
         let Some(first) = self.read_ahead.front_mut() else { return };
         let bytes = first.bytes.len().min(buf.remaining());
-        buf.put_slice(&first.bytes.split_to(bytes));
-        self.client.bytes_read(first.at);
+        let taken = first.bytes.split_to(bytes);
+        buf.put_slice(&taken);
+        self.client.bytes_read(&taken, first.at);
         if first.bytes.is_empty() {
             self.read_ahead.pop_front();
         }
         self.read_ahead_bytes -= bytes;
+        self.client.set_sent_ahead(self.read_ahead_bytes);
         self.budget.release(bytes);
     }
 }
@@ -227,8 +230,9 @@
         }
         let before = buf.filled().len();
         ready!(Pin::new(&mut inner.socket).poll_read(cx, buf)).inspect_err(|_| inner.ended = true)?;
-        if buf.filled().len() > before {
-            inner.client.bytes_read(Instant::now());
+        let bytes = &buf.filled()[before..];
+        if !bytes.is_empty() {
+            inner.client.bytes_read(bytes, Instant::now());
         } else if buf.remaining() > 0 {
             inner.ended = true;
         }
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -85,7 +85,8 @@
             }
         };
         in_progress.driver_id = None;
-        if self.draining.get() {
+        // Behind a response that asks to close nothing more is answered.
+        if self.draining.get() && !client.may_have_sent_more() {
             response::ask_to_close(&mut response);
         }
         response
