--- a/soak/src/troubles.rs
+++ b/soak/src/troubles.rs
@@ -291,6 +291,8 @@
     let kinds = [
         "recv_eintr=20",
         "send_eintr=20",
+        "recv_nomem=20",
+        "send_nobufs=20",
         "recv_short=200",
         "send_short=200",
         "epoll_eintr=20",
--- a/tests/gateway/system_faults.rs
+++ b/tests/gateway/system_faults.rs
@@ -73,6 +73,15 @@
     assert_eq!(statuses_but_success(&gateway), []);
 }
 
+/// A lack of memory or of room in a queue passes.
+#[test]
+fn transfers_that_lack_memory_for_a_moment_lose_nothing() {
+    let (endpoint, _) = healthy_endpoint();
+    let config = config_with_silent_discovery(&[endpoint]);
+    let gateway = Gateway::with_faults(&config, "recv_nomem=50,send_nobufs=50");
+    assert_eq!(statuses_but_success(&gateway), []);
+}
+
 /// A transfer that was cut short says nothing of what is left in the socket.
 #[test]
 fn transfers_that_are_cut_short_lose_nothing() {
--- a/tests/shim/syscall_faults.c
+++ b/tests/shim/syscall_faults.c
@@ -6,6 +6,8 @@
  *   seed            seed of the random numbers (default 1)
  *   recv_eintr      recv fails with EINTR
  *   send_eintr      send and writev fail with EINTR
+ *   recv_nomem      recv fails with ENOMEM
+ *   send_nobufs     send and writev fail with ENOBUFS
  *   unix_eintr      recv on a Unix socket fails with EINTR
  *   recv_short      recv returns fewer bytes than there are
  *   send_short      send and writev take fewer bytes than they are given
@@ -88,6 +90,9 @@
         if (happens("recv_eintr")) {
             return fail(EINTR);
         }
+        if (happens("recv_nomem")) {
+            return fail(ENOMEM);
+        }
         if (!(flags & MSG_PEEK) && happens("recv_short")) {
             length = shortened(length < 512 ? length : 512);
         }
@@ -100,6 +105,9 @@
         if (happens("send_eintr")) {
             return fail(EINTR);
         }
+        if (happens("send_nobufs")) {
+            return fail(ENOBUFS);
+        }
         if (happens("send_short")) {
             length = shortened(length);
         }
@@ -112,6 +120,9 @@
         if (happens("send_eintr")) {
             return fail(EINTR);
         }
+        if (happens("send_nobufs")) {
+            return fail(ENOBUFS);
+        }
         if (happens("send_short")) {
             return REAL(send)(fd, parts[0].iov_base, shortened(parts[0].iov_len), MSG_NOSIGNAL);
         }
