Make calls on sockets again that lacked memory or room in a queue

Cause: socket.rs passed ENOMEM and ENOBUFS on, and all took them for a broken connection. Change: they pass like EINTR, also where a socket is only looked into (bounded, and without a finding it is left).

--- a/src/bin/quota-gateway/socket.rs
+++ b/src/bin/quota-gateway/socket.rs
@@ -1,5 +1,5 @@
-//! TCP streams whose system calls may fail for a moment: an interrupted call is made again, and a transfer that was
-//! cut short is taken for nothing more than that.
+//! TCP streams whose system calls may fail for a moment: a call that was interrupted or lacked memory is made again, and
+//! a transfer that was cut short is taken for nothing more than that.
 //!
 //! The runtime's own stream takes a short read for an empty socket and a short write for a full one, and waits for the
 //! system to report the next change. After a call that was cut short for another reason there may be none.
@@ -18,7 +18,9 @@
 
 /// Attempts to connect, if the reasons for the failures lie on this machine and may pass.
 const MAX_CONNECT_ATTEMPTS: u32 = 4;
-/// Pause before the next one.
+/// Looks into a socket, if they fail for a reason that may pass; after that nothing is known to lie there.
+const MAX_LOOKS: u32 = 8;
+/// Pause before the next attempt to connect.
 const CONNECT_RETRY: Duration = Duration::from_millis(3);
 
 /// A TCP stream. Clones are handles of the same one; it is closed with the last of them.
@@ -68,26 +70,23 @@
     ///
     /// `WouldBlock` if it takes nothing now; else the connection is broken.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
-        loop {
-            match self.stream.try_write(bytes) {
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                result => return result,
-            }
-        }
+        let written = self.stream.try_write(bytes);
+        written.map_err(|error| if is_passing(&error) { ErrorKind::WouldBlock.into() } else { error })
     }
 
     /// What the system has received and nobody has read, whether or not the runtime knows of it.
     pub fn unread(&self) -> Unread {
         let mut byte = [MaybeUninit::uninit()];
-        loop {
-            return match SockRef::from(&*self.stream).peek(&mut byte) {
-                Ok(0) => Unread::End,
-                Ok(_) => Unread::Bytes,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => Unread::Nothing,
-                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
-                Err(_) => Unread::End,
-            };
+        for _ in 0..MAX_LOOKS {
+            match SockRef::from(&*self.stream).peek(&mut byte) {
+                Ok(0) => return Unread::End,
+                Ok(_) => return Unread::Bytes,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Unread::Nothing,
+                Err(error) if is_passing(&error) => {}
+                Err(_) => return Unread::End,
+            }
         }
+        Unread::Nothing
     }
 
     /// True if at least this many bytes lie unread.
@@ -145,9 +144,10 @@
     error.raw_os_error().is_some_and(|code| passing.contains(&code))
 }
 
-/// True if a call is to be made again once the socket is ready.
+/// True if a call on an open socket is to be made again: the system can't carry it out at this moment.
 fn is_passing(error: &io::Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+        || matches!(error.raw_os_error(), Some(nix::libc::ENOBUFS | nix::libc::ENOMEM))
 }
 
 impl AsyncRead for Socket {
