--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -26,15 +26,4 @@
 
 pub use soak::{Soak, SoakError, SoakReport};
 
-/// The random stream of one part of a run: its kind and number set it apart from all others.
-fn stream(seed: u64, kind: &str, number: u64) -> rand_chacha::ChaCha8Rng {
-    use rand::SeedableRng;
-    /// Bytes of the key that the kind takes.
-    const KIND_BYTES: usize = 16;
-    let mut key = [0; 32];
-    key[..8].copy_from_slice(&seed.to_le_bytes());
-    key[8..16].copy_from_slice(&number.to_le_bytes());
-    let kind = &kind.as_bytes()[..kind.len().min(KIND_BYTES)];
-    key[16..16 + kind.len()].copy_from_slice(kind);
-    rand_chacha::ChaCha8Rng::from_seed(key)
-}
+use fleet_emulator::stream;
