See a client's end behind megabytes also with the budget for bytes sent ahead used up

The bound from which unread bytes are dropped was above what some systems' first window holds (64 KiB); now 32 KiB.

--- a/src/bin/quota-gateway/server/disconnect.rs
+++ b/src/bin/quota-gateway/server/disconnect.rs
@@ -28,9 +28,9 @@
 /// Beyond that nothing is read, and the system is polled at this interval for whether the client has gone. An
 /// attempt that begins 0.1 s after that is one too many.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
-/// The end of a client is hidden from the system, too, behind more than its buffers hold. With this much unread, the
-/// largest message, the rest is read and dropped.
-const MAX_UNREAD: usize = 80 * 1024;
+/// The end of a client is hidden from the system, too, behind more than its buffers hold. With this much unread, which
+/// is less than that, the rest is read and dropped.
+const MAX_UNREAD: usize = 32 * 1024;
 /// Bytes of one client that are dropped at most, to bound the work.
 const MAX_DROPPED: u64 = 64 << 20;
 /// Room for one read.
--- a/src/bin/quota-gateway/server/disconnect/tests.rs
+++ b/src/bin/quota-gateway/server/disconnect/tests.rs
@@ -37,3 +37,21 @@
         assert_eq!(budget.used(), MAX_READ_AHEAD_TOTAL, "nothing was read");
     }
 }
+
+/// Also behind more than the system's buffers hold, where the system itself can't know of the end.
+#[tokio::test]
+async fn a_disconnect_is_seen_behind_megabytes_though_the_budget_is_used_up() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let budget = ReadAheadBudget::default();
+    budget.add(MAX_READ_AHEAD_TOTAL);
+    let socket = Socket::new(TcpStream::from_std(stream).unwrap());
+    let stream = ClientStream::new(socket, Rc::new(Client::new(None)), budget.clone());
+    let sending = std::thread::spawn(move || client.write_all(&vec![b'x'; 4 << 20]));
+    let client_gone = poll_fn(|cx| stream.poll_client_gone(cx));
+    timeout(Duration::from_secs(10), client_gone).await.expect("it has gone");
+    assert!(sending.join().unwrap().is_ok(), "all of it was read");
+    assert_eq!(budget.used(), MAX_READ_AHEAD_TOTAL, "nothing was kept");
+}
