--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -20,7 +20,7 @@
 /// An answer may come this long after the client's time, and earns nothing then.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// Largest amount that a client sends ahead before it leaves.
-const MAX_SENT_AHEAD: usize = 3 << 20;
+const MAX_SENT_AHEAD: usize = 4 << 20;
 /// Customers of one client.
 const CUSTOMERS: u64 = 50;
 
@@ -69,14 +69,16 @@
     world: Rc<World>,
     number: u64,
     rng: ChaCha8Rng,
+    /// Requests in a hundred that the client leaves before their answer.
+    leaving_percent: u32,
     kept: Option<Open>,
 }
 
 impl Client {
-    /// The client of this number.
-    pub fn new(world: Rc<World>, number: u64) -> Self {
+    /// The client of this number, which leaves so many requests in a hundred before their answer.
+    pub fn new(world: Rc<World>, number: u64, leaving_percent: u32) -> Self {
         let rng = crate::stream(world.seed, "client", number);
-        Client { world, number, rng, kept: None }
+        Client { world, number, rng, leaving_percent, kept: None }
     }
 
     /// Makes requests until the load ends.
@@ -93,10 +95,12 @@
     }
 
     fn draw_manner(&mut self) -> Manner {
+        if self.rng.random_range(0..100) < self.leaving_percent {
+            return Manner::Leaves { resets: self.rng.random(), sends_ahead: self.rng.random() };
+        }
         match self.rng.random_range(0..100) {
-            0..8 => Manner::Leaves { resets: self.rng.random(), sends_ahead: self.rng.random() },
-            8..12 => Manner::Slowly,
-            12..16 => Manner::SendsAhead,
+            0..4 => Manner::Slowly,
+            4..8 => Manner::SendsAhead,
             _ => Manner::Plain,
         }
     }
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -69,13 +69,13 @@
     pub version: u64,
 }
 
-/// The version of the list that gateways are started with.
-pub const KNOWN_VERSION: u64 = 7;
+/// The version of the first list.
+const FIRST_VERSION: u64 = 7;
 
 impl Fleet {
     /// No endpoints yet.
     pub fn new() -> Self {
-        Fleet { endpoints: Vec::new(), version: KNOWN_VERSION }
+        Fleet { endpoints: Vec::new(), version: FIRST_VERSION }
     }
 
     /// Adds an endpoint that has just started, or started long ago. Returns its number.
--- a/soak/src/gateway.rs
+++ b/soak/src/gateway.rs
@@ -70,8 +70,6 @@
     pub faults_library: Option<PathBuf>,
     /// Where logs go, if anywhere.
     pub log_folder: Option<PathBuf>,
-    /// The list that gateways know at their start.
-    pub known: Value,
 }
 
 /// One gateway's process.
@@ -106,7 +104,9 @@
         let generation = state.generation;
         drop(gateway_world);
         let seed = world.seed ^ (index as u64) << 32 ^ u64::from(generation);
-        let config = gateway_config(index, launcher.count, &addresses, &launcher.known, seed);
+        // A gateway starts with the list that it last had.
+        let known = serde_json::from_str(&world.told_list.borrow()).unwrap_or_default();
+        let config = gateway_config(index, launcher.count, &addresses, &known, seed);
         std::fs::write(&config_path, config.to_string())?;
         let mut command = Command::new(&launcher.program);
         command.env("RELAY_CONFIG", &config_path).env("RELAY_LOG", log_level(launcher));
@@ -192,7 +192,7 @@
         launcher: &Launcher,
         addresses: Addresses,
     ) -> std::io::Result<()> {
-        let config = gateway_config(self.index, launcher.count, &addresses, &launcher.known, world.seed);
+        let config = gateway_config(self.index, launcher.count, &addresses, &Value::Null, world.seed);
         self.write_config(&config.to_string())?;
         self.addresses = addresses;
         world.gateways.borrow_mut()[self.index].reloaded_at.push(Instant::now());
--- a/soak/src/gateway_config.rs
+++ b/soak/src/gateway_config.rs
@@ -1,6 +1,5 @@
 //! The configuration and the rules of a run.
 
-use crate::fleet::{Fleet, KNOWN_VERSION};
 use crate::judge::RuleFigures;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -47,13 +46,6 @@
     })
 }
 
-/// The list that gateways know at their start.
-pub fn known_list(fleet: &Fleet) -> Value {
-    let mut list: Value = serde_json::from_str(&fleet.complete_list()).unwrap_or_default();
-    list["version"] = KNOWN_VERSION.into();
-    list
-}
-
 fn class(name: &str, effect: &str) -> Value {
     json!({
         "name": name, "aim-ms": 1500.0, "give-up-ms": millis(DEADLINE), "value": 1.0, "late-worth": 0.2,
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -5,7 +5,7 @@
 use crate::discovery::Discovery;
 use crate::endpoint::RunningEndpoint;
 use crate::gateway::{free_address, Gateway, GatewayState, Launcher};
-use crate::gateway_config::{known_list, Addresses, RULES};
+use crate::gateway_config::{Addresses, RULES};
 use crate::judge::{Judge, Rule, Violation};
 use crate::lag::Lag;
 use crate::rude_clients;
@@ -70,6 +70,9 @@
     /// Clients for each gateway.
     #[arg(long, default_value_t = 3)]
     clients: usize,
+    /// Requests in a hundred whose clients leave before their answer, half of them behind up to 4 MB sent ahead.
+    #[arg(long, default_value_t = 8)]
+    leaving_percent: u32,
     /// Length of the load.
     #[arg(long, default_value_t = 30)]
     seconds: u64,
@@ -157,6 +160,7 @@
             let (number, running) = RunningEndpoint::start(world, false).await?;
             endpoints.insert(number, running);
         }
+        world.list_changes();
         let discovery = Discovery::start(world).await?;
         let counter = counter::start(world).await?;
         let launcher = Launcher {
@@ -164,7 +168,6 @@
             count: self.size.gateways,
             faults_library: self.faults_library.clone(),
             log_folder: self.logs.clone(),
-            known: known_list(&world.fleet.borrow()),
         };
         let mut rng = crate::stream(self.seed, "faults", 0);
         let mut gateways = HashMap::new();
@@ -188,7 +191,7 @@
     fn start_load(&self, world: &Rc<World>) -> JoinSet<()> {
         let mut load = JoinSet::new();
         for number in 0..self.size.gateways * self.size.clients {
-            load.spawn_local(Client::new(world.clone(), number as u64).run());
+            load.spawn_local(Client::new(world.clone(), number as u64, self.size.leaving_percent).run());
         }
         for number in 0..self.size.gateways * RUDE_CLIENTS_PER_GATEWAY {
             load.spawn_local(rude_clients::run(world.clone(), number as u64));
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -34,6 +34,8 @@
     pub list_changed: watch::Sender<u64>,
     /// The gateways, by number.
     pub gateways: RefCell<Vec<GatewayState>>,
+    /// The complete list, as it was told last.
+    pub told_list: RefCell<String>,
     /// Whether the counter works.
     pub counter_mode: Cell<ServiceMode>,
     /// Whether discovery works.
@@ -75,6 +77,7 @@
             fleet: RefCell::new(Fleet::new()),
             list_changed: watch::Sender::new(0),
             gateways: RefCell::default(),
+            told_list: RefCell::default(),
             counter_mode: Cell::new(ServiceMode::Works),
             discovery_mode: Cell::new(ServiceMode::Works),
             discovery_outages: RefCell::default(),
@@ -117,6 +120,9 @@
     /// The list has changed, or the mode of discovery.
     pub fn list_changes(&self) {
         let version = self.fleet.borrow().version;
+        if self.discovery_mode.get() == ServiceMode::Works {
+            self.told_list.replace(self.fleet.borrow().complete_list());
+        }
         let _ = self.list_changed.send(version);
     }
 
