--- a/tests/gateway/system_faults.rs
+++ b/tests/gateway/system_faults.rs
@@ -105,6 +105,19 @@
     assert!(gateway.child.wait().unwrap().success());
 }
 
+/// A configuration that can't be read for a moment is read a little later: at SIGHUP the former addresses end soon.
+#[test]
+fn a_configuration_that_cannot_be_read_for_a_moment_is_read_later() {
+    let (endpoint, _) = healthy_endpoint();
+    let config = config_with_silent_discovery(&[endpoint]);
+    let gateway = Gateway::with_faults(&config, "open_fail=600");
+    for customer in 0..10 {
+        let logged = gateway.reload(&config.to_string());
+        assert!(logged.contains("configuration reloaded"), "{logged}");
+        assert_eq!(gateway.get(customer, 1).status(), 200);
+    }
+}
+
 /// Requests in flight at once in the test of a cold endpoint.
 const CONCURRENT_REQUESTS: u64 = 40;
 
--- a/tests/shim/syscall_faults.c
+++ b/tests/shim/syscall_faults.c
@@ -15,12 +15,15 @@
  *   accept_full     accept4 fails with ENFILE and leaves the connection in the queue
  *   connect_fail    connect fails with EADDRNOTAVAIL or ENETUNREACH
  *   socket_fail     socket fails with ENOBUFS or ENFILE
+ *   open_fail       open of a file whose name ends in .json fails with EIO or ENFILE
  *   epoll_eintr     epoll_wait fails with EINTR
  *   wall_clock_s    seconds (not a rate; may be negative) that CLOCK_REALTIME is off
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
@@ -154,6 +157,22 @@
     return REAL(socket)(domain, type, protocol);
 }
 
+static int is_configuration(const char *path) {
+    size_t length = strlen(path);
+    return length >= 5 && strcmp(path + length - 5, ".json") == 0;
+}
+
+int open64(const char *path, int flags, ...) {
+    va_list arguments;
+    va_start(arguments, flags);
+    mode_t mode = (flags & O_CREAT) ? va_arg(arguments, mode_t) : 0;
+    va_end(arguments);
+    if (is_configuration(path) && happens("open_fail")) {
+        return fail(next_random() % 2 ? EIO : ENFILE);
+    }
+    return REAL(open64)(path, flags, mode);
+}
+
 int epoll_wait(int fd, struct epoll_event *events, int count, int timeout) {
     if (happens("epoll_eintr")) {
         return fail(EINTR);
