Try again for a while what can't be opened for a moment: configuration, sockets, runtime

Cause: config::load, the runtime and the signal pipes failed at the first error of the system; a reload whose file could not be opened left the old addresses in use, which end 1.5 s later.

--- a/src/bin/quota-gateway/config/error.rs
+++ b/src/bin/quota-gateway/config/error.rs
@@ -1,5 +1,6 @@
 //! What can be wrong with a configuration.
 
+use crate::patience::may_pass;
 use std::io;
 use thiserror::Error;
 
@@ -18,6 +19,11 @@
 }
 
 impl ConfigError {
+    /// True if the file may be readable a little later.
+    pub fn may_pass(&self) -> bool {
+        matches!(self, ConfigError::FileUnreadable { source, .. } if may_pass(source))
+    }
+
     pub fn invalid(field: impl Into<String>, problem: FieldProblem) -> Self {
         ConfigError::InvalidField { field: field.into(), problem }
     }
--- a/src/bin/quota-gateway/config/mod.rs
+++ b/src/bin/quota-gateway/config/mod.rs
@@ -11,13 +11,18 @@
 pub use error::ConfigError;
 
 use crate::discovery::list::EndpointList;
+use crate::patience::retry;
 use error::FieldProblem;
 use file::WireConfig;
 use quota_gateway::Settings;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Names the configuration file.
 const CONFIG_VARIABLE: &str = "RELAY_CONFIG";
+/// How long the file is tried for. After SIGHUP the former addresses work for 1.5 s, and what discovery tells counts as
+/// told 4 s later.
+const READ_PATIENCE: Duration = Duration::from_secs(2);
 
 /// A checked configuration.
 pub struct Config {
@@ -59,8 +64,12 @@
     pub max_messages_per_second: f64,
 }
 
-/// Reads the file that `RELAY_CONFIG` names.
-pub fn load() -> Result<Config, ConfigError> {
+/// Reads the file that `RELAY_CONFIG` names, again for a while if that fails for a reason that may pass.
+pub async fn load() -> Result<Config, ConfigError> {
+    retry(READ_PATIENCE, ConfigError::may_pass, || async { load_once() }).await
+}
+
+fn load_once() -> Result<Config, ConfigError> {
     let path = std::env::var(CONFIG_VARIABLE).map_err(|_| ConfigError::VariableMissing)?;
     match std::fs::read_to_string(&path) {
         Ok(text) => parse(&text),
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -11,6 +11,7 @@
 mod http;
 mod logging;
 mod metrics;
+mod patience;
 mod rate_limited_warning;
 mod reload;
 mod server;
@@ -22,6 +23,7 @@
 
 use error::StartupError;
 use logging::Log;
+use patience::retry_blocking;
 use signals::SignalStream;
 use std::process::ExitCode;
 use tokio::runtime;
@@ -44,8 +46,8 @@
 }
 
 fn run() -> Result<(), StartupError> {
-    let runtime =
-        runtime::Builder::new_current_thread().enable_all().build().map_err(StartupError::Runtime)?;
+    let build = || runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = retry_blocking(build).map_err(StartupError::Runtime)?;
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, serve())
 }
@@ -53,18 +55,18 @@
 /// Starts the gateway and serves until SIGTERM; SIGHUP reloads the configuration, during the shutdown, too. Signals are
 /// handled before anything else is done, as the default would end the process.
 async fn serve() -> Result<(), StartupError> {
-    let mut terminate = SignalStream::terminate().map_err(StartupError::SignalHandler)?;
-    let mut hangup = SignalStream::hangup().map_err(StartupError::SignalHandler)?;
-    let config = config::load()?;
+    let mut terminate = retry_blocking(SignalStream::terminate).map_err(StartupError::SignalHandler)?;
+    let mut hangup = retry_blocking(SignalStream::hangup).map_err(StartupError::SignalHandler)?;
+    let start = async { startup::start(config::load().await?).await };
     let gateway = tokio::select! {
-        started = startup::start(config) => started?,
+        started = start => started?,
         () = terminate.recv() => return Ok(()),
     };
     let addresses = gateway.addresses;
     let reload = async {
         loop {
             hangup.recv().await;
-            addresses.reload();
+            addresses.reload().await;
         }
     };
     let serve_until_end = async {
--- a/src/bin/quota-gateway/reload.rs
+++ b/src/bin/quota-gateway/reload.rs
@@ -25,8 +25,8 @@
     }
 
     /// Reads the configuration again. A file with an error changes nothing.
-    pub fn reload(&self) {
-        match config::load() {
+    pub async fn reload(&self) {
+        match config::load().await {
             Ok(config) => {
                 self.update(&config);
                 self.metrics.reloads.inc();
--- a/src/bin/quota-gateway/socket.rs
+++ b/src/bin/quota-gateway/socket.rs
@@ -4,6 +4,7 @@
 //! The runtime's own stream takes a short read for an empty socket and a short write for a full one, and waits for the
 //! system to report the next change. After a call that was cut short for another reason there may be none.
 
+use crate::patience::may_pass;
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
@@ -47,7 +48,7 @@
         loop {
             match TcpStream::connect(addr).await {
                 Ok(stream) => return Ok(Socket::new(stream)),
-                Err(error) if attempts < MAX_CONNECT_ATTEMPTS && is_local_shortage(&error) => {}
+                Err(error) if attempts < MAX_CONNECT_ATTEMPTS && may_pass(&error) => {}
                 Err(error) => return Err(error),
             }
             attempts += 1;
@@ -130,20 +131,6 @@
     End,
 }
 
-/// Whether an error of opening or connecting a socket lies on this machine and may pass.
-pub fn is_local_shortage(error: &io::Error) -> bool {
-    let passing = [
-        nix::libc::EADDRNOTAVAIL,
-        nix::libc::EAGAIN,
-        nix::libc::EINTR,
-        nix::libc::EMFILE,
-        nix::libc::ENFILE,
-        nix::libc::ENOBUFS,
-        nix::libc::ENOMEM,
-    ];
-    error.raw_os_error().is_some_and(|code| passing.contains(&code))
-}
-
 /// True if a call on an open socket is to be made again: the system can't carry it out at this moment.
 fn is_passing(error: &io::Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
--- a/src/bin/quota-gateway/startup.rs
+++ b/src/bin/quota-gateway/startup.rs
@@ -8,19 +8,18 @@
 use crate::error::StartupError;
 use crate::gossip::{self, GossipSocket};
 use crate::metrics::Metrics;
+use crate::patience::{may_pass_for_address, retry};
 use crate::reload::ReloadableAddresses;
 use crate::server::Server;
 use crate::shutdown::{open_request_limit, Acceptor, ClientSlots, Shutdown};
-use crate::socket::is_local_shortage;
 use crate::upstream::ConnectionPool;
 use quota_gateway::Settings;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::time::{sleep, Instant};
+use tokio::time::sleep;
 
 /// Descriptors kept for all but clients and endpoints: log, signals, counter, discovery, gossip, listener.
 const RESERVED_DESCRIPTORS: usize = 32;
@@ -28,8 +27,6 @@
 const LISTEN_BACKLOG: u32 = 1024;
 /// How long the program tries to get its addresses; it has to be ready 30 s after its start.
 const BIND_PATIENCE: Duration = Duration::from_secs(20);
-/// Pause between two tries.
-const BIND_RETRY: Duration = Duration::from_millis(20);
 /// Interval of the periodic clean-up.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -86,7 +83,7 @@
 }
 
 async fn listen(addr: SocketAddr) -> Result<TcpListener, StartupError> {
-    let listener = retry_bind(|| async { open_listener(addr) }).await;
+    let listener = retry(BIND_PATIENCE, may_pass_for_address, || async { open_listener(addr) }).await;
     listener.map_err(|source| StartupError::Listen { addr, source })
 }
 
@@ -98,33 +95,13 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
-/// Opens a socket on an address; again for a while if that fails for a reason that may pass: the former process may
-/// not have ended, or the machine be short of something.
-async fn retry_bind<S, F>(open: impl Fn() -> F) -> io::Result<S>
-where
-    F: Future<Output = io::Result<S>>,
-{
-    let deadline = Instant::now() + BIND_PATIENCE;
-    loop {
-        match open().await {
-            Err(error) if may_pass(&error) && Instant::now() < deadline => {}
-            result => return result,
-        }
-        sleep(BIND_RETRY).await;
-    }
-}
-
-fn may_pass(error: &io::Error) -> bool {
-    error.kind() == io::ErrorKind::AddrInUse || is_local_shortage(error)
-}
-
 async fn bind_gossip(
     config: GossipConfig,
     settings: &Settings,
 ) -> Result<Option<Rc<GossipSocket>>, StartupError> {
     let Some(addr) = config.listen.filter(|_| settings.limits.gossip) else { return Ok(None) };
     let bind = || GossipSocket::bind(addr, config.peers.clone(), config.broadcast);
-    match retry_bind(bind).await {
+    match retry(BIND_PATIENCE, may_pass_for_address, bind).await {
         Ok(socket) => Ok(Some(Rc::new(socket))),
         Err(source) => Err(StartupError::GossipListen { addr, source }),
     }
