Register signals as the very first step; the guard's check says less; a slowly read response

Signals were registered once log and runtime stood, some 1 ms into the process. The test of a slowly read response (60 KB, a receive buffer of 4 KB, over the end and over the idle time-out) passed at first: no fault was found there.

--- a/src/bin/quota-gateway/driver/actions.rs
+++ b/src/bin/quota-gateway/driver/actions.rs
@@ -113,6 +113,6 @@
 }
 
 /// The library's milliseconds as a duration.
-fn duration(ms: f64) -> Duration {
+pub(super) fn duration(ms: f64) -> Duration {
     Duration::from_secs_f64((ms / 1000.0).clamp(0.0, MAX_TIMEOUT_S))
 }
--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -1,7 +1,7 @@
 //! The tasks that send attempts and health checks. Each reports its end as an event.
 
 use super::events::AttemptReport;
-use super::guard::{refusal_outcome, GuardedAttempt, ToldTime};
+use super::guard::{refusal_outcome, GuardedAttempt};
 use super::messages::ForwardedRequest;
 use super::requests::{EndpointResponse, StartedAttempt};
 use super::Driver;
@@ -55,7 +55,7 @@
 
     fn on_written(&self) {
         self.written.set(true);
-        self.driver.check_after_write(&self.guarded, ToldTime { remaining: self.told.get() });
+        self.driver.check_after_write(&self.guarded, self.told.get());
     }
 }
 
--- a/src/bin/quota-gateway/driver/guard.rs
+++ b/src/bin/quota-gateway/driver/guard.rs
@@ -2,6 +2,7 @@
 //! more at what has been written. What it finds broken then is counted and logged with the ids; it is a fault of the
 //! program, as the answer before the write should have been no.
 
+use super::actions::duration;
 use super::requests::RequestRecord;
 use super::slow_start_check::SlowStartCheck;
 use super::Driver;
@@ -45,19 +46,12 @@
     pub not_ready_since: Option<Instant>,
     /// Its first byte must not be written after this.
     pub start_by: Instant,
-    /// The remaining time that it told, and when that was made out.
-    pub told: ToldTime,
+    /// The remaining time that it told its endpoint.
+    pub told: Duration,
     /// When its last byte was written.
     pub written_at: Instant,
 }
 
-/// The remaining time that an attempt told its endpoint.
-#[derive(Clone, Copy)]
-pub struct ToldTime {
-    /// The time.
-    pub remaining: Duration,
-}
-
 /// The guard's own state: one for the process.
 pub struct Guard {
     metrics: Rc<Metrics>,
@@ -71,7 +65,7 @@
     pub fn new(rules: &Rules, metrics: Rc<Metrics>) -> Self {
         Guard {
             metrics,
-            drain_grace: Duration::from_secs_f64(rules.drain_grace_ms.clamp(0.0, 86_400_000.0) / 1000.0),
+            drain_grace: duration(rules.drain_grace_ms),
             slow_start: RefCell::new(SlowStartCheck::new(rules)),
             violations: Cell::new(0),
         }
@@ -85,7 +79,7 @@
         let checks = [
             (Rule::SendForClosedRequest, since(record.ended_at) > CLOSED_REQUEST_GRACE),
             (Rule::SendToDraining, since(attempt.not_ready_since) > self.drain_grace + SOCKET_SLACK),
-            (Rule::RemainingTime, attempt.told.remaining > left + TIME_SLACK),
+            (Rule::RemainingTime, attempt.told > left + TIME_SLACK),
             (Rule::Repeat, record.must_not_repeat || attempt.written_at > attempt.start_by + TIME_SLACK),
         ];
         checks.into_iter().filter(|(_, is_broken)| *is_broken).map(|(rule, _)| rule).collect()
@@ -130,7 +124,7 @@
     }
 
     /// Looks once more at an attempt whose last byte has just been written.
-    pub(super) fn check_after_write(&self, attempt: &GuardedAttempt, told: ToldTime) {
+    pub(super) fn check_after_write(&self, attempt: &GuardedAttempt, told: Duration) {
         let written_at = Instant::now();
         let endpoint = attempt.target.endpoint;
         let Some(record) = self.requests.borrow().record(attempt.request) else { return };
--- a/src/bin/quota-gateway/driver/guard/tests.rs
+++ b/src/bin/quota-gateway/driver/guard/tests.rs
@@ -1,6 +1,6 @@
 //! What counts as a broken rule.
 
-use super::{Guard, ToldTime, WrittenAttempt};
+use super::{Guard, WrittenAttempt};
 use crate::driver::requests::RequestRecord;
 use crate::metrics::{Metrics, Rule};
 use quota_gateway::Rules;
@@ -36,7 +36,7 @@
             record: &self.record,
             not_ready_since: self.not_ready_since,
             start_by: self.start_by,
-            told: ToldTime { remaining: self.told },
+            told: self.told,
             written_at: self.now,
         };
         Guard::new(&rules, Metrics::new()).broken_rules(&written)
--- a/src/bin/quota-gateway/driver/slow_start_check.rs
+++ b/src/bin/quota-gateway/driver/slow_start_check.rs
@@ -11,8 +11,8 @@
 #[cfg(test)]
 mod tests;
 
-/// Longest window that is looked at.
-const MAX_WINDOW: Duration = Duration::from_secs(60);
+/// Longest window that is looked at, in ms.
+const MAX_WINDOW_MS: f64 = 60_000.0;
 /// Attempts remembered at most; with more in a window the mean is taken of the latest.
 const MAX_REMEMBERED: usize = 8192;
 /// Below this number of attempts the margin is the wider one.
@@ -36,9 +36,9 @@
 impl SlowStartCheck {
     /// For these rules.
     pub fn new(rules: &Rules) -> Self {
-        let window = Duration::from_secs_f64(rules.overload_window_ms.clamp(0.0, 60_000.0) / 1000.0);
+        let window_ms = rules.overload_window_ms.clamp(0.0, MAX_WINDOW_MS);
         SlowStartCheck {
-            window: window.min(MAX_WINDOW),
+            window: Duration::from_secs_f64(window_ms / 1000.0),
             multiple: rules.overload_multiple,
             slow_start_ms: rules.slow_start_ms,
             initial_share: rules.slow_start_min_capacity,
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -24,7 +24,7 @@
 use error::StartupError;
 use logging::Log;
 use patience::retry_blocking;
-use signals::SignalStream;
+use signals::Signals;
 use std::process::ExitCode;
 use tokio::runtime;
 use tokio::task::LocalSet;
@@ -33,8 +33,9 @@
 const STARTUP_FAILED: u8 = 2;
 
 fn main() -> ExitCode {
+    let signals = retry_blocking(Signals::register);
     let mut log = Log::start();
-    let result = run();
+    let result = signals.map_err(StartupError::SignalHandler).and_then(run);
     if let Err(error) = &result {
         log.write_line(&format!("quota-gateway: {error}"));
     }
@@ -45,18 +46,17 @@
     }
 }
 
-fn run() -> Result<(), StartupError> {
+fn run(signals: Signals) -> Result<(), StartupError> {
     let build = || runtime::Builder::new_current_thread().enable_all().build();
     let runtime = retry_blocking(build).map_err(StartupError::Runtime)?;
     let tasks = LocalSet::new();
-    tasks.block_on(&runtime, serve())
+    tasks.block_on(&runtime, serve(signals))
 }
 
-/// Starts the gateway and serves until SIGTERM; SIGHUP reloads the configuration, during the shutdown, too. Signals are
-/// handled before anything else is done, as the default would end the process.
-async fn serve() -> Result<(), StartupError> {
-    let mut terminate = retry_blocking(SignalStream::terminate).map_err(StartupError::SignalHandler)?;
-    let mut hangup = retry_blocking(SignalStream::hangup).map_err(StartupError::SignalHandler)?;
+/// Starts the gateway and serves until SIGTERM; SIGHUP reloads the configuration, during the shutdown, too.
+async fn serve(signals: Signals) -> Result<(), StartupError> {
+    let mut terminate = signals.terminate.listen().map_err(StartupError::SignalHandler)?;
+    let mut hangup = signals.hangup.listen().map_err(StartupError::SignalHandler)?;
     let start = async { startup::start(config::load().await?).await };
     let gateway = tokio::select! {
         started = start => started?,
--- a/src/bin/quota-gateway/signals.rs
+++ b/src/bin/quota-gateway/signals.rs
@@ -16,34 +16,60 @@
 /// Bytes read from the pipe at a time; each signal writes one.
 const PIPE_READ_BYTES: usize = 64;
 
-/// One kind of signal. It is kept from the moment on in which this was made.
-pub struct SignalStream {
-    /// Set by the handler, and before it writes into the pipe.
-    received: Arc<AtomicBool>,
-    /// Becomes readable with a signal.
-    pipe: UnixStream,
+/// The signals that the program handles, from the moment on in which they are registered.
+pub struct Signals {
+    /// SIGTERM: end in an orderly way.
+    pub terminate: RegisteredSignal,
+    /// SIGHUP: read the configuration anew.
+    pub hangup: RegisteredSignal,
 }
 
-impl SignalStream {
-    /// SIGTERM: end in an orderly way.
-    pub fn terminate() -> io::Result<Self> {
-        SignalStream::new(SIGTERM)
+impl Signals {
+    /// Sets the handlers. Until then a signal ends the process, so that this is the first thing to do.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses a handler or a pipe.
+    pub fn register() -> io::Result<Self> {
+        Ok(Signals { terminate: RegisteredSignal::new(SIGTERM)?, hangup: RegisteredSignal::new(SIGHUP)? })
     }
+}
 
-    /// SIGHUP: read the configuration anew.
-    pub fn hangup() -> io::Result<Self> {
-        SignalStream::new(SIGHUP)
-    }
+/// A signal that is kept until somebody waits for it.
+pub struct RegisteredSignal {
+    received: Arc<AtomicBool>,
+    pipe: BlockingUnixStream,
+}
 
+impl RegisteredSignal {
     fn new(signal: c_int) -> io::Result<Self> {
         let received = Arc::new(AtomicBool::new(false));
         flag::register(signal, received.clone())?;
         let (pipe, handler_end) = BlockingUnixStream::pair()?;
         pipe.set_nonblocking(true)?;
         low_level::pipe::register(signal, handler_end)?;
-        Ok(SignalStream { received, pipe: UnixStream::from_std(pipe)? })
+        Ok(RegisteredSignal { received, pipe })
+    }
+
+    /// The signal as the runtime waits for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the runtime can't watch the pipe.
+    pub fn listen(self) -> io::Result<SignalStream> {
+        Ok(SignalStream { received: self.received, pipe: UnixStream::from_std(self.pipe)? })
     }
+}
+
+/// One kind of signal.
+pub struct SignalStream {
+    /// Set by the handler, and before it writes into the pipe.
+    received: Arc<AtomicBool>,
+    /// Becomes readable with a signal.
+    pipe: UnixStream,
+}
 
+impl SignalStream {
     /// Waits for the signal. Several that came since the last one was waited for count as one.
     pub async fn recv(&mut self) {
         while !self.received.swap(false, Ordering::SeqCst) {
--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/crossings.rs
@@ -1,7 +1,9 @@
 //! Two rare events that coincide.
 
 use crate::stand_ins::*;
+use socket2::{Domain, Socket, Type};
 use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -182,3 +184,32 @@
         assert!(gateway.child.wait().unwrap().success());
     }
 }
+
+/// A client that reads its response slowly gets all of it, though connections close and the process ends meanwhile, or
+/// though the time passes after which a resting connection is closed.
+#[test]
+fn a_response_that_is_read_slowly_is_whole() {
+    let body = "quote ".repeat(10_000);
+    for ends in [true, false] {
+        let text = body.clone();
+        let endpoint = start_server(move |_| Reply::Send(response(200, "", &text)));
+        let mut gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        socket.connect(&gateway.addr.into()).unwrap();
+        let mut client = BufReader::with_capacity(512, TcpStream::from(socket));
+        client.get_mut().set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        client.get_mut().write_all(get_request(1, 1, 3500).as_bytes()).unwrap();
+        sleep(Duration::from_millis(200));
+        if ends {
+            gateway.signal("-TERM");
+        }
+        // Connections close 0.6 s after the signal, the process may end after 1 s, and rest ends after 2.3 s.
+        sleep(Duration::from_millis(if ends { 1500 } else { 2800 }));
+        let answer = read_message(&mut client).expect("a whole answer");
+        assert_eq!(answer.body.len(), body.len(), "at the end: {ends}");
+        if ends {
+            assert!(gateway.child.wait().unwrap().success());
+        }
+    }
+}
