--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -254,6 +254,13 @@
         for (name, count) in &self.counts {
             writeln!(formatter, "{count:8} {name}")?;
         }
+        let mut by_rule: BTreeMap<Rule, usize> = BTreeMap::new();
+        for violation in &self.violations {
+            *by_rule.entry(violation.rule).or_default() += 1;
+        }
+        for (rule, count) in by_rule {
+            writeln!(formatter, "{count:8} times broken: {rule:?}")?;
+        }
         for violation in self.violations.iter().take(MAX_SHOWN) {
             writeln!(formatter, "{violation}")?;
         }
