--- a/tests/gateway/service.rs
+++ b/tests/gateway/service.rs
@@ -233,3 +233,24 @@
     gateway.wait_for_log("txn=0000000000000abc");
     gateway.wait_for_log("outcome=Success");
 }
+
+/// A new configuration that comes while the gateway ends is taken over: its last requests need discovery, too.
+#[test]
+fn a_reload_during_the_end_is_carried_out() {
+    let (begun_to, begun) = channel();
+    let addr = start_server(move |_| {
+        let _ = begun_to.send(());
+        std::thread::sleep(Duration::from_secs(1));
+        Reply::Send(response(200, "", "done"))
+    });
+    let config = config_with_silent_discovery(&[addr]);
+    let mut gateway = Gateway::new(&config);
+    let mut open = gateway.connect();
+    open.get_mut().write_all(get_request(1, 1, 3000).as_bytes()).unwrap();
+    begun.recv_timeout(TEST_TIMEOUT).unwrap();
+    gateway.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(gateway.reload(&config.to_string()).contains("configuration reloaded"));
+    assert_eq!(read_message(&mut open).unwrap().body, b"done");
+    assert!(gateway.child.wait().unwrap().success());
+}
--- a/tests/gateway/stand_ins/mod.rs
+++ b/tests/gateway/stand_ins/mod.rs
@@ -14,6 +14,7 @@
 pub use counter::*;
 pub use discovery::*;
 pub use endpoint::*;
+pub use faults::*;
 pub use gateway::*;
 pub use http::*;
 pub use requests::*;
--- a/tests/gateway/system_faults.rs
+++ b/tests/gateway/system_faults.rs
@@ -38,6 +38,29 @@
 /// Failures after which no more requests are made.
 const MAX_FAILURES: usize = 5;
 
+/// The time that a request has waited in the queue of a listener that can't accept is taken off what is told.
+#[test]
+fn the_wait_for_a_listener_in_trouble_is_not_told_as_time_left() {
+    let (endpoint, received) = healthy_endpoint();
+    let switch = std::env::temp_dir().join(format!("quota-gateway-{}-accept", std::process::id()));
+    let mut environment = fault_environment("accept_switch=1");
+    environment.push(("GATEWAY_FAULT_SWITCH", switch.to_str().unwrap().to_owned()));
+    let mut config = config_with_silent_discovery(&[endpoint]);
+    // An attempt may take as long as its client waits.
+    config["settings"]["categories"][0]["aim-ms"] = 4000.into();
+    let gateway = Gateway::with_environment(&config, &environment);
+    std::fs::write(&switch, "").unwrap();
+    // The first error begins the wait: it is that of a client which comes before.
+    let _early = gateway.connect();
+    let mut client = gateway.connect();
+    client.get_mut().write_all(get_request(1, 1, 3000).as_bytes()).unwrap();
+    sleep(Duration::from_secs(1));
+    std::fs::remove_file(&switch).unwrap();
+    assert_eq!(read_message(&mut client).expect("an answer").status(), 200);
+    let told: u64 = received.lock().unwrap()[0].headers["x-remaining-ms"].parse().unwrap();
+    assert!(told <= 2150, "{told} ms of 3000 are left after 1000");
+}
+
 /// Makes requests of 300 customers on ten connections; returns the statuses of the answers that are not 200.
 fn statuses_but_success(gateway: &Gateway) -> Vec<Option<u16>> {
     let mut clients: Vec<_> = (0..10).map(|_| gateway.connect()).collect();
--- a/tests/shim/syscall_faults.c
+++ b/tests/shim/syscall_faults.c
@@ -17,6 +17,7 @@
  *   socket_fail     socket fails with ENOBUFS or ENFILE
  *   open_fail       open of a file whose name ends in .json fails with EIO or ENFILE
  *   epoll_eintr     epoll_wait fails with EINTR
+ *   accept_switch   (not a rate) accept4 fails with ENFILE while the file that GATEWAY_FAULT_SWITCH names exists
  *   wall_clock_s    seconds (not a rate; may be negative) that CLOCK_REALTIME is off
  */
 #define _GNU_SOURCE
@@ -31,6 +32,7 @@
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <time.h>
+#include <unistd.h>
 
 static uint64_t random_state;
 
@@ -140,6 +142,10 @@
     if (happens("accept_full")) {
         return fail(ENFILE);
     }
+    const char *file = getenv("GATEWAY_FAULT_SWITCH");
+    if (setting("accept_switch") && file != NULL && access(file, F_OK) == 0) {
+        return fail(ENFILE);
+    }
     return REAL(accept4)(fd, address, length, flags);
 }
 
