--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/crossings.rs
@@ -213,3 +213,34 @@
         }
     }
 }
+
+/// Hundreds of clients that wait to be accepted when the listener ends get an answer each, though there are slots for
+/// few of them.
+#[test]
+fn clients_without_a_slot_are_told_so_at_the_end_of_the_listener() {
+    let (endpoint, _) = healthy_endpoint();
+    let mut config = config_with_silent_discovery(&[endpoint]);
+    config["limits"]["sockets"] = 48.into();
+    let mut gateway = Gateway::new(&config);
+    gateway.signal("-TERM");
+    let mut unready = gateway.exchange("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    while unready.status() == 200 {
+        unready = gateway.exchange("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    // Suspended beyond the end of the accept period, the program finds waiting clients when that has passed.
+    gateway.signal("-STOP");
+    let head = post_request("once", "", "x").replace("\r\n\r\nx", "\r\nExpect: 100-continue\r\n\r\n");
+    let mut clients: Vec<_> = (0..400).map(|_| gateway.connect()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let text = head.replace("9b1f03aa", &format!("{number:08x}"));
+        client.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+    sleep(Duration::from_millis(800));
+    gateway.signal("-CONT");
+    let statuses: Vec<_> =
+        clients.iter_mut().map(|client| read_message(client).map_or(0, |answer| answer.status())).collect();
+    let unanswered = statuses.iter().filter(|status| **status == 0).count();
+    assert_eq!(unanswered, 0, "{statuses:?}");
+    assert!(statuses.contains(&503), "all had a slot");
+    assert!(gateway.child.wait().unwrap().success());
+}
