--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -150,8 +150,10 @@
     set(Behaviour::Serves);
 }
 
-/// Time after which an endpoint that drains ends.
-pub const DRAIN_TIME: Duration = Duration::from_secs(4);
+/// Time after which an endpoint that drains ends, longer than the grace after the notice.
+const DRAIN_TIME: Duration = Duration::from_secs(4);
+/// The same where the notice may take 6 s.
+const POLLED_DRAIN_TIME: Duration = Duration::from_secs(10);
 
 /// Replaces an endpoint by a new one: it drains and ends, or vanishes at once.
 pub async fn replace(
@@ -163,7 +165,7 @@
     if drains {
         world.fleet.borrow_mut().set_listed(number, Listed::Draining(Instant::now()));
         world.list_changes();
-        sleep(DRAIN_TIME).await;
+        sleep(if world.is_polled { POLLED_DRAIN_TIME } else { DRAIN_TIME }).await;
     }
     let since = world.fleet.borrow().endpoints[number].listed.since().unwrap_or_else(Instant::now);
     running.stop();
--- a/soak/src/gateway.rs
+++ b/soak/src/gateway.rs
@@ -1,10 +1,11 @@
 //! The processes under test: starts, signals, logs, ends.
 
-use crate::gateway_config::{gateway_config, Addresses, DEADLINE, KILL_GRACE};
+use crate::gateway_config::{gateway_config, Addresses, Site, DEADLINE, KILL_GRACE};
 use crate::http::Connection;
 use crate::judge::Rule;
 use crate::soak::SoakError;
 use crate::world::World;
+use fleet_emulator::peak_memory_kb;
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::Value;
@@ -27,6 +28,8 @@
 const METRICS_REQUEST: &[u8] = b"GET /health/metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
 /// An exchange of a check with a gateway takes no longer.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(2);
+/// Half of the memory that a gateway may have.
+const MAX_MEMORY_KB: f64 = 96.0 * 1024.0;
 /// New clients keep coming for this long after SIGTERM.
 pub const FRONT_DELAY: Duration = Duration::from_millis(300);
 
@@ -64,8 +67,8 @@
 pub struct Launcher {
     /// The program.
     pub program: PathBuf,
-    /// Number of gateways.
-    pub count: usize,
+    /// What all configurations have in common.
+    pub site: Site,
     /// The library that makes system calls fail, if any.
     pub faults_library: Option<PathBuf>,
     /// Where logs go, if anywhere.
@@ -106,7 +109,7 @@
         let seed = world.seed ^ (index as u64) << 32 ^ u64::from(generation);
         // A gateway starts with the list that it last had.
         let known = serde_json::from_str(&world.told_list.borrow()).unwrap_or_default();
-        let config = gateway_config(index, launcher.count, &addresses, &known, seed);
+        let config = gateway_config(index, launcher.site, &addresses, &known, seed);
         std::fs::write(&config_path, config.to_string())?;
         let mut command = Command::new(&launcher.program);
         command.env("RELAY_CONFIG", &config_path).env("RELAY_LOG", log_level(launcher));
@@ -192,7 +195,7 @@
         launcher: &Launcher,
         addresses: Addresses,
     ) -> std::io::Result<()> {
-        let config = gateway_config(self.index, launcher.count, &addresses, &Value::Null, world.seed);
+        let config = gateway_config(self.index, launcher.site, &addresses, &Value::Null, world.seed);
         self.write_config(&config.to_string())?;
         self.addresses = addresses;
         world.gateways.borrow_mut()[self.index].reloaded_at.push(Instant::now());
@@ -255,8 +258,14 @@
         self.addresses
     }
 
-    /// A process that has ended without being told to has crashed.
-    pub fn check_alive(&mut self, world: &World) {
+    /// A process that has ended without being told to has crashed; one that has taken too much memory might have been.
+    pub fn check_process(&mut self, world: &World) {
+        let peak_kb = self.child.id().map_or(0.0, |pid| peak_memory_kb(&pid.to_string()));
+        if peak_kb > MAX_MEMORY_KB {
+            let detail = format!("gateway {} has taken {peak_kb} kB", self.index);
+            world.judge.borrow_mut().report(Rule::Process, detail);
+        }
+        world.judge.borrow_mut().note_largest("kB of memory at most", peak_kb as u64);
         if let Ok(Some(status)) = self.child.try_wait() {
             let detail = format!("gateway {} has crashed: {status}, {:?}", self.index, self.faults);
             world.judge.borrow_mut().report(Rule::Process, detail);
--- a/soak/src/gateway_config.rs
+++ b/soak/src/gateway_config.rs
@@ -32,8 +32,17 @@
     pub counter: SocketAddr,
 }
 
-/// The configuration of one of `count` gateways.
-pub fn gateway_config(index: usize, count: usize, addresses: &Addresses, known: &Value, seed: u64) -> Value {
+/// What the configurations of all gateways of a run have in common.
+#[derive(Clone, Copy)]
+pub struct Site {
+    /// Number of gateways.
+    pub gateways: usize,
+    /// Gateways ask a service that all share for the list, in place of an agent that pushes it.
+    pub is_polled: bool,
+}
+
+/// The configuration of one gateway.
+pub fn gateway_config(index: usize, site: Site, addresses: &Addresses, known: &Value, seed: u64) -> Value {
     json!({
         "name": format!("n{index}"),
         "listen": addresses.listen,
@@ -42,7 +51,7 @@
         "seed": format!("{seed:x}"),
         "known": known,
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-        "settings": settings(index, count),
+        "settings": settings(index, site),
     })
 }
 
@@ -57,15 +66,15 @@
     duration.as_secs_f64() * 1000.0
 }
 
-fn settings(index: usize, count: usize) -> Value {
+fn settings(index: usize, site: Site) -> Value {
     json!({
-        "balancers": count,
+        "balancers": site.gateways,
         "position": index,
         "locality": index % 2,
         "zones": ["room-a", "room-b"],
         "kinds": ["std"],
         "granularity-ms": 2.0,
-        "membership-mode": "push",
+        "membership-mode": if site.is_polled { "ask" } else { "push" },
         "categories": [
             class("look", "read_like"), class("order", "idempotency_key"), class("once", "non_idempotent")
         ],
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -148,6 +148,12 @@
         *self.counts.entry(name.to_owned()).or_default() += 1;
     }
 
+    /// Keeps the largest of these figures.
+    pub fn note_largest(&mut self, name: &str, figure: u64) {
+        let largest = self.counts.entry(name.to_owned()).or_default();
+        *largest = figure.max(*largest);
+    }
+
     /// A rule was broken.
     pub fn report(&mut self, rule: Rule, detail: String) {
         self.violations.push(Violation { rule, detail, at: self.started_at.elapsed() });
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -5,7 +5,7 @@
 use crate::discovery::Discovery;
 use crate::endpoint::RunningEndpoint;
 use crate::gateway::{free_address, Gateway, GatewayState, Launcher};
-use crate::gateway_config::{Addresses, RULES};
+use crate::gateway_config::{Addresses, Site, RULES};
 use crate::judge::{Judge, Rule, Violation};
 use crate::lag::Lag;
 use crate::rude_clients;
@@ -50,6 +50,9 @@
     /// Seed of all that is drawn. What the processes make of it differs from run to run.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Gateways ask a service that all share for the list, in place of an agent that pushes it.
+    #[arg(long)]
+    polled: bool,
     /// Without troubles.
     #[arg(long)]
     calm: bool,
@@ -139,7 +142,7 @@
 
     async fn play(&self) -> Result<SoakReport, SoakError> {
         let ends_at = Instant::now() + Duration::from_secs(self.size.seconds);
-        let world = Rc::new(World::new(Judge::new(RULES), Lag::start(), ends_at, self.seed));
+        let world = Rc::new(World::new(Judge::new(RULES), Lag::start(), ends_at, self.seed, self.polled));
         let processes = Rc::new(self.start_processes(&world).await?);
         let mut load = self.start_load(&world);
         if self.calm {
@@ -165,7 +168,7 @@
         let counter = counter::start(world).await?;
         let launcher = Launcher {
             program: self.program.clone(),
-            count: self.size.gateways,
+            site: Site { gateways: self.size.gateways, is_polled: self.polled },
             faults_library: self.faults_library.clone(),
             log_folder: self.logs.clone(),
         };
@@ -206,7 +209,7 @@
         for (index, mut gateway) in gateways {
             let world = world.clone();
             ends.spawn_local(async move {
-                gateway.check_alive(&world);
+                gateway.check_process(&world);
                 match gateway.own_violations().await {
                     Some(0) => {}
                     Some(count) => {
