--- a/src/bin/quota-gateway/server/disconnect.rs
+++ b/src/bin/quota-gateway/server/disconnect.rs
@@ -34,7 +34,7 @@
 /// Bytes of one client that are dropped at most, to bound the work.
 const MAX_DROPPED: u64 = 64 << 20;
 /// Room for one read.
-const READ_BUFFER_BYTES: usize = 2048;
+const READ_BUFFER_BYTES: usize = 4096;
 /// Room for one read of bytes that are dropped.
 const DROP_BUFFER_BYTES: usize = 16 * 1024;
 /// Bytes that come within this time of one another count as having come together, with the first of them.
@@ -115,6 +115,7 @@
             _ => self.read_ahead.push_back(Arrival { at: now, bytes: BytesMut::from(bytes) }),
         }
         self.read_ahead_bytes += bytes.len();
+        self.client.set_sent_ahead(self.read_ahead_bytes);
         self.budget.add(bytes.len());
     }
 
@@ -157,12 +158,14 @@
     fn take_read_ahead(&mut self, buf: &mut ReadBuf<'_>) {
         let Some(first) = self.read_ahead.front_mut() else { return };
         let bytes = first.bytes.len().min(buf.remaining());
-        buf.put_slice(&first.bytes.split_to(bytes));
-        self.client.bytes_read(first.at);
+        let taken = first.bytes.split_to(bytes);
+        buf.put_slice(&taken);
+        self.client.bytes_read(&taken, first.at);
         if first.bytes.is_empty() {
             self.read_ahead.pop_front();
         }
         self.read_ahead_bytes -= bytes;
+        self.client.set_sent_ahead(self.read_ahead_bytes);
         self.budget.release(bytes);
     }
 }
@@ -202,8 +205,8 @@
         self.inner.borrow().ended
     }
 
-    /// The socket, to drop what still comes.
-    pub fn into_socket(self) -> Socket {
+    /// Another handle of its socket.
+    pub fn socket(&self) -> Socket {
         self.inner.borrow().socket.clone()
     }
 }
@@ -227,8 +230,9 @@
         }
         let before = buf.filled().len();
         ready!(Pin::new(&mut inner.socket).poll_read(cx, buf)).inspect_err(|_| inner.ended = true)?;
-        if buf.filled().len() > before {
-            inner.client.bytes_read(Instant::now());
+        let bytes = &buf.filled()[before..];
+        if !bytes.is_empty() {
+            inner.client.bytes_read(bytes, Instant::now());
         } else if buf.remaining() > 0 {
             inner.ended = true;
         }
