--- a/src/bin/quota-gateway/server/disconnect/tests.rs
+++ b/src/bin/quota-gateway/server/disconnect/tests.rs
@@ -11,19 +11,25 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// A client, and its stream here, with no room left for what it sends ahead.
+fn connect_without_room() -> (std::net::TcpStream, ClientStream, ReadAheadBudget) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let budget = ReadAheadBudget::default();
+    budget.add(MAX_READ_AHEAD_TOTAL);
+    let socket = Socket::new(TcpStream::from_std(stream).unwrap());
+    let stream = ClientStream::new(socket, Rc::new(Client::new(None)), budget.clone());
+    (client, stream, budget)
+}
+
 /// With no room for what it sent ahead, a client that closes its side or breaks off is seen to go, and one that
 /// stays is not. On the paused clock; what a socket has sent on loopback has arrived.
 #[tokio::test(start_paused = true)]
 async fn a_disconnect_is_seen_behind_bytes_that_nobody_reads() {
     for reset in [false, true] {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        let (stream, _) = listener.accept().unwrap();
-        stream.set_nonblocking(true).unwrap();
-        let budget = ReadAheadBudget::default();
-        budget.add(MAX_READ_AHEAD_TOTAL);
-        let socket = Socket::new(TcpStream::from_std(stream).unwrap());
-        let stream = ClientStream::new(socket, Rc::new(Client::new(None)), budget.clone());
+        let (mut client, stream, budget) = connect_without_room();
         client.write_all(b"GET /look").unwrap();
         let client_gone = || poll_fn(|cx| stream.poll_client_gone(cx));
         assert!(timeout(20 * POLL_INTERVAL, client_gone()).await.is_err(), "it has not gone");
@@ -41,14 +47,7 @@
 /// Also behind more than the system's buffers hold, where the system itself can't know of the end.
 #[tokio::test]
 async fn a_disconnect_is_seen_behind_megabytes_though_the_budget_is_used_up() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let (stream, _) = listener.accept().unwrap();
-    stream.set_nonblocking(true).unwrap();
-    let budget = ReadAheadBudget::default();
-    budget.add(MAX_READ_AHEAD_TOTAL);
-    let socket = Socket::new(TcpStream::from_std(stream).unwrap());
-    let stream = ClientStream::new(socket, Rc::new(Client::new(None)), budget.clone());
+    let (mut client, stream, budget) = connect_without_room();
     let sending = std::thread::spawn(move || client.write_all(&vec![b'x'; 4 << 20]));
     let client_gone = poll_fn(|cx| stream.poll_client_gone(cx));
     timeout(Duration::from_secs(10), client_gone).await.expect("it has gone");
