Failing tests: requests that come late in the shutdown are forwarded and cut off

Cause as seen: the shutdown fails the open requests once (0.4 s after the longest deadline) and then waits up to 0.15 s for all connections, on which it still reads and forwards.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod races;
 mod service;
+mod shutdown;
 mod stand_ins;
 mod startup;
 mod system_faults;
