--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -49,7 +49,9 @@
     }
 
     fn encode(&self) -> Vec<u8> {
-        self.told.set(self.deadline.saturating_duration_since(Instant::now()));
+        // The process may end before the request's own deadline.
+        let deadline = self.driver.lifecycle.limit_deadline(self.deadline);
+        self.told.set(deadline.saturating_duration_since(Instant::now()));
         self.forwarded.encode(self.told.get())
     }
 
--- a/src/bin/quota-gateway/driver/events.rs
+++ b/src/bin/quota-gateway/driver/events.rs
@@ -44,7 +44,9 @@
         let (client, response) = oneshot::channel();
         let elapsed_ms = incoming.received_at.elapsed().as_secs_f64() * 1000.0;
         let timeout_ms = (incoming.remaining_ms - elapsed_ms - RESPONSE_MARGIN_MS).max(0.0);
-        let deadline = Instant::now() + Duration::from_secs_f64(timeout_ms / 1000.0);
+        let now = Instant::now();
+        let deadline = self.lifecycle.limit_deadline(now + Duration::from_secs_f64(timeout_ms / 1000.0));
+        let timeout_ms = timeout_ms.min(deadline.saturating_duration_since(now).as_secs_f64() * 1000.0);
         let new = NewRequest {
             transaction_id: incoming.transaction_id,
             forwarded,
@@ -76,11 +78,27 @@
         self.dispatch(Event::ClientDisconnected { id });
     }
 
-    /// Fails all open requests, when the program has to end.
-    pub fn fail_open_requests(self: &Rc<Self>) {
-        let ids = self.requests.borrow().ids();
+    /// Ends a request whose time is up. Returns its final response.
+    pub fn give_up(self: &Rc<Self>, id: RequestId) -> FinalResponse {
+        let may_have_run = self.requests.borrow().may_have_run(id);
+        self.cancel_request(id);
+        if may_have_run {
+            return FinalResponse::Failed;
+        }
+        FinalResponse::Rejected { retry_after_ms: 0.0 }
+    }
+
+    /// Gives all open requests their final response, when the process has to end.
+    pub fn end_open_requests(self: &Rc<Self>) {
+        let ids = self.requests.borrow().unanswered();
         for id in ids {
-            self.cancel_request(id);
+            let mut requests = self.requests.borrow_mut();
+            let may_have_run = requests.may_have_run(id);
+            tracing::debug!(id, may_have_run, "ended: the process ends");
+            let response = if may_have_run { FinalResponse::Failed } else { FinalResponse::ShuttingDown };
+            requests.respond(id, response);
+            drop(requests);
+            self.dispatch(Event::ClientDisconnected { id });
         }
     }
 
--- a/src/bin/quota-gateway/driver/guard.rs
+++ b/src/bin/quota-gateway/driver/guard.rs
@@ -50,6 +50,8 @@
     pub told: Duration,
     /// When its last byte was written.
     pub written_at: Instant,
+    /// Since when the process refuses requests; none if it does not.
+    pub refusing_since: Option<Instant>,
 }
 
 /// The guard's own state: one for the process.
@@ -80,6 +82,7 @@
             (Rule::SendForClosedRequest, since(record.ended_at) > CLOSED_REQUEST_GRACE),
             (Rule::SendToDraining, since(attempt.not_ready_since) > self.drain_grace + SOCKET_SLACK),
             (Rule::RemainingTime, attempt.told > left + TIME_SLACK),
+            (Rule::SendWhileRefusing, since(attempt.refusing_since) > TIME_SLACK),
             (Rule::Repeat, record.must_not_repeat || attempt.written_at > attempt.start_by + TIME_SLACK),
         ];
         checks.into_iter().filter(|(_, is_broken)| *is_broken).map(|(rule, _)| rule).collect()
@@ -111,6 +114,9 @@
         if record.must_not_repeat {
             return Err(AttemptRefusal::MayHaveRun);
         }
+        if !self.lifecycle.may_forward() {
+            return Err(AttemptRefusal::ShuttingDown);
+        }
         if Instant::now() >= attempt.start_by {
             return Err(AttemptRefusal::RepeatWindowOver);
         }
@@ -135,6 +141,7 @@
             start_by: attempt.start_by,
             told,
             written_at,
+            refusing_since: self.lifecycle.refusing_since(),
         };
         let mut broken = self.guard.broken_rules(&written);
         let age_ms = endpoints.started_at(endpoint).map(|started_at| self.clock.now_ms() - started_at);
@@ -158,7 +165,8 @@
         AttemptRefusal::RequestAnswered
         | AttemptRefusal::ClientGone
         | AttemptRefusal::RepeatWindowOver
-        | AttemptRefusal::MayHaveRun => Outcome::NotSent,
+        | AttemptRefusal::MayHaveRun
+        | AttemptRefusal::ShuttingDown => Outcome::NotSent,
         // As good as rejected by the endpoint: another one may be tried.
         AttemptRefusal::EndpointNotReady | AttemptRefusal::EndpointMoved => Outcome::Rejected,
     }
--- a/src/bin/quota-gateway/driver/guard/tests.rs
+++ b/src/bin/quota-gateway/driver/guard/tests.rs
@@ -16,6 +16,7 @@
     start_by: Instant,
     told: Duration,
     now: Instant,
+    refusing_since: Option<Instant>,
 }
 
 impl Case {
@@ -27,7 +28,7 @@
             ended_at: None,
             must_not_repeat: false,
         };
-        Case { record, not_ready_since: None, start_by: now, told: SECOND, now }
+        Case { record, not_ready_since: None, start_by: now, told: SECOND, now, refusing_since: None }
     }
 
     fn broken_rules(&self) -> Vec<Rule> {
@@ -38,6 +39,7 @@
             start_by: self.start_by,
             told: self.told,
             written_at: self.now,
+            refusing_since: self.refusing_since,
         };
         Guard::new(&rules, Metrics::new()).broken_rules(&written)
     }
@@ -61,6 +63,11 @@
     let all = [Rule::SendForClosedRequest, Rule::SendToDraining, Rule::RemainingTime, Rule::Repeat];
     assert_eq!(case.broken_rules(), all);
     let mut case = Case::new();
+    case.refusing_since = Some(case.now - ms(150));
+    assert_eq!(case.broken_rules(), []);
+    case.refusing_since = Some(case.now - ms(151));
+    assert_eq!(case.broken_rules(), [Rule::SendWhileRefusing]);
+    let mut case = Case::new();
     case.record.must_not_repeat = true;
     assert_eq!(case.broken_rules(), [Rule::Repeat]);
 }
--- a/src/bin/quota-gateway/driver/messages.rs
+++ b/src/bin/quota-gateway/driver/messages.rs
@@ -80,4 +80,6 @@
     },
     /// It failed and may have run.
     Failed,
+    /// The process ends, and the request never ran: a retry elsewhere is harmless.
+    ShuttingDown,
 }
--- a/src/bin/quota-gateway/driver/mod.rs
+++ b/src/bin/quota-gateway/driver/mod.rs
@@ -26,6 +26,7 @@
 
 use crate::counter::CounterClient;
 use crate::gossip::GossipSocket;
+use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::upstream::ConnectionPool;
@@ -45,6 +46,16 @@
 /// Bits of a request's id below the clock's milliseconds.
 const REQUEST_ID_SHIFT: u32 = 16;
 
+/// What the driver sends on.
+pub struct Transports {
+    /// Connections to endpoints.
+    pub pool: ConnectionPool,
+    /// The shared counter; absent where the settings have none.
+    pub counter: Option<CounterClient>,
+    /// The socket between gateways; absent where the settings have none.
+    pub gossip: Option<Rc<GossipSocket>>,
+}
+
 /// The driver. All tasks share it, on one thread; each part of its state is borrowed only for single steps.
 pub struct Driver {
     clock: Clock,
@@ -60,18 +71,18 @@
     started_at: Instant,
     bad_entry_warning: RateLimitedWarning,
     guard: Guard,
+    lifecycle: Rc<Lifecycle>,
     metrics: Rc<Metrics>,
 }
 
 impl Driver {
-    /// The counter and the socket between gateways are absent where the settings have none.
+    /// A driver with no requests.
     pub fn new(
         settings: Settings,
         seed: u64,
         topology: TopologyNames,
-        pool: ConnectionPool,
-        counter: Option<CounterClient>,
-        gossip: Option<Rc<GossipSocket>>,
+        transports: Transports,
+        lifecycle: Rc<Lifecycle>,
         metrics: Rc<Metrics>,
     ) -> Rc<Self> {
         let clock = Clock::new();
@@ -90,13 +101,14 @@
             actions: RefCell::default(),
             requests: RefCell::new(OpenRequests::new(first_id, limits)),
             endpoints: RefCell::new(Endpoints::new(topology)),
-            pool,
-            counter,
-            gossip,
+            pool: transports.pool,
+            counter: transports.counter,
+            gossip: transports.gossip,
             discovery_synced: Cell::new(false),
             started_at: Instant::now(),
             bad_entry_warning: RateLimitedWarning::default(),
             guard,
+            lifecycle,
             metrics,
         })
     }
@@ -117,11 +129,6 @@
         discovery_settled && self.endpoints.borrow().any_ready()
     }
 
-    /// Requests that have no final response.
-    pub fn open_request_count(&self) -> usize {
-        self.requests.borrow().unanswered_count()
-    }
-
     /// Periodic clean-up: closes expired idle connections and forgets endpoints removed long ago.
     pub fn sweep(&self) {
         self.pool.close_expired();
--- a/src/bin/quota-gateway/driver/requests.rs
+++ b/src/bin/quota-gateway/driver/requests.rs
@@ -154,6 +154,10 @@
         limits.hedging || !self.has_attempt_in_flight()
     }
 
+    fn may_have_run(&self) -> bool {
+        self.may_have_run || self.attempts.iter().flatten().any(|attempt| attempt.written.get())
+    }
+
     fn respond(&mut self, response: FinalResponse) {
         if let Some(client) = self.client.take() {
             self.ended_at = Some(Instant::now());
@@ -201,14 +205,14 @@
         id
     }
 
-    /// How many requests have no final response.
-    pub fn unanswered_count(&self) -> usize {
-        self.open.values().filter(|request| !request.is_answered()).count()
+    /// The ids of all requests that have no final response.
+    pub fn unanswered(&self) -> Vec<RequestId> {
+        self.open.iter().filter(|(_, request)| !request.is_answered()).map(|(id, _)| *id).collect()
     }
 
-    /// The ids of all open requests.
-    pub fn ids(&self) -> Vec<RequestId> {
-        self.open.keys().copied().collect()
+    /// True unless it is certain that no endpoint has run the request.
+    pub fn may_have_run(&self, id: RequestId) -> bool {
+        self.open.get(&id).is_none_or(OpenRequest::may_have_run)
     }
 
     /// What the rules on sending rest on; none if the request is no longer open.
--- a/src/bin/quota-gateway/driver/requests/tests.rs
+++ b/src/bin/quota-gateway/driver/requests/tests.rs
@@ -72,7 +72,7 @@
     let second = requests.finish_attempt(id, 0, Outcome::Success, Some(served(1.0, "second"))).unwrap();
     assert_eq!(second.actual_units, None, "it did not answer the request");
     assert!(matches!(response.try_recv(), Ok(FinalResponse::Success { body, .. }) if body == "first"));
-    assert!(requests.ids().is_empty());
+    assert!(requests.record(id).is_none());
 }
 
 #[test]
@@ -107,9 +107,10 @@
     start(&mut requests, id).unwrap();
     requests.respond(id, FinalResponse::Failed);
     assert!(requests.is_answered(id));
-    assert_eq!(requests.ids(), [id]);
+    assert!(requests.record(id).is_some());
+    assert!(requests.unanswered().is_empty());
     assert!(requests.finish_attempt(id, 0, Outcome::NotSent, None).unwrap().request_answered);
-    assert!(requests.ids().is_empty());
+    assert!(requests.record(id).is_none());
     assert!(requests.finish_attempt(id, 0, Outcome::NotSent, None).is_none());
 }
 
@@ -129,3 +130,22 @@
         assert!(requests.record(id).is_none());
     }
 }
+
+/// A request that is ended from outside is refused only if no endpoint can have run it.
+#[test]
+fn what_was_never_written_has_not_run() {
+    let mut requests = open_requests(false);
+    let (id, _response) = insert(&mut requests);
+    assert_eq!(requests.unanswered(), [id]);
+    assert!(!requests.may_have_run(id));
+    let attempt = start(&mut requests, id).unwrap();
+    assert!(!requests.may_have_run(id), "not written yet");
+    attempt.written.set(true);
+    assert!(requests.may_have_run(id));
+    requests.finish_attempt(id, 0, Outcome::Rejected, None);
+    assert!(!requests.may_have_run(id), "turned away");
+    start(&mut requests, id).unwrap();
+    requests.finish_attempt(id, 1, Outcome::ConnectionReset, None);
+    assert!(requests.may_have_run(id));
+    assert!(requests.may_have_run(id + 1), "nothing is known of it");
+}
--- /dev/null
+++ b/src/bin/quota-gateway/lifecycle/mod.rs
@@ -0,0 +1,110 @@
+//! Where the process stands between its start and its end. One owner holds the phase for all tasks, and it only goes
+//! forward:
+//!
+//! ```text
+//! Running -- SIGTERM --> Accepting --> NoNewConnections --> Refusing --> Ended
+//! ```
+//!
+//! The times of the phases are those of the `timeline`. Whether something may still be forwarded is read from the
+//! clock and not from the phase alone: after a hold-up of the whole process, tasks run in any order, and some before
+//! the one that moves the phase on.
+
+mod timeline;
+
+#[cfg(test)]
+mod tests;
+
+pub use timeline::{longest_deadline, Timeline, CLOSING_TIME};
+
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// The phases, in their order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Before SIGTERM.
+    Running,
+    /// The process is not ready any more, and still accepts connections.
+    Accepting,
+    /// Connections are accepted no more, and close behind a response. Requests on them are served.
+    NoNewConnections,
+    /// What comes is refused and not forwarded. Connections close once nothing is owed on them.
+    Refusing,
+    /// Nothing is read any more.
+    Ended,
+}
+
+/// The phase and the times of the shutdown.
+pub struct Lifecycle {
+    phase: watch::Sender<Phase>,
+    timeline: Cell<Option<Timeline>>,
+    /// When requests began to be refused, or will.
+    refusing_at: Cell<Option<Instant>>,
+}
+
+impl Lifecycle {
+    /// A process that has just been started.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Lifecycle {
+            phase: watch::Sender::new(Phase::Running),
+            timeline: Cell::new(None),
+            refusing_at: Cell::new(None),
+        })
+    }
+
+    /// SIGTERM has come. Has no effect on a shutdown that has begun.
+    pub fn begin_shutdown(&self, timeline: Timeline) {
+        if self.timeline.get().is_none() {
+            self.timeline.set(Some(timeline));
+            self.refusing_at.set(Some(timeline.refusing_at));
+            self.advance_to(Phase::Accepting);
+        }
+    }
+
+    /// Enters a phase, unless it has been passed.
+    pub fn advance_to(&self, phase: Phase) {
+        if phase >= Phase::Refusing {
+            let now = Instant::now();
+            self.refusing_at.set(Some(self.refusing_at.get().map_or(now, |at| at.min(now))));
+        }
+        self.phase.send_if_modified(|current| {
+            let is_later = phase > *current;
+            *current = phase.max(*current);
+            is_later
+        });
+    }
+
+    /// True from SIGTERM on.
+    pub fn is_shutting_down(&self) -> bool {
+        self.timeline.get().is_some()
+    }
+
+    /// Whether a request may still be forwarded.
+    pub fn may_forward(&self) -> bool {
+        let Some(timeline) = self.timeline.get() else { return true };
+        self.refusing_since().is_none() && Instant::now() < timeline.last_forwarding_at
+    }
+
+    /// Since when requests are refused; none if they are not.
+    pub fn refusing_since(&self) -> Option<Instant> {
+        self.refusing_at.get().filter(|at| *at <= Instant::now())
+    }
+
+    /// The earlier of a request's deadline and that of the shutdown.
+    pub fn limit_deadline(&self, deadline: Instant) -> Instant {
+        self.timeline.get().map_or(deadline, |timeline| deadline.min(timeline.request_deadline))
+    }
+
+    /// Follows the phase.
+    pub fn subscribe(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Waits for a phase or a later one.
+    pub async fn reached(&self, phase: Phase) {
+        // It fails only without a sender, which `self` holds.
+        let _ = self.subscribe().wait_for(|current| *current >= phase).await;
+    }
+}
--- /dev/null
+++ b/src/bin/quota-gateway/lifecycle/timeline/tests.rs
@@ -0,0 +1,66 @@
+use super::*;
+use quota_gateway::Class;
+
+/// Deadlines whose shutdowns are looked at, in ms.
+const DEADLINES_MS: [u64; 9] = [0, 10, 100, 120, 300, 800, 1700, 3000, 8000];
+
+fn kill_after(deadline_ms: u64) -> Duration {
+    Duration::from_millis(deadline_ms.min(3000) + 700)
+}
+
+#[test]
+fn the_phases_come_in_their_order_whatever_the_deadline() {
+    let terminated_at = Instant::now();
+    for deadline_ms in DEADLINES_MS {
+        let timeline = Timeline::new(terminated_at, Duration::from_millis(deadline_ms));
+        assert!(timeline.no_new_connections_at <= timeline.refusing_at, "{deadline_ms}");
+        assert!(timeline.last_forwarding_at < timeline.request_deadline, "{deadline_ms}");
+        assert!(timeline.request_deadline < timeline.refusing_at, "{deadline_ms}");
+        assert!(timeline.quiet_from <= timeline.refusing_at, "{deadline_ms}");
+    }
+}
+
+#[test]
+fn the_process_ends_before_sigkill_though_it_is_held_up_once() {
+    let terminated_at = Instant::now();
+    for deadline_ms in DEADLINES_MS {
+        let timeline = Timeline::new(terminated_at, Duration::from_millis(deadline_ms));
+        let ended_after = timeline.refusing_at - terminated_at + CLOSING_TIME;
+        let exit_time = Duration::from_millis(40);
+        assert!(
+            ended_after + HOLD_UP + exit_time < kill_after(deadline_ms),
+            "{deadline_ms}: {ended_after:?}"
+        );
+    }
+}
+
+#[test]
+fn requests_have_as_much_time_as_there_is() {
+    let terminated_at = Instant::now();
+    for deadline_ms in DEADLINES_MS {
+        let timeline = Timeline::new(terminated_at, Duration::from_millis(deadline_ms));
+        let served_for = timeline.request_deadline - terminated_at;
+        assert!(served_for + Duration::from_millis(320) > kill_after(deadline_ms), "{deadline_ms}");
+    }
+}
+
+#[test]
+fn new_connections_are_accepted_for_as_long_as_they_keep_coming() {
+    let terminated_at = Instant::now();
+    for deadline_ms in DEADLINES_MS {
+        let timeline = Timeline::new(terminated_at, Duration::from_millis(deadline_ms));
+        assert!(timeline.no_new_connections_at - terminated_at > Duration::from_millis(400), "{deadline_ms}");
+    }
+}
+
+#[test]
+fn the_longest_deadline_is_that_of_all_classes() {
+    for (deadlines, longest_ms) in
+        [(vec![400.0], 400), (vec![2500.0, 900.0], 2500), (vec![7500.0], 7500), (vec![f64::NAN], 0)]
+    {
+        let class = |deadline_ms| Class { deadline_ms, ..Class::default() };
+        let classes = deadlines.into_iter().map(class).collect();
+        let longest = longest_deadline(&Settings { classes, ..Settings::default() });
+        assert_eq!(longest, Duration::from_millis(longest_ms));
+    }
+}
--- a/src/bin/quota-gateway/logging.rs
+++ b/src/bin/quota-gateway/logging.rs
@@ -17,7 +17,7 @@
 /// Lines that may wait to be written, some 100 KB. Later ones are dropped and counted.
 const MAX_WAITING_LINES: usize = 1024;
 /// At its end the program waits this long for the last lines.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// The running log. It has to be flushed before the program ends.
 pub struct Log {
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -9,6 +9,7 @@
 mod error;
 mod gossip;
 mod http;
+mod lifecycle;
 mod logging;
 mod metrics;
 mod patience;
--- a/src/bin/quota-gateway/metrics/labels.rs
+++ b/src/bin/quota-gateway/metrics/labels.rs
@@ -46,6 +46,8 @@
         Failed => "failed",
         /// It was wrong, or not complete in time.
         Invalid => "invalid",
+        /// It was refused as the process ends, and never ran.
+        ShuttingDown => "shutting_down",
         /// The gateway answered itself: a check of its health, or a collection of metrics.
         HealthCheck => "health_check",
         /// Its client went before it had a response.
@@ -90,6 +92,8 @@
         RepeatWindowOver => "repeat_window_over",
         /// The request may have run and must not run twice.
         MayHaveRun => "may_have_run",
+        /// The process ends before a response could come.
+        ShuttingDown => "shutting_down",
     }
 }
 
@@ -108,6 +112,8 @@
         NoSlot => "no_slot",
         /// The gateway ends, and it had no request.
         Draining => "draining",
+        /// The gateway ends, and its request had come in part: it was refused.
+        Incomplete => "incomplete",
     }
 }
 
@@ -124,6 +130,8 @@
         Repeat => "repeat",
         /// A connection was closed under a complete request without a response.
         CloseUnanswered => "close_unanswered",
+        /// An attempt was written when the process refused requests, as it was about to end.
+        SendWhileRefusing => "send_while_refusing",
         /// An endpoint in slow start was sent more than this gateway's share of what it bears.
         SlowStart => "slow_start",
     }
--- a/src/bin/quota-gateway/server/accept.rs
+++ b/src/bin/quota-gateway/server/accept.rs
@@ -2,6 +2,7 @@
 
 use super::client::Client;
 use super::Server;
+use crate::lifecycle::Phase;
 use crate::metrics::ConnectionEnd;
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::socket::{Socket, Unread};
@@ -11,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{watch, OwnedSemaphorePermit};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -71,20 +72,20 @@
 }
 
 impl Server {
-    /// Accepts clients until `close` turns true, at most as many as there are slots. With all taken, the client
+    /// Accepts clients until the shutdown stops that, at most as many as there are slots. With all taken, the client
     /// that has been longest without a request gives up its slot: hundreds of silent ones must not lock out others.
     /// At the end those that have connected by then are still accepted, whatever errors come between: their
     /// connections are established, and closing them unseen would lose their requests.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, close: watch::Receiver<bool>) {
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let warning = RateLimitedWarning::default();
-        let mut closing = close.clone();
+        let mut phase = self.lifecycle.subscribe();
         let mut errors_in_a_row = 0;
         let mut queue = AcceptQueue::new(listener);
         for number in 0.. {
             let accepted = tokio::select! {
                 biased;
                 accepted = queue.next() => accepted,
-                _ = closing.wait_for(|close| *close) => return,
+                _ = phase.wait_for(|phase| *phase >= Phase::NoNewConnections) => return,
             };
             let stream = match accepted {
                 Ok(stream) => stream,
@@ -105,26 +106,25 @@
                 continue;
             };
             let client = Rc::new(Client::new(queue.first_arrival(&stream)));
-            self.spawn_client(number, stream, client, slot, close.clone());
+            self.spawn_client(number, stream, client, slot);
             // Its request is read before it can be taken for an idle client.
             yield_now().await;
         }
     }
 
     /// Starts the task of one client. It holds the slot and ends with the connection, which ends by itself, by
-    /// eviction, or after `close`.
+    /// eviction, or in the shutdown.
     fn spawn_client(
         self: &Rc<Self>,
         number: u64,
         socket: Socket,
         client: Rc<Client>,
         slot: OwnedSemaphorePermit,
-        close: watch::Receiver<bool>,
     ) {
         let server = self.clone();
         tokio::task::spawn_local(async move {
             server.clients.borrow_mut().insert(number, client.clone());
-            server.serve_until_evicted(socket, &client, close).await;
+            server.serve_until_evicted(socket, &client).await;
             server.clients.borrow_mut().remove(&number);
             drop(slot);
         });
--- a/src/bin/quota-gateway/server/client.rs
+++ b/src/bin/quota-gateway/server/client.rs
@@ -76,6 +76,8 @@
     sent_ahead: Cell<usize>,
     /// When the head of the last request was begun, or was read where it came earlier.
     request_begun_at: Cell<Instant>,
+    /// A response was made, and the system has not taken all of it.
+    has_unwritten_response: Cell<bool>,
     evicted: Notify,
 }
 
@@ -95,6 +97,7 @@
             requests: Cell::new(0),
             sent_ahead: Cell::new(0),
             request_begun_at: Cell::new(now),
+            has_unwritten_response: Cell::new(false),
             evicted: Notify::new(),
         }
     }
@@ -146,16 +149,23 @@
         self.phase.set(Phase::Serving);
     }
 
-    /// The request has its response, or the client has gone.
+    /// The request's response is made and about to be written, or the client has gone.
     pub fn request_ended(&self) {
         self.phase.set(Phase::Idle);
+        self.has_unwritten_response.set(true);
         self.idle_since.set(Instant::now());
     }
 
+    /// The system has taken all that was written to it.
+    pub fn responses_written(&self) {
+        self.has_unwritten_response.set(false);
+    }
+
     /// Nothing more that it sends is taken for a request.
     pub fn connection_ended(&self) {
         self.phase.set(Phase::Ended);
         self.head_begun_at.set(None);
+        self.has_unwritten_response.set(false);
     }
 
     /// When it has to have a complete head or be disconnected; none while it has a request open.
@@ -193,7 +203,7 @@
     pub fn is_evictable(&self, new_client_grace: Duration) -> bool {
         match self.phase.get() {
             Phase::New => self.connected_at.elapsed() > new_client_grace,
-            Phase::Idle | Phase::Ended => true,
+            Phase::Idle | Phase::Ended => !self.has_unwritten_response.get(),
             Phase::Receiving | Phase::Serving => false,
         }
     }
@@ -213,9 +223,15 @@
         self.head_begun_at.get().is_some()
     }
 
-    /// True once it has a response to its last request, and has sent nothing more as far as it was read.
-    pub fn is_idle(&self) -> bool {
-        self.phase.get() == Phase::Idle && !self.has_begun_head()
+    /// True while something is owed to it: it has begun a request, or a response to one is not all written. Closing its
+    /// connection loses nothing otherwise, but for what the system has and nobody has read.
+    pub fn is_busy(&self) -> bool {
+        self.has_begun_head() || self.is_owed_response() || self.sent_ahead.get() > 0
+    }
+
+    /// True while a request of which at least the head has come has no response, or not all of that is written.
+    pub fn is_owed_response(&self) -> bool {
+        self.has_open_request() || self.has_unwritten_response.get()
     }
 
     /// True while it has a request without a response.
--- a/src/bin/quota-gateway/server/client/tests.rs
+++ b/src/bin/quota-gateway/server/client/tests.rs
@@ -80,3 +80,22 @@
     client.bytes_read(b"G", Instant::now());
     assert!(client.may_have_sent_more());
 }
+
+/// A client is owed something until its response is written, and while it has sent something that is not served.
+#[tokio::test(start_paused = true)]
+async fn a_client_is_busy_until_its_response_is_written() {
+    let client = Client::new(None);
+    assert!(!client.is_busy());
+    client.bytes_read(b"G", Instant::now());
+    assert!(client.is_busy() && !client.is_owed_response());
+    client.request_started();
+    assert!(client.is_busy() && client.is_owed_response());
+    client.request_complete();
+    client.request_ended();
+    assert!(client.is_busy() && client.is_owed_response(), "the response is not written");
+    assert!(!client.is_evictable(SECOND));
+    client.responses_written();
+    assert!(!client.is_busy() && client.is_evictable(SECOND));
+    client.set_sent_ahead(1);
+    assert!(client.is_busy());
+}
--- a/src/bin/quota-gateway/server/connection.rs
+++ b/src/bin/quota-gateway/server/connection.rs
@@ -2,7 +2,9 @@
 
 use super::client::Client;
 use super::disconnect::ClientStream;
+use super::response;
 use super::Server;
+use crate::lifecycle::Phase;
 use crate::metrics::{ConnectionEnd, Rule};
 use crate::socket::Socket;
 use hyper::server::conn::http1;
@@ -16,7 +18,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::sync::watch;
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
@@ -40,8 +41,10 @@
     ClientGone,
     /// The client has sent no complete head in time.
     TimedOut,
-    /// Connections close, and the client has its last response.
+    /// The process ends, and nothing is owed to the client.
     Drained,
+    /// The process ends, and a request has come in part.
+    Incomplete,
 }
 
 /// Wakes a connection when its client has to have a complete head.
@@ -77,13 +80,8 @@
 
 impl Server {
     /// Serves a connection until it ends or its client is evicted.
-    pub(super) async fn serve_until_evicted(
-        &self,
-        socket: Socket,
-        client: &Rc<Client>,
-        close: watch::Receiver<bool>,
-    ) {
-        let mut connection = pin!(self.serve_connection(socket, client, close));
+    pub(super) async fn serve_until_evicted(&self, socket: Socket, client: &Rc<Client>) {
+        let mut connection = pin!(self.serve_connection(socket, client));
         loop {
             tokio::select! {
                 biased;
@@ -115,9 +113,9 @@
         }
     }
 
-    async fn serve_connection(&self, socket: Socket, client: &Rc<Client>, close: watch::Receiver<bool>) {
+    async fn serve_connection(&self, socket: Socket, client: &Rc<Client>) {
         let stream = ClientStream::new(socket, client.clone(), self.read_ahead.clone());
-        let stream = self.serve_requests(stream, client, close).await;
+        let stream = self.serve_requests(stream, client).await;
         client.connection_ended();
         if let Some(stream) = stream {
             // The client may reset the connection meanwhile.
@@ -126,12 +124,7 @@
     }
 
     /// Serves requests until the connection ends. Returns the stream if the client may still be sending.
-    async fn serve_requests(
-        &self,
-        stream: ClientStream,
-        client: &Client,
-        mut close: watch::Receiver<bool>,
-    ) -> Option<ClientStream> {
+    async fn serve_requests(&self, stream: ClientStream, client: &Client) -> Option<ClientStream> {
         let socket = stream.socket().downgrade();
         let service = service_fn(|request| {
             let socket = socket.clone();
@@ -141,66 +134,83 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream.clone()), service);
         let mut head_timer = HeadTimer::new(client);
-        let mut closing = false;
-        let mut has_shut_down = false;
+        let mut phase = self.lifecycle.subscribe();
         let ended = loop {
-            let may_drain = closing && !has_shut_down;
+            let current_phase = *phase.borrow_and_update();
             let ended = poll_fn(|cx| {
                 let served = connection.poll_without_shutdown(cx).is_ready();
-                poll_ended(served, may_drain, &stream, client, &mut head_timer, cx)
+                poll_ended(served, current_phase, &stream, client, &mut head_timer, cx)
             });
-            tokio::select! {
+            let ended = tokio::select! {
                 // What has come is read before the connection counts as idle.
                 biased;
-                ended = ended => match ended {
-                    Ended::TimedOut => {
-                        // The system may have bytes that the runtime does not know of, as after a pause of the whole
-                        // program: they are read first.
-                        yield_now().await;
-                        if poll_fn(|cx| Poll::Ready(connection.poll_without_shutdown(cx).is_ready())).await {
-                            break Ended::Closed;
-                        }
-                        if is_expired(client) && !stream.has_unread_bytes() {
-                            break Ended::TimedOut;
-                        }
-                    }
-                    Ended::Drained => {
-                        // As above: a request may have come, and is answered first.
-                        yield_now().await;
-                        if !stream.has_unread_bytes() {
-                            has_shut_down = true;
-                            Pin::new(&mut connection).graceful_shutdown();
-                        }
-                    }
-                    ended => break ended,
-                },
-                _ = close.wait_for(|close| *close), if !closing => {
-                    // Whoever is new or has begun a request is waited for.
-                    closing = true;
-                }
+                ended = ended => ended,
+                // Fails only once the process has no lifecycle any more.
+                Ok(()) = phase.changed() => continue,
+            };
+            if matches!(ended, Ended::Closed | Ended::ClientGone) {
+                break ended;
+            }
+            // The system may have bytes that the runtime does not know of, as after a hold-up of the whole process:
+            // they are read first, and the connection goes on if they change what is owed.
+            yield_now().await;
+            if poll_fn(|cx| Poll::Ready(connection.poll_without_shutdown(cx).is_ready())).await {
+                break Ended::Closed;
+            }
+            let still_ends = match ended {
+                Ended::TimedOut => is_expired(client),
+                Ended::Incomplete => is_incomplete(current_phase, client),
+                _ => is_drained(current_phase, client),
+            };
+            if still_ends && !stream.has_unread_bytes() {
+                break ended;
             }
         };
-        let reason = match ended {
-            Ended::ClientGone => ConnectionEnd::ClientGone,
-            Ended::TimedOut => ConnectionEnd::TimedOut,
-            Ended::Closed if closing => ConnectionEnd::Draining,
-            Ended::Closed | Ended::Drained => ConnectionEnd::Finished,
-        };
-        self.record_end(reason);
-        if !matches!(ended, Ended::Closed) {
-            return None;
+        self.record_end(end_reason(&ended, *phase.borrow()));
+        match ended {
+            Ended::Closed => {
+                self.check_end(client, &stream);
+                Some(stream)
+            }
+            Ended::Incomplete => {
+                // A broken connection needs no response.
+                let _ = stream.socket().try_write(response::incomplete_at_shutdown().as_bytes());
+                Some(stream)
+            }
+            // Closed unread: a request that crosses the close may be sent again.
+            Ended::ClientGone | Ended::TimedOut | Ended::Drained => None,
         }
-        self.check_end(client, &stream);
-        // A resting connection is closed unread: a request that crosses that may be sent again.
-        (!has_shut_down).then_some(stream)
     }
 }
 
-/// Whether requests on a connection end for now. `served` tells that hyper has ended it; `may_drain` that it closes once
-/// it is idle.
+fn end_reason(ended: &Ended, phase: Phase) -> ConnectionEnd {
+    match ended {
+        Ended::ClientGone => ConnectionEnd::ClientGone,
+        Ended::TimedOut => ConnectionEnd::TimedOut,
+        Ended::Incomplete => ConnectionEnd::Incomplete,
+        Ended::Drained => ConnectionEnd::Draining,
+        Ended::Closed if phase >= Phase::NoNewConnections => ConnectionEnd::Draining,
+        Ended::Closed => ConnectionEnd::Finished,
+    }
+}
+
+/// Whether a connection closes as the process ends: nothing is owed to its client. One that has not sent its first
+/// request is waited for, until requests are refused.
+fn is_drained(phase: Phase, client: &Client) -> bool {
+    !client.is_busy()
+        && phase >= Phase::NoNewConnections
+        && (client.has_sent_request() || phase >= Phase::Refusing)
+}
+
+/// Whether a connection is refused as the process ends: a request has come in part, and nothing else is owed.
+fn is_incomplete(phase: Phase, client: &Client) -> bool {
+    phase >= Phase::Refusing && client.has_begun_head() && !client.is_owed_response()
+}
+
+/// Whether requests on a connection end for now. `served` tells that hyper has ended it.
 fn poll_ended(
     served: bool,
-    may_drain: bool,
+    phase: Phase,
     stream: &ClientStream,
     client: &Client,
     head_timer: &mut HeadTimer,
@@ -213,9 +223,12 @@
     if client.is_being_served() && stream.poll_client_gone(cx).is_ready() {
         return Poll::Ready(Ended::ClientGone);
     }
-    if may_drain && client.is_idle() {
+    if is_drained(phase, client) {
         return Poll::Ready(Ended::Drained);
     }
+    if is_incomplete(phase, client) {
+        return Poll::Ready(Ended::Incomplete);
+    }
     head_timer.poll_expired(client, cx).map(|()| Ended::TimedOut)
 }
 
--- a/src/bin/quota-gateway/server/disconnect.rs
+++ b/src/bin/quota-gateway/server/disconnect.rs
@@ -258,7 +258,11 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner.borrow_mut().socket).poll_flush(cx)
+        let inner = &mut *self.inner.borrow_mut();
+        ready!(Pin::new(&mut inner.socket).poll_flush(cx))?;
+        // hyper flushes the stream only once it has nothing left to write.
+        inner.client.responses_written();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -7,6 +7,7 @@
 use super::Server;
 use crate::driver::{FinalResponse, ForwardedRequest, IncomingRequest};
 use crate::http::MAX_BODY_BYTES;
+use crate::lifecycle::Phase;
 use crate::metrics::RequestEnd;
 use crate::socket::WeakSocket;
 use bytes::Bytes;
@@ -35,7 +36,6 @@
 
 impl<'a> RequestInProgress<'a> {
     fn new(server: &'a Server, client: &'a Client) -> Self {
-        server.requests_in_progress.set(server.requests_in_progress.get() + 1);
         client.request_started();
         RequestInProgress { server, client, transaction_id: None, driver_id: None, end: None }
     }
@@ -52,7 +52,6 @@
 
 impl Drop for RequestInProgress<'_> {
     fn drop(&mut self) {
-        self.server.requests_in_progress.set(self.server.requests_in_progress.get() - 1);
         self.client.request_ended();
         let end = self.end.unwrap_or(RequestEnd::Disconnected);
         self.server.driver.metrics().requests.increment(end);
@@ -86,7 +85,7 @@
         };
         in_progress.driver_id = None;
         // Behind a response that asks to close nothing more is answered.
-        if self.draining.get() && !client.may_have_sent_more() {
+        if self.lifecycle.is_shutting_down() && !client.may_have_sent_more() {
             response::ask_to_close(&mut response);
         }
         response
@@ -121,20 +120,40 @@
         }
         in_progress.claim_transaction_id(incoming.transaction_id)?;
         let remaining = Duration::from_secs_f64(incoming.remaining_ms / 1000.0);
-        let body = read_body(body, complete_by.min(received_at + remaining)).await?;
+        let complete_by = complete_by.min(received_at + remaining);
+        let Some(body) = self.read_body_unless_refusing(body, complete_by).await? else {
+            return Ok(refuse_unread(&incoming, in_progress));
+        };
         let forwarded = forwarded_request(class, &parts.uri, &parts.headers, &body);
         let final_response = self.forward(&incoming, forwarded, client_socket, in_progress).await;
         in_progress.end = Some(request_end(&final_response));
         Ok(response::final_response(final_response))
     }
 
+    /// The whole body; none if requests are refused before it is there.
+    async fn read_body_unless_refusing(
+        &self,
+        body: Incoming,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, RequestError> {
+        if body.size_hint().exact() == Some(0) {
+            return Ok(Some(Bytes::new()));
+        }
+        tokio::select! {
+            // A body that is there is read: nobody has to send it twice.
+            biased;
+            body = read_body(body, deadline) => body.map(Some),
+            () = self.lifecycle.reached(Phase::Refusing) => Ok(None),
+        }
+    }
+
     /// The response to checks of the gateway's own health, and to the collection of its metrics.
     fn health_response(&self, path: &str) -> Option<Response> {
         let healthy = match path {
             "/health/metrics" => {
                 return Some(response::plain(StatusCode::OK, self.driver.metrics().encode()));
             }
-            "/health/ready" => self.driver.is_ready() && !self.draining.get(),
+            "/health/ready" => self.driver.is_ready() && !self.lifecycle.is_shutting_down(),
             "/health/live" => true,
             _ => return None,
         };
@@ -150,31 +169,44 @@
         client_socket: WeakSocket,
         in_progress: &mut RequestInProgress<'_>,
     ) -> FinalResponse {
+        if !self.lifecycle.may_forward() {
+            log_refusal(incoming);
+            return FinalResponse::ShuttingDown;
+        }
         let started = self.driver.start_request(incoming, forwarded, client_socket);
         in_progress.driver_id = Some(started.id);
         in_progress.client.request_complete();
         let response = timeout_at(started.deadline + DEADLINE_GRACE, started.response).await;
-        let Ok(response) = response else {
-            self.driver.cancel_request(started.id);
-            return FinalResponse::Failed;
-        };
+        let Ok(response) = response else { return self.driver.give_up(started.id) };
         response.unwrap_or(FinalResponse::Failed)
     }
 }
 
+/// The response to a request whose body is not read to its end, as the process ends.
+fn refuse_unread(incoming: &IncomingRequest, in_progress: &mut RequestInProgress<'_>) -> Response {
+    log_refusal(incoming);
+    in_progress.end = Some(RequestEnd::ShuttingDown);
+    let mut response = response::final_response(FinalResponse::ShuttingDown);
+    response::ask_to_close(&mut response);
+    response
+}
+
+fn log_refusal(incoming: &IncomingRequest) {
+    let transaction_id = incoming.transaction_id;
+    tracing::debug!(txn = %format_args!("{transaction_id:016x}"), "refused: the process ends");
+}
+
 fn request_end(response: &FinalResponse) -> RequestEnd {
     match response {
         FinalResponse::Success { .. } => RequestEnd::Success,
         FinalResponse::Rejected { .. } => RequestEnd::Rejected,
         FinalResponse::Failed => RequestEnd::Failed,
+        FinalResponse::ShuttingDown => RequestEnd::ShuttingDown,
     }
 }
 
 /// Reads a request's body, which has to be complete by the deadline.
 async fn read_body(body: Incoming, deadline: Instant) -> Result<Bytes, RequestError> {
-    if body.size_hint().exact() == Some(0) {
-        return Ok(Bytes::new());
-    }
     match timeout_at(deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(RequestError::BodyTooLarge),
--- a/src/bin/quota-gateway/server/mod.rs
+++ b/src/bin/quota-gateway/server/mod.rs
@@ -19,11 +19,12 @@
 mod response;
 
 use crate::driver::Driver;
+use crate::lifecycle::Lifecycle;
 use client::Client;
 use disconnect::ReadAheadBudget;
 use quota_gateway::Settings;
 use request::RequestParser;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -32,11 +33,10 @@
 /// What all connections of clients share.
 pub struct Server {
     driver: Rc<Driver>,
+    lifecycle: Rc<Lifecycle>,
     parser: RequestParser,
     /// What a client gets for whom there is no slot, as written on the socket.
     no_slot_response: String,
-    draining: Cell<bool>,
-    requests_in_progress: Cell<usize>,
     /// One permit for each connection that may still be accepted.
     slots: Arc<Semaphore>,
     /// The open connections, by a number in the order of accepting.
@@ -51,6 +51,7 @@
     /// settings.
     pub fn new(
         driver: Rc<Driver>,
+        lifecycle: Rc<Lifecycle>,
         settings: &Settings,
         classes: Vec<String>,
         plans: Vec<String>,
@@ -58,10 +59,9 @@
     ) -> Rc<Self> {
         Rc::new(Server {
             driver,
+            lifecycle,
             parser: RequestParser::new(settings, classes, plans),
             no_slot_response: response::no_slot(&settings.limits),
-            draining: Cell::default(),
-            requests_in_progress: Cell::default(),
             slots,
             clients: RefCell::default(),
             read_ahead: ReadAheadBudget::default(),
@@ -69,14 +69,18 @@
         })
     }
 
-    /// From now on the gateway is not ready, and each response asks its client to close the connection.
-    pub fn drain(&self) {
-        self.draining.set(true);
+    /// How many connections of clients are open.
+    pub fn connection_count(&self) -> usize {
+        self.clients.borrow().len()
     }
 
-    /// True while a request has no response, or has come in part.
-    pub fn busy(&self) -> bool {
-        self.requests_in_progress.get() > 0
-            || self.clients.borrow().values().any(|client| client.has_begun_head())
+    /// How many clients have begun a request or have not all of their response.
+    pub fn busy_count(&self) -> usize {
+        self.clients.borrow().values().filter(|client| client.is_busy()).count()
+    }
+
+    /// The transaction ids of the requests without a response.
+    pub fn unanswered_transactions(&self) -> Vec<u64> {
+        self.open_transactions.borrow().iter().copied().collect()
     }
 }
--- a/src/bin/quota-gateway/server/response.rs
+++ b/src/bin/quota-gateway/server/response.rs
@@ -48,6 +48,9 @@
         FinalResponse::Success { content_type, body } => success(content_type, body),
         FinalResponse::Rejected { retry_after_ms } => rejected(retry_after_ms),
         FinalResponse::Failed => plain(StatusCode::BAD_GATEWAY, "failed; it may have run\n"),
+        FinalResponse::ShuttingDown => {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "shutting down; trying again is harmless\n")
+        }
     }
 }
 
@@ -78,7 +81,17 @@
     } else {
         String::new()
     };
-    format!("HTTP/1.1 503 Service Unavailable\r\n{advice}Connection: close\r\nContent-Length: 0\r\n\r\n")
+    unavailable(&advice)
+}
+
+/// The response to a request that has not come whole when the process ends, as written on the socket.
+pub fn incomplete_at_shutdown() -> String {
+    unavailable("")
+}
+
+/// `headers` are whole lines.
+fn unavailable(headers: &str) -> String {
+    format!("HTTP/1.1 503 Service Unavailable\r\n{headers}Connection: close\r\nContent-Length: 0\r\n\r\n")
 }
 
 /// The value of a `Retry-After` header. The protocol has decimals there.
--- a/src/bin/quota-gateway/shutdown.rs
+++ b/src/bin/quota-gateway/shutdown.rs
@@ -1,121 +1,124 @@
-//! The planned end after SIGTERM. The gateway reports that it is not ready and still accepts clients for a time, then
-//! waits for the open requests and fails those that are left before SIGKILL would cut them off.
+//! The planned end after SIGTERM: moves the lifecycle through its phases, and returns when the process may exit.
 
 use crate::driver::Driver;
+use crate::lifecycle::{Lifecycle, Phase, Timeline, CLOSING_TIME};
 use crate::metrics::Rule;
 use crate::server::Server;
-use quota_gateway::Settings;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::task::{yield_now, JoinHandle};
-use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
-
-#[cfg(test)]
-mod tests;
-
-/// After SIGTERM new clients are accepted for this long: the load balancer in front may not have noticed yet.
-const ACCEPT_PERIOD: Duration = Duration::from_millis(600);
-/// From this time after SIGTERM only clients with an open request are waited for: others that connected in time have
-/// long sent their requests.
-const QUIET_PERIOD: Duration = Duration::from_secs(1);
-/// SIGKILL follows SIGTERM no sooner than after the longest request deadline, capped at this ...
-const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
-/// ... plus this.
-const KILL_GRACE: Duration = Duration::from_millis(700);
-/// This long before SIGKILL the requests still open are failed, so that each gets a response.
-const FAILURE_RESERVE: Duration = Duration::from_millis(300);
-/// The last responses are written within this time.
-const FINAL_WRITE_TIMEOUT: Duration = Duration::from_millis(150);
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
 /// Interval at which open requests are checked for.
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
-/// Checks in a row that find no open request before the program ends.
+/// Checks in a row that find no open request before the shutdown ends early.
 const IDLE_CHECKS: u32 = 2;
-/// Guards the conversion of a deadline into a `Duration`.
-const MAX_DEADLINE_MS: f64 = 86_400_000.0;
+/// If the process was held up until after its time for closing, what came meanwhile is read and answered within this.
+const LAST_READ_TIME: Duration = Duration::from_millis(10);
 
 /// What the shutdown acts on.
 pub struct Shutdown {
+    pub lifecycle: Rc<Lifecycle>,
     pub server: Rc<Server>,
     pub driver: Rc<Driver>,
     pub acceptor: Acceptor,
     pub client_slots: ClientSlots,
-    /// How long after SIGTERM requests may stay open.
-    pub open_request_limit: Duration,
+    /// Longest time that a client waits, over all classes.
+    pub longest_deadline: Duration,
 }
 
 impl Shutdown {
     /// Returns when the process may exit.
     pub async fn run(mut self) {
-        let started_at = Instant::now();
-        tracing::info!("SIGTERM: draining");
-        self.server.drain();
-        sleep(ACCEPT_PERIOD).await;
-        // From now on idle connections close, the others after their responses, and nobody listens any more. Other
-        // tasks run first to read what has already arrived: the process may have been suspended until now.
+        let terminated_at = Instant::now();
+        let timeline = Timeline::new(terminated_at, self.longest_deadline);
+        tracing::info!(
+            refusing_after = ?timeline.refusing_at - terminated_at,
+            "SIGTERM: draining, {} connections, {} busy",
+            self.server.connection_count(),
+            self.server.busy_count()
+        );
+        self.lifecycle.begin_shutdown(timeline);
+        sleep_until(timeline.no_new_connections_at).await;
+        // Other tasks run first to read what has already arrived: the process may have been held up until now.
         yield_now().await;
-        self.acceptor.stop(started_at + self.open_request_limit).await;
-        self.wait_for_open_requests(started_at).await;
-        if self.server.busy() {
-            self.driver.fail_open_requests();
-            let _ = timeout(FINAL_WRITE_TIMEOUT, self.client_slots.all_free()).await;
-        }
-        let unanswered = self.driver.open_request_count();
-        if unanswered > 0 {
-            self.driver.guard().report(Rule::CloseUnanswered, &format!("{unanswered} at the end"));
-        }
-        let (waited, violations) = (started_at.elapsed(), self.driver.guard().violations());
+        self.enter(Phase::NoNewConnections);
+        self.wait_for_open_requests(&timeline).await;
+        self.enter(Phase::Refusing);
+        // Complete, as the set of open requests can't grow any more: what comes from now on is refused.
+        self.driver.end_open_requests();
+        self.wait_for_connections().await;
+        self.enter(Phase::Ended);
+        self.report_unanswered();
+        let (waited, violations) = (terminated_at.elapsed(), self.driver.guard().violations());
         tracing::info!("ended after {waited:?}, {violations} rules broken");
     }
 
-    /// Waits until the last connection has ended, or until no request is open and the quiet period is over: a
-    /// connection without a request need not end.
-    async fn wait_for_open_requests(&self, started_at: Instant) {
+    fn enter(&self, phase: Phase) {
+        self.lifecycle.advance_to(phase);
+        let (connections, busy) = (self.server.connection_count(), self.server.busy_count());
+        tracing::info!("shutdown: {phase:?}, {connections} connections, {busy} busy");
+    }
+
+    /// Waits until the last connection has ended, until no request is open and it has been quiet for long enough, or
+    /// until requests have to be refused.
+    async fn wait_for_open_requests(&mut self, timeline: &Timeline) {
+        let server = self.server.clone();
         tokio::select! {
-            _ = timeout_at(started_at + self.open_request_limit, self.client_slots.all_free()) => {}
-            () = self.until_idle(started_at + QUIET_PERIOD) => {}
+            () = sleep_until(timeline.refusing_at) => {}
+            () = self.all_connections_ended() => {}
+            () = until_idle(&server, timeline.quiet_from) => {}
         }
     }
 
-    /// Looks twice: after a pause of the whole program, requests that have come are read between the two.
-    async fn until_idle(&self, not_before: Instant) {
-        sleep_until(not_before).await;
-        let mut idle_checks = 0;
-        while idle_checks < IDLE_CHECKS {
-            sleep(BUSY_CHECK_INTERVAL).await;
-            idle_checks = if self.server.busy() { 0 } else { idle_checks + 1 };
+    /// Waits until all connections have ended, for as long as there is time.
+    async fn wait_for_connections(&mut self) {
+        if timeout(CLOSING_TIME, self.all_connections_ended()).await.is_err() {
+            let _ = timeout(LAST_READ_TIME, self.all_connections_ended()).await;
+        }
+    }
+
+    async fn all_connections_ended(&mut self) {
+        self.acceptor.ended().await;
+        self.client_slots.all_free().await;
+    }
+
+    fn report_unanswered(&self) {
+        for transaction_id in self.server.unanswered_transactions() {
+            let what = format!("txn {transaction_id:016x} at the end of the process");
+            self.driver.guard().report(Rule::CloseUnanswered, &what);
         }
     }
 }
 
-/// How long after SIGTERM requests may stay open.
-pub fn open_request_limit(settings: &Settings) -> Duration {
-    let longest_ms = settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
-    let longest = Duration::from_secs_f64(longest_ms.clamp(0.0, MAX_DEADLINE_MS) / 1000.0);
-    longest.min(MAX_COUNTED_DEADLINE) + KILL_GRACE.saturating_sub(FAILURE_RESERVE)
+/// Looks twice: after a hold-up of the process, requests that have come are read between the two.
+async fn until_idle(server: &Server, not_before: Instant) {
+    sleep_until(not_before).await;
+    let mut idle_checks = 0;
+    while idle_checks < IDLE_CHECKS {
+        sleep(BUSY_CHECK_INTERVAL).await;
+        idle_checks = if server.busy_count() > 0 { 0 } else { idle_checks + 1 };
+    }
 }
 
-/// The task that accepts clients.
+/// The task that accepts clients. It ends by itself once those that had connected before `NoNewConnections` are
+/// accepted.
 pub struct Acceptor {
-    task: JoinHandle<()>,
-    close: watch::Sender<bool>,
+    task: Option<JoinHandle<()>>,
 }
 
 impl Acceptor {
     pub fn spawn(server: Rc<Server>, listener: TcpListener) -> Self {
-        let (close, closing) = watch::channel(false);
-        let task = tokio::task::spawn_local(server.accept(listener, closing));
-        Acceptor { task, close }
+        Acceptor { task: Some(tokio::task::spawn_local(server.accept(listener))) }
     }
 
-    /// Asks the task to end once it has accepted those that have connected, and aborts it at the deadline: accepting
-    /// may fail for a while.
-    async fn stop(&mut self, deadline: Instant) {
-        let _ = self.close.send(true);
-        if timeout_at(deadline, &mut self.task).await.is_err() {
-            self.task.abort();
+    async fn ended(&mut self) {
+        if let Some(task) = &mut self.task {
+            let _ = task.await;
+            self.task = None;
         }
     }
 }
--- a/src/bin/quota-gateway/startup.rs
+++ b/src/bin/quota-gateway/startup.rs
@@ -4,14 +4,15 @@
 use crate::counter::{self, CounterClient};
 use crate::discovery::list::EndpointList;
 use crate::discovery::{self, EndpointListHandler, WatchPolicy};
-use crate::driver::{Driver, TopologyNames};
+use crate::driver::{Driver, TopologyNames, Transports};
 use crate::error::StartupError;
 use crate::gossip::{self, GossipSocket};
+use crate::lifecycle::{longest_deadline, Lifecycle};
 use crate::metrics::Metrics;
 use crate::patience::{may_pass_for_address, retry};
 use crate::reload::ReloadableAddresses;
 use crate::server::Server;
-use crate::shutdown::{open_request_limit, Acceptor, ClientSlots, Shutdown};
+use crate::shutdown::{Acceptor, ClientSlots, Shutdown};
 use crate::upstream::ConnectionPool;
 use quota_gateway::Settings;
 use std::io;
@@ -52,15 +53,10 @@
     let (counter_client, counter_queues) = CounterClient::new();
     let counter_client = counter_addr.map(|_| counter_client);
     let names = TopologyNames { zones: config.zone_names, kinds: config.kind_names };
-    let driver = Driver::new(
-        settings.clone(),
-        config.seed,
-        names,
-        pool,
-        counter_client,
-        gossip_socket.clone(),
-        metrics.clone(),
-    );
+    let transports = Transports { pool, counter: counter_client, gossip: gossip_socket.clone() };
+    let lifecycle = Lifecycle::new();
+    let driver =
+        Driver::new(settings.clone(), config.seed, names, transports, lifecycle.clone(), metrics.clone());
 
     if let (Some(addr), Some(counter)) = (&addresses.counter, settings.counter) {
         counter::spawn(counter_queues, &addr.subscribe(), counter.timeout_ms, driver.clone());
@@ -74,11 +70,12 @@
 
     let client_slots = ClientSlots::new(budget.clients);
     let slots = client_slots.semaphore();
-    let server = Server::new(driver.clone(), &settings, config.class_names, config.plan_names, slots);
+    let (classes, plans) = (config.class_names, config.plan_names);
+    let server = Server::new(driver.clone(), lifecycle.clone(), &settings, classes, plans, slots);
     tracing::info!("listening on {}", listener.local_addr().map_err(StartupError::LocalAddress)?);
     let acceptor = Acceptor::spawn(server.clone(), listener);
-    let open_request_limit = open_request_limit(&settings);
-    let shutdown = Shutdown { server, driver, acceptor, client_slots, open_request_limit };
+    let longest_deadline = longest_deadline(&settings);
+    let shutdown = Shutdown { lifecycle, server, driver, acceptor, client_slots, longest_deadline };
     Ok(RunningGateway { addresses, shutdown })
 }
 
--- a/tests/gateway/service.rs
+++ b/tests/gateway/service.rs
@@ -218,7 +218,7 @@
         assert!(text.lines().any(|other| other == line), "{line}\n{text}");
     }
     let violations = text.lines().filter(|line| line.starts_with("gateway_rule_violations_total"));
-    assert!(violations.clone().count() == 6 && violations.clone().all(|line| line.ends_with(" 0")), "{text}");
+    assert!(violations.clone().count() == 7 && violations.clone().all(|line| line.ends_with(" 0")), "{text}");
 }
 
 /// At the level `debug` a request can be followed by its id.
--- a/tests/gateway/shutdown.rs
+++ b/tests/gateway/shutdown.rs
@@ -74,6 +74,7 @@
     sending: Sending,
     texts: [String; 2],
     send_at: Instant,
+    first_piece_at: Instant,
 ) -> JoinHandle<Vec<RequestEnd>> {
     let stream = std::net::TcpStream::connect(addr).unwrap();
     stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
@@ -83,7 +84,7 @@
         let requests = if matches!(sending, Sending::TwoAtOnce) { &texts[..] } else { &texts[..1] };
         let mut rest = requests.concat();
         if matches!(sending, Sending::InTwoPieces) {
-            wait_until(send_at - PIECE_INTERVAL);
+            wait_until(first_piece_at);
             let last = rest.split_off(rest.len() / 2);
             // Writing fails where the process has ended.
             let _ = client.get_mut().write_all(rest.as_bytes());
@@ -122,14 +123,16 @@
     let mut gateway = Gateway::new(&config);
     let kill_after = Duration::from_millis(deadline_ms.into()).min(MAX_COUNTED_DEADLINE) + KILL_GRACE;
     // All connections are up before SIGTERM, and accepted by then or a moment later.
-    let terminate_at = Instant::now() + PIECE_INTERVAL;
+    let started_at = Instant::now();
+    let planned_end = started_at + PIECE_INTERVAL;
     let client = |number: u32| {
         let texts = [number, number + CLIENTS].map(|customer| get_request(customer.into(), 1, deadline_ms));
-        let send_at = terminate_at + kill_after * number / CLIENTS;
-        start_client(gateway.addr, sending, texts, send_at)
+        let after = kill_after * number / CLIENTS;
+        // The first piece is sent at PIECE_INTERVAL before the second.
+        start_client(gateway.addr, sending, texts, planned_end + after, started_at + after)
     };
     let clients: Vec<_> = (1..=CLIENTS).map(client).collect();
-    sleep(terminate_at.saturating_duration_since(Instant::now()));
+    sleep(planned_end.saturating_duration_since(Instant::now()));
     let terminated_at = Instant::now();
     gateway.signal("-TERM");
     if let Some(held_up_at) = held_up_at {
