--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -35,7 +35,7 @@
 
 /// How a request is sent.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Manner {
+enum SendPattern {
     Plain,
     /// In two pieces, with a pause.
     Slowly,
@@ -86,22 +86,24 @@
         while !self.world.has_ended() {
             sleep(Duration::from_millis(self.rng.random_range(PAUSE_MS))).await;
             let request = self.new_request();
-            match self.draw_manner() {
-                Manner::Leaves { resets, sends_ahead } => self.leave(&request, resets, sends_ahead).await,
-                Manner::SendsAhead => self.send_two(&request).await,
-                manner => self.make(&request, manner == Manner::Slowly).await,
+            match self.draw_pattern() {
+                SendPattern::Leaves { resets, sends_ahead } => {
+                    self.leave(&request, resets, sends_ahead).await;
+                }
+                SendPattern::SendsAhead => self.send_two(&request).await,
+                pattern => self.make(&request, pattern == SendPattern::Slowly).await,
             }
         }
     }
 
-    fn draw_manner(&mut self) -> Manner {
+    fn draw_pattern(&mut self) -> SendPattern {
         if self.rng.random_range(0..100) < self.leaving_percent {
-            return Manner::Leaves { resets: self.rng.random(), sends_ahead: self.rng.random() };
+            return SendPattern::Leaves { resets: self.rng.random(), sends_ahead: self.rng.random() };
         }
         match self.rng.random_range(0..100) {
-            0..4 => Manner::Slowly,
-            4..8 => Manner::SendsAhead,
-            _ => Manner::Plain,
+            0..4 => SendPattern::Slowly,
+            4..8 => SendPattern::SendsAhead,
+            _ => SendPattern::Plain,
         }
     }
 
--- a/soak/src/discovery.rs
+++ b/soak/src/discovery.rs
@@ -94,7 +94,7 @@
 /// Serves a watch until its connection ends or discovery fails.
 async fn serve_watch(world: &World, connection: &mut Connection, call: &Message) -> io::Result<()> {
     let index = call.second_word().split("index=").nth(1).and_then(|index| index.parse().ok());
-    let mut told_version: u64 = index.unwrap_or(0);
+    let mut sent_version: u64 = index.unwrap_or(0);
     let mut updates = world.list_changed.subscribe();
     connection.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
     let mut is_first = true;
@@ -102,10 +102,10 @@
         match world.discovery_mode.get() {
             ServiceMode::Works => {
                 let version = world.fleet.borrow().version;
-                if is_first || version > told_version {
-                    let changes = world.fleet.borrow().changes_after(told_version);
+                if is_first || version > sent_version {
+                    let changes = world.fleet.borrow().changes_after(sent_version);
                     send_line(connection, &changes).await?;
-                    told_version = version;
+                    sent_version = version;
                     is_first = false;
                 } else {
                     send_line(connection, "").await?;
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! The stand-ins for endpoints.
 
-use crate::fleet::{Behaviour, Listed};
+use crate::fleet::{Behaviour, ListedState};
 use crate::http::{Connection, Message};
 use crate::judge::{answer_body, SeenAttempt};
 use crate::world::World;
@@ -118,19 +118,19 @@
     /// Hands what came to the judge. Returns the request's id.
     fn record_attempt(&self, request: &Message) -> Option<u64> {
         let transaction = u64::from_str_radix(request.header("x-txn")?, 16).ok()?;
-        let told_ms = request.header("x-remaining-ms")?.parse().ok()?;
+        let stated_ms = request.header("x-remaining-ms")?.parse().ok()?;
         let world = &self.world;
         let fleet = world.fleet.borrow();
         let endpoint = &fleet.endpoints[self.number];
         let gateway = world.judge.borrow().gateway_of(transaction);
-        let drain_told_at = endpoint.listed.since().and_then(|at| world.told_at(gateway?, at));
+        let drain_notified_at = endpoint.listed_state.since().and_then(|at| world.notified_at(gateway?, at));
         world.judge.borrow_mut().attempt(SeenAttempt {
             transaction,
             endpoint: self.number,
             began_at: request.began_at,
-            told: Duration::from_millis(told_ms),
-            drain_told_at,
-            started_at: endpoint.started_at.filter(|_| endpoint.listed == Listed::Ready),
+            stated: Duration::from_millis(stated_ms),
+            drain_notified_at,
+            started_at: endpoint.started_at.filter(|_| endpoint.listed_state == ListedState::Ready),
             lag: world.lag.allowance(),
         });
         Some(transaction)
@@ -163,13 +163,13 @@
     drains: bool,
 ) -> Option<(usize, RunningEndpoint)> {
     if drains {
-        world.fleet.borrow_mut().set_listed(number, Listed::Draining(Instant::now()));
+        world.fleet.borrow_mut().set_listed_state(number, ListedState::Draining(Instant::now()));
         world.list_changes();
         sleep(if world.is_polled { POLLED_DRAIN_TIME } else { DRAIN_TIME }).await;
     }
-    let since = world.fleet.borrow().endpoints[number].listed.since().unwrap_or_else(Instant::now);
+    let since = world.fleet.borrow().endpoints[number].listed_state.since().unwrap_or_else(Instant::now);
     running.stop();
-    world.fleet.borrow_mut().set_listed(number, Listed::Gone(since));
+    world.fleet.borrow_mut().set_listed_state(number, ListedState::Gone(since));
     let new = RunningEndpoint::start(world, true).await.ok();
     world.list_changes();
     new
--- a/soak/src/troubles.rs
+++ b/soak/src/faults.rs
@@ -1,4 +1,4 @@
-//! What goes wrong when: two or three troubles at a time, drawn from the seed.
+//! What goes wrong when: two or three faults at a time, drawn from the seed.
 
 use crate::discovery::Discovery;
 use crate::endpoint::{behave, replace, RunningEndpoint};
@@ -18,20 +18,20 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-/// Pause between the starts of two troubles.
+/// Pause between the starts of two faults.
 const PAUSE_MS: std::ops::Range<u64> = 150..900;
-/// How long a trouble lasts that has no length of its own.
+/// How long a fault lasts that has no length of its own.
 const LENGTH_MS: std::ops::Range<u64> = 300..3000;
 /// A pause of a whole process.
 const HOLD_UP: Duration = Duration::from_millis(150);
-/// Largest share of gateways or endpoints that one trouble meets.
+/// Largest share of gateways or endpoints that one fault meets.
 const MAX_SHARE: f64 = 0.35;
 /// Endpoints that stay at least.
 const MIN_READY: usize = 6;
 
 /// What can go wrong.
 #[derive(Clone, Copy, Debug)]
-enum Trouble {
+enum Fault {
     Restarts,
     Kills,
     Pauses,
@@ -44,17 +44,17 @@
     EndpointsVanish,
 }
 
-const ALL: [Trouble; 10] = [
-    Trouble::Restarts,
-    Trouble::Kills,
-    Trouble::Pauses,
-    Trouble::Reloads,
-    Trouble::InvalidReloads,
-    Trouble::DiscoveryFails,
-    Trouble::CounterFails,
-    Trouble::EndpointsMisbehave,
-    Trouble::EndpointsDrain,
-    Trouble::EndpointsVanish,
+const ALL: [Fault; 10] = [
+    Fault::Restarts,
+    Fault::Kills,
+    Fault::Pauses,
+    Fault::Reloads,
+    Fault::InvalidReloads,
+    Fault::DiscoveryFails,
+    Fault::CounterFails,
+    Fault::EndpointsMisbehave,
+    Fault::EndpointsDrain,
+    Fault::EndpointsVanish,
 ];
 
 /// The processes of a run, and what starts them.
@@ -70,16 +70,16 @@
 }
 
 impl Processes {
-    /// Starts a gateway again. Discovery may have moved since it was told of it, also while it starts.
+    /// Starts a gateway again. Discovery may have moved since it was notified, also while it starts.
     async fn start_again(
         &self,
         world: &Rc<World>,
         index: usize,
         mut addresses: Addresses,
-        faults: Option<String>,
+        call_faults: Option<String>,
     ) -> Result<(), SoakError> {
         addresses.discovery = self.discovery_address().unwrap_or(addresses.discovery);
-        let mut gateway = Gateway::start(world, &self.launcher, index, addresses, faults)?;
+        let mut gateway = Gateway::start(world, &self.launcher, index, addresses, call_faults)?;
         gateway.wait_until_ready(world).await;
         if self.discovery_address().is_some_and(|address| address != addresses.discovery) {
             addresses.discovery = self.discovery_address().unwrap_or(addresses.discovery);
@@ -94,20 +94,20 @@
     }
 }
 
-/// Makes troubles until the load ends, and waits for the last of them.
+/// Makes faults until the load ends, and waits for the last of them.
 pub async fn run(world: Rc<World>, processes: Rc<Processes>) {
-    let mut rng = crate::stream(world.seed, "troubles", 0);
+    let mut rng = crate::stream(world.seed, "faults", 0);
     let mut running = JoinSet::new();
     while !world.has_ended() {
         sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
-        let Some(trouble) = ALL.choose(&mut rng).copied() else { return };
-        world.judge.borrow_mut().count(&format!("trouble {trouble:?}"));
+        let Some(fault) = ALL.choose(&mut rng).copied() else { return };
+        world.judge.borrow_mut().count(&format!("fault {fault:?}"));
         let part = Part {
             world: world.clone(),
             processes: processes.clone(),
             rng: crate::stream(rng.random(), "", 0),
         };
-        running.spawn_local(part.make(trouble));
+        running.spawn_local(part.make(fault));
         while let Some(ended) = running.try_join_next() {
             report_failure(&world, ended);
         }
@@ -130,22 +130,22 @@
 }
 
 impl Part {
-    async fn make(mut self, trouble: Trouble) -> Result<(), SoakError> {
+    async fn make(mut self, fault: Fault) -> Result<(), SoakError> {
         let length = Duration::from_millis(self.rng.random_range(LENGTH_MS));
-        match trouble {
-            Trouble::Restarts => self.restart(false).await,
-            Trouble::Kills => self.restart(true).await,
-            Trouble::Pauses => self.pause().await,
-            Trouble::Reloads => self.reload().await,
-            Trouble::InvalidReloads => self.reload_invalid(),
-            Trouble::DiscoveryFails => {
+        match fault {
+            Fault::Restarts => self.restart(false).await,
+            Fault::Kills => self.restart(true).await,
+            Fault::Pauses => self.pause().await,
+            Fault::Reloads => self.reload().await,
+            Fault::InvalidReloads => self.reload_invalid(),
+            Fault::DiscoveryFails => {
                 let mode = self.draw_mode(&[ServiceMode::Silent, ServiceMode::Closes, ServiceMode::Refuses]);
                 self.world.set_discovery_mode(mode);
                 sleep(length).await;
                 self.world.set_discovery_mode(ServiceMode::Works);
                 Ok(())
             }
-            Trouble::CounterFails => {
+            Fault::CounterFails => {
                 let modes =
                     [ServiceMode::Silent, ServiceMode::Closes, ServiceMode::Refuses, ServiceMode::Garbles];
                 let mode = self.draw_mode(&modes);
@@ -154,14 +154,14 @@
                 self.world.counter_mode.set(ServiceMode::Works);
                 Ok(())
             }
-            Trouble::EndpointsMisbehave => {
+            Fault::EndpointsMisbehave => {
                 let endpoints = self.draw_endpoints();
                 let behaviour = self.draw_behaviour();
                 behave(&self.world, &endpoints, behaviour, length).await;
                 Ok(())
             }
-            Trouble::EndpointsDrain => self.replace_endpoints(true).await,
-            Trouble::EndpointsVanish => self.replace_endpoints(false).await,
+            Fault::EndpointsDrain => self.replace_endpoints(true).await,
+            Fault::EndpointsVanish => self.replace_endpoints(false).await,
         }
     }
 
@@ -202,8 +202,8 @@
     }
 
     /// Which system calls of a new process fail; none for half of them.
-    fn draw_faults(&mut self) -> Option<String> {
-        draw_faults(&mut self.rng)
+    fn draw_call_faults(&mut self) -> Option<String> {
+        draw_call_faults(&mut self.rng)
     }
 
     async fn restart(mut self, kills: bool) -> Result<(), SoakError> {
@@ -211,12 +211,12 @@
         for index in self.draw_gateways() {
             let gateway = self.processes.gateways.borrow_mut().remove(&index);
             let Some(gateway) = gateway else { continue };
-            let faults = self.draw_faults();
+            let call_faults = self.draw_call_faults();
             let (world, processes) = (self.world.clone(), self.processes.clone());
             restarts.spawn_local(async move {
                 let addresses =
                     if kills { gateway.kill(&world).await } else { gateway.terminate(&world).await };
-                processes.start_again(&world, index, addresses, faults).await
+                processes.start_again(&world, index, addresses, call_faults).await
             });
         }
         while let Some(ended) = restarts.join_next().await {
@@ -287,7 +287,7 @@
 }
 
 /// Which system calls of a process fail, in the form of the library that does it; none for half of them.
-pub fn draw_faults(rng: &mut ChaCha8Rng) -> Option<String> {
+pub fn draw_call_faults(rng: &mut ChaCha8Rng) -> Option<String> {
     let kinds = [
         "recv_eintr=20",
         "send_eintr=20",
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -27,7 +27,7 @@
 
 /// Where an endpoint stands in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Listed {
+pub enum ListedState {
     /// It takes requests.
     Ready,
     /// It drains since then.
@@ -36,12 +36,12 @@
     Gone(Instant),
 }
 
-impl Listed {
+impl ListedState {
     /// When it became known that the endpoint takes nothing new.
     pub fn since(self) -> Option<Instant> {
         match self {
-            Listed::Ready => None,
-            Listed::Draining(at) | Listed::Gone(at) => Some(at),
+            ListedState::Ready => None,
+            ListedState::Draining(at) | ListedState::Gone(at) => Some(at),
         }
     }
 }
@@ -51,7 +51,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     /// Its state in the list.
-    pub listed: Listed,
+    pub listed_state: ListedState,
     /// How it behaves now.
     pub behaviour: Behaviour,
     /// When it started; none if that is long past.
@@ -86,7 +86,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
         self.endpoints.push(Endpoint {
             address,
-            listed: Listed::Ready,
+            listed_state: ListedState::Ready,
             behaviour: Behaviour::Serves,
             started_at: is_cold.then(Instant::now),
             started_ms: if is_cold { unix.as_millis() as u64 } else { 0 },
@@ -96,21 +96,24 @@
     }
 
     /// Changes an endpoint's state in the list.
-    pub fn set_listed(&mut self, endpoint: usize, listed: Listed) {
+    pub fn set_listed_state(&mut self, endpoint: usize, listed_state: ListedState) {
         self.version += 1;
-        self.endpoints[endpoint].listed = listed;
+        self.endpoints[endpoint].listed_state = listed_state;
         self.endpoints[endpoint].changed_in = self.version;
     }
 
     /// The numbers of the endpoints that take requests.
     pub fn ready(&self) -> Vec<usize> {
         let numbered = self.endpoints.iter().enumerate();
-        numbered.filter(|(_, endpoint)| endpoint.listed == Listed::Ready).map(|(number, _)| number).collect()
+        numbered
+            .filter(|(_, endpoint)| endpoint.listed_state == ListedState::Ready)
+            .map(|(number, _)| number)
+            .collect()
     }
 
     /// The complete list, as discovery writes it.
     pub fn complete_list(&self) -> String {
-        self.list(true, |endpoint| !matches!(endpoint.listed, Listed::Gone(_)))
+        self.list(true, |endpoint| !matches!(endpoint.listed_state, ListedState::Gone(_)))
     }
 
     /// What changed after a version, as discovery writes it.
@@ -128,10 +131,10 @@
 }
 
 fn entry(number: usize, endpoint: &Endpoint) -> String {
-    let state = match endpoint.listed {
-        Listed::Ready => "Ready",
-        Listed::Draining(_) => "Terminating",
-        Listed::Gone(_) => "Gone",
+    let state = match endpoint.listed_state {
+        ListedState::Ready => "Ready",
+        ListedState::Draining(_) => "Terminating",
+        ListedState::Gone(_) => "Gone",
     };
     let (address, started_ms) = (endpoint.address, endpoint.started_ms);
     let zone = if number % 2 == 0 { "room-a" } else { "room-b" };
--- a/soak/src/gateway.rs
+++ b/soak/src/gateway.rs
@@ -81,7 +81,7 @@
     child: Child,
     addresses: Addresses,
     config_path: PathBuf,
-    faults: Option<String>,
+    call_faults: Option<String>,
 }
 
 /// A port that nobody uses at present.
@@ -96,7 +96,7 @@
         launcher: &Launcher,
         index: usize,
         addresses: Addresses,
-        faults: Option<String>,
+        call_faults: Option<String>,
     ) -> Result<Self, SoakError> {
         let config_path =
             std::env::temp_dir().join(format!("gateway-soak-{}-{index}.json", std::process::id()));
@@ -108,13 +108,13 @@
         drop(gateway_world);
         let seed = world.seed ^ (index as u64) << 32 ^ u64::from(generation);
         // A gateway starts with the list that it last had.
-        let known = serde_json::from_str(&world.told_list.borrow()).unwrap_or_default();
+        let known = serde_json::from_str(&world.published_list.borrow()).unwrap_or_default();
         let config = gateway_config(index, launcher.site, &addresses, &known, seed);
         std::fs::write(&config_path, config.to_string())?;
         let mut command = Command::new(&launcher.program);
         command.env("RELAY_CONFIG", &config_path).env("RELAY_LOG", log_level(launcher));
-        if let (Some(library), Some(faults)) = (&launcher.faults_library, &faults) {
-            command.env("LD_PRELOAD", library).env("GATEWAY_FAULTS", faults);
+        if let (Some(library), Some(call_faults)) = (&launcher.faults_library, &call_faults) {
+            command.env("LD_PRELOAD", library).env("GATEWAY_FAULTS", call_faults);
         }
         command.stdin(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
         let mut child = command.spawn()?;
@@ -122,10 +122,10 @@
             let file = open_log(launcher, index, generation);
             spawn_local(read_log(world.clone(), index, BufReader::new(log), file));
         }
-        Ok(Gateway { index, child, addresses, config_path, faults })
+        Ok(Gateway { index, child, addresses, config_path, call_faults })
     }
 
-    /// The addresses that it was last told.
+    /// The addresses that it last got.
     pub fn addresses(&self) -> Addresses {
         self.addresses
     }
@@ -136,7 +136,7 @@
         while started_at.elapsed() < READY_TIMEOUT {
             if let Ok(Some(status)) = self.child.try_wait() {
                 let detail =
-                    format!("gateway {} ended at its start: {status}, {:?}", self.index, self.faults);
+                    format!("gateway {} ended at its start: {status}, {:?}", self.index, self.call_faults);
                 world.judge.borrow_mut().report(Rule::Process, detail);
                 return false;
             }
@@ -146,7 +146,7 @@
             }
             sleep(READY_POLL_INTERVAL).await;
         }
-        let detail = format!("gateway {} is not ready in time, {:?}", self.index, self.faults);
+        let detail = format!("gateway {} is not ready in time, {:?}", self.index, self.call_faults);
         world.judge.borrow_mut().report(Rule::Process, detail);
         false
     }
@@ -228,12 +228,14 @@
         match tokio::time::timeout_at(kill_at, self.child.wait()).await {
             Ok(Ok(status)) if status.success() => {}
             Ok(status) => {
-                let detail = format!("gateway {} ended with {status:?}, {:?}", self.index, self.faults);
+                let detail = format!("gateway {} ended with {status:?}, {:?}", self.index, self.call_faults);
                 world.judge.borrow_mut().report(Rule::Process, detail);
             }
             Err(_) => {
-                let detail =
-                    format!("gateway {} is still there when it is killed, {:?}", self.index, self.faults);
+                let detail = format!(
+                    "gateway {} is still there when it is killed, {:?}",
+                    self.index, self.call_faults
+                );
                 world.judge.borrow_mut().report(Rule::Process, detail);
                 self.signal(Signal::SIGKILL);
                 let _ = self.child.wait().await;
@@ -267,7 +269,7 @@
         }
         world.judge.borrow_mut().note_largest("kB of memory at most", peak_kb as u64);
         if let Ok(Some(status)) = self.child.try_wait() {
-            let detail = format!("gateway {} has crashed: {status}, {:?}", self.index, self.faults);
+            let detail = format!("gateway {} has crashed: {status}, {:?}", self.index, self.call_faults);
             world.judge.borrow_mut().report(Rule::Process, detail);
         }
     }
--- a/soak/src/gateway_config.rs
+++ b/soak/src/gateway_config.rs
@@ -10,7 +10,7 @@
 /// SIGKILL follows SIGTERM after the longest deadline and this.
 pub const KILL_GRACE: Duration = Duration::from_millis(700);
 
-/// What the gateways are told and the judge goes by.
+/// What the gateways get and the judge goes by.
 pub const RULES: RuleFigures = RuleFigures {
     drain_grace: Duration::from_secs(2),
     key_window: Duration::from_secs(1),
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -36,7 +36,7 @@
     Drain,
     /// Sent for a client that had closed its connection.
     ClientGone,
-    /// More time told than the client has left.
+    /// More time stated than the client has left.
     Remaining,
     /// A success that no endpoint made for this request.
     WrongAnswer,
@@ -45,7 +45,7 @@
     /// A process crashed, was not ready or did not end in time.
     Process,
     /// A client that misbehaves got neither an error nor a close in time.
-    RudeClient,
+    MisbehavingClient,
     /// The gateway's own check found a broken rule.
     OwnCheck,
 }
@@ -67,10 +67,10 @@
     }
 }
 
-/// Figures of the rules, as the gateways are told them.
+/// Figures of the rules, as the gateways get them.
 #[derive(Clone, Copy, Debug)]
 pub struct RuleFigures {
-    /// Grace after draining was told.
+    /// Grace after the notice of draining.
     pub drain_grace: Duration,
     /// How long endpoints know the key of an order.
     pub key_window: Duration,
@@ -106,10 +106,10 @@
     pub endpoint: usize,
     /// When its first byte came.
     pub began_at: Instant,
-    /// The remaining time that it told.
-    pub told: Duration,
-    /// When the gateway was told that the endpoint takes nothing new, if it was.
-    pub drain_told_at: Option<Instant>,
+    /// The remaining time that it stated.
+    pub stated: Duration,
+    /// When the gateway was notified that the endpoint takes nothing new, if it was.
+    pub drain_notified_at: Option<Instant>,
     /// When the endpoint started, if it may still be cold.
     pub started_at: Option<Instant>,
     /// How late the stand-ins run at present.
@@ -209,7 +209,7 @@
             since.map_or(Duration::ZERO, |since| attempt.began_at.saturating_duration_since(since))
         };
         let after_close = late_by(seen.closed_at);
-        let after_drain = late_by(attempt.drain_told_at);
+        let after_drain = late_by(attempt.drain_notified_at);
         let ids = format!(
             "txn {:016x} of gateway {} at endpoint {}",
             attempt.transaction, seen.gateway, attempt.endpoint
@@ -220,8 +220,8 @@
         if after_drain > self.figures.drain_grace + SOCKET_SLACK + attempt.lag {
             self.report(Rule::Drain, format!("{ids}: {after_drain:?} after the notice"));
         }
-        if attempt.told > left + REMAINING_SLACK + attempt.lag {
-            self.report(Rule::Remaining, format!("{ids}: {:?} told, {left:?} left", attempt.told));
+        if attempt.stated > left + REMAINING_SLACK + attempt.lag {
+            self.report(Rule::Remaining, format!("{ids}: {:?} stated, {left:?} left", attempt.stated));
         }
         if let Some(started_at) = attempt.started_at {
             self.check_slow_start(&attempt, started_at, &ids);
--- a/soak/src/judge/tests.rs
+++ b/soak/src/judge/tests.rs
@@ -23,8 +23,8 @@
         transaction,
         endpoint: 3,
         began_at: Instant::now(),
-        told: MS(1000),
-        drain_told_at: None,
+        stated: MS(1000),
+        drain_notified_at: None,
         started_at: None,
         lag: Duration::ZERO,
     }
@@ -41,17 +41,17 @@
     judge.attempt(attempt(1));
     judge.client_closed(1);
     advance(MS(100)).await;
-    let drain_told_at = Some(Instant::now() - MS(2050));
-    judge.attempt(SeenAttempt { told: MS(1050), drain_told_at, ..attempt(1) });
+    let drain_notified_at = Some(Instant::now() - MS(2050));
+    judge.attempt(SeenAttempt { stated: MS(1050), drain_notified_at, ..attempt(1) });
     assert_eq!(rules(&judge), []);
     advance(MS(1)).await;
-    judge.attempt(SeenAttempt { told: MS(900), ..attempt(1) });
+    judge.attempt(SeenAttempt { stated: MS(900), ..attempt(1) });
     assert_eq!(rules(&judge), [Rule::ClientGone]);
-    judge.attempt(SeenAttempt { lag: MS(2), told: MS(1052), ..attempt(1) });
+    judge.attempt(SeenAttempt { lag: MS(2), stated: MS(1052), ..attempt(1) });
     assert_eq!(rules(&judge).len(), 2, "the lag is allowed for: {:?}", judge.violations);
-    let drain_told_at = Some(Instant::now() - MS(2051));
+    let drain_notified_at = Some(Instant::now() - MS(2051));
     judge.request_sent(2, Class::Once, 0, MS(1000));
-    judge.attempt(SeenAttempt { drain_told_at, ..attempt(2) });
+    judge.attempt(SeenAttempt { drain_notified_at, ..attempt(2) });
     assert_eq!(rules(&judge)[2..], [Rule::Drain]);
 }
 
--- a/soak/src/rude_clients.rs
+++ b/soak/src/misbehaving_clients.rs
@@ -27,7 +27,7 @@
 
 /// Misbehaves until the load ends.
 pub async fn run(world: Rc<World>, number: u64) {
-    let mut rng = crate::stream(world.seed, "rude client", number);
+    let mut rng = crate::stream(world.seed, "misbehaving client", number);
     while !world.has_ended() {
         sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
         let gateway = rng.random_range(0..world.gateways.borrow().len());
@@ -49,10 +49,10 @@
         let took = connected_at.elapsed();
         let allowed = PATIENCE + world.lag.allowance();
         let state_changed = world.gateways.borrow()[gateway].generation != generation;
-        world.judge.borrow_mut().count("rude clients");
+        world.judge.borrow_mut().count("misbehaving clients");
         if (!is_over || took > allowed) && !state_changed {
             let detail = format!("gateway {gateway}: {took:?} for {text:?}, sent after {delay:?}");
-            world.judge.borrow_mut().report(Rule::RudeClient, detail);
+            world.judge.borrow_mut().report(Rule::MisbehavingClient, detail);
         }
     }
 }
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -4,12 +4,12 @@
 use crate::counter;
 use crate::discovery::Discovery;
 use crate::endpoint::RunningEndpoint;
+use crate::faults::{self, draw_call_faults, Processes};
 use crate::gateway::{free_address, Gateway, GatewayState, Launcher};
 use crate::gateway_config::{Addresses, Site, RULES};
 use crate::judge::{Judge, Rule, Violation};
 use crate::lag::Lag;
-use crate::rude_clients;
-use crate::troubles::{self, draw_faults, Processes};
+use crate::misbehaving_clients;
 use crate::world::World;
 use clap::Args;
 use clap::Parser;
@@ -29,13 +29,13 @@
 const MAX_SECONDS: u64 = 600;
 const MAX_CLIENTS: usize = 20;
 /// Clients that misbehave, for each gateway.
-const RUDE_CLIENTS_PER_GATEWAY: usize = 1;
+const MISBEHAVING_CLIENTS_PER_GATEWAY: usize = 1;
 /// What is in progress when the load ends comes to its end within this time.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 /// Violations that a report shows in full.
 const MAX_SHOWN: usize = 30;
 
-/// Runs many processes of the gateway on loopback under overlapping troubles and judges them by the rules.
+/// Runs many processes of the gateway on loopback under overlapping faults and judges them by the rules.
 #[derive(Clone, Debug, Parser)]
 #[command(version)]
 pub struct Soak {
@@ -53,7 +53,7 @@
     /// Gateways ask a service that all share for the list, in place of an agent that pushes it.
     #[arg(long)]
     polled: bool,
-    /// Without troubles.
+    /// Without faults.
     #[arg(long)]
     calm: bool,
     /// Writes the gateways' logs, at the level debug, into this folder.
@@ -150,7 +150,7 @@
                 sleep(Duration::from_millis(100)).await;
             }
         } else {
-            troubles::run(world.clone(), processes.clone()).await;
+            faults::run(world.clone(), processes.clone()).await;
         }
         let _ = tokio::time::timeout(SETTLE_TIME, async { while load.join_next().await.is_some() {} }).await;
         Self::finish(&world, &processes).await;
@@ -172,12 +172,12 @@
             faults_library: self.faults_library.clone(),
             log_folder: self.logs.clone(),
         };
-        let mut rng = crate::stream(self.seed, "faults", 0);
+        let mut rng = crate::stream(self.seed, "call faults", 0);
         let mut gateways = HashMap::new();
         for index in 0..self.size.gateways {
             let addresses = Addresses { listen: free_address()?, discovery: discovery.address, counter };
             world.gateways.borrow_mut().push(GatewayState::new(addresses.listen));
-            let gateway = Gateway::start(world, &launcher, index, addresses, draw_faults(&mut rng))?;
+            let gateway = Gateway::start(world, &launcher, index, addresses, draw_call_faults(&mut rng))?;
             gateways.insert(index, gateway);
         }
         for gateway in gateways.values_mut() {
@@ -196,8 +196,8 @@
         for number in 0..self.size.gateways * self.size.clients {
             load.spawn_local(Client::new(world.clone(), number as u64, self.size.leaving_percent).run());
         }
-        for number in 0..self.size.gateways * RUDE_CLIENTS_PER_GATEWAY {
-            load.spawn_local(rude_clients::run(world.clone(), number as u64));
+        for number in 0..self.size.gateways * MISBEHAVING_CLIENTS_PER_GATEWAY {
+            load.spawn_local(misbehaving_clients::run(world.clone(), number as u64));
         }
         load
     }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -34,8 +34,8 @@
     pub list_changed: watch::Sender<u64>,
     /// The gateways, by number.
     pub gateways: RefCell<Vec<GatewayState>>,
-    /// The complete list, as it was told last.
-    pub told_list: RefCell<String>,
+    /// The complete list, as it was published last.
+    pub published_list: RefCell<String>,
     /// Whether the counter works.
     pub counter_mode: Cell<ServiceMode>,
     /// Whether discovery works.
@@ -60,15 +60,15 @@
     pub from: Instant,
     /// Its end; none while it lasts.
     pub until: Option<Instant>,
-    /// What was missed counts as told this long after its end.
+    /// What was missed counts as notified this long after its end.
     pub grace: Duration,
 }
 
-/// Whatever discovery has to tell counts as told this long after SIGHUP at the latest.
+/// Whatever discovery publishes counts as notified this long after SIGHUP at the latest.
 const RELOAD_GRACE: Duration = Duration::from_secs(4);
 /// An agent that was silent tells at its return; a call that was in progress may have to be given up first.
 const SILENCE_GRACE: Duration = Duration::from_secs(1);
-/// After a failed or refused call, and where lists are asked for, a change counts as told this long after it could be
+/// After a failed or refused call, and where lists are asked for, a change counts as notified this long after it could be
 /// had.
 const FAILURE_GRACE: Duration = Duration::from_secs(6);
 
@@ -80,7 +80,7 @@
             fleet: RefCell::new(Fleet::new()),
             list_changed: watch::Sender::new(0),
             gateways: RefCell::default(),
-            told_list: RefCell::default(),
+            published_list: RefCell::default(),
             counter_mode: Cell::new(ServiceMode::Works),
             discovery_mode: Cell::new(ServiceMode::Works),
             discovery_outages: RefCell::default(),
@@ -125,20 +125,20 @@
     pub fn list_changes(&self) {
         let version = self.fleet.borrow().version;
         if self.discovery_mode.get() == ServiceMode::Works {
-            self.told_list.replace(self.fleet.borrow().complete_list());
+            self.published_list.replace(self.fleet.borrow().complete_list());
         }
         let _ = self.list_changed.send(version);
     }
 
-    /// When a change of this moment counts as told to a gateway; none while that is open.
-    pub fn told_at(&self, gateway: usize, changed_at: Instant) -> Option<Instant> {
-        let mut told_at = if self.is_polled { changed_at + FAILURE_GRACE } else { changed_at };
+    /// When a change of this moment counts as notified to a gateway; none while that is open.
+    pub fn notified_at(&self, gateway: usize, changed_at: Instant) -> Option<Instant> {
+        let mut notified_at = if self.is_polled { changed_at + FAILURE_GRACE } else { changed_at };
         for outage in self.discovery_outages.borrow().iter() {
             // A change shortly before an outage may be on its way still, or not have been asked for.
-            if outage.from <= told_at + Duration::from_millis(100) {
+            if outage.from <= notified_at + Duration::from_millis(100) {
                 match outage.until {
                     None => return None,
-                    Some(until) if until + outage.grace > told_at => told_at = until + outage.grace,
+                    Some(until) if until + outage.grace > notified_at => notified_at = until + outage.grace,
                     Some(_) => {}
                 }
             }
@@ -146,11 +146,11 @@
         let reloads =
             self.gateways.borrow().get(gateway).map_or(Vec::new(), |state| state.reloaded_at.clone());
         for reloaded_at in reloads {
-            if reloaded_at <= told_at && told_at < reloaded_at + RELOAD_GRACE {
-                told_at = reloaded_at + RELOAD_GRACE;
+            if reloaded_at <= notified_at && notified_at < reloaded_at + RELOAD_GRACE {
+                notified_at = reloaded_at + RELOAD_GRACE;
             }
         }
-        Some(told_at)
+        Some(notified_at)
     }
 
     /// True once the load has ended.
--- a/soak/tests/command.rs
+++ b/soak/tests/command.rs
@@ -1,4 +1,4 @@
-//! The command line, and a short run without troubles. What depends on time is judged in long runs, by hand.
+//! The command line, and a short run without faults. What depends on time is judged in long runs, by hand.
 // Tests fail by panicking.
 #![allow(clippy::unwrap_used)]
 
