Soak: clients that send until the kill, deadlines by seed, hold-ups, crowds, short processors

Its one deadline was 2 s, its clients used new connections at once and went on with used ones, so that none rested on an unused one over the end, its endpoints hung or served as a whole, and shutdowns were few.

Change: the seed draws the conditions of a run: deadlines from 0.1 to 5 s, requests that hang (none, 12%, 30%), a crowd of idle clients, gateways that share processors (by affinity), signals in series. Restarts are drawn three times as often, and all gateways end so.

--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -1,7 +1,6 @@
 //! The load: clients that behave, and some that leave early, send slowly or send ahead.
 
 use crate::gateway::FRONT_DELAY;
-use crate::gateway_config::DEADLINE;
 use crate::http::{Connection, Message};
 use crate::judge::Class;
 use crate::world::World;
@@ -21,6 +20,9 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// Largest amount that a client sends ahead before it leaves.
 const MAX_SENT_AHEAD: usize = 4 << 20;
+/// A client waits for at least this, or this part of the class's deadline.
+const MIN_REMAINING: Duration = Duration::from_millis(150);
+const MIN_REMAINING_PART: f64 = 0.1;
 /// Customers of one client.
 const CUSTOMERS: u64 = 50;
 
@@ -49,11 +51,15 @@
 }
 
 /// One request.
-struct Request {
-    transaction: u64,
-    class: Class,
-    remaining: Duration,
-    text: String,
+pub struct Request {
+    /// Its id.
+    pub transaction: u64,
+    /// Its class.
+    pub class: Class,
+    /// How long its client waits.
+    pub remaining: Duration,
+    /// As it is sent.
+    pub text: String,
 }
 
 /// What became of a request.
@@ -67,18 +73,25 @@
 /// One client.
 pub struct Client {
     world: Rc<World>,
-    number: u64,
+    settings: ClientSettings,
     rng: ChaCha8Rng,
-    /// Requests in a hundred that the client leaves before their answer.
-    leaving_percent: u32,
     kept: Option<Open>,
 }
 
+/// What one client is like.
+#[derive(Clone, Copy)]
+pub struct ClientSettings {
+    /// No other client has it.
+    pub number: u64,
+    /// Requests in a hundred that the client leaves before their answer.
+    pub leaving_percent: u32,
+}
+
 impl Client {
-    /// The client of this number, which leaves so many requests in a hundred before their answer.
-    pub fn new(world: Rc<World>, number: u64, leaving_percent: u32) -> Self {
-        let rng = crate::stream(world.seed, "client", number);
-        Client { world, number, rng, leaving_percent, kept: None }
+    /// A client without a connection.
+    pub fn new(world: Rc<World>, settings: ClientSettings) -> Self {
+        let rng = crate::stream(world.seed, "client", settings.number);
+        Client { world, settings, rng, kept: None }
     }
 
     /// Makes requests until the load ends.
@@ -97,7 +110,7 @@
     }
 
     fn draw_pattern(&mut self) -> SendPattern {
-        if self.rng.random_range(0..100) < self.leaving_percent {
+        if self.rng.random_range(0..100) < self.settings.leaving_percent {
             return SendPattern::Leaves { resets: self.rng.random(), sends_ahead: self.rng.random() };
         }
         match self.rng.random_range(0..100) {
@@ -107,11 +120,14 @@
         }
     }
 
-    fn new_request(&mut self) -> Request {
+    /// The client's next request.
+    pub fn new_request(&mut self) -> Request {
         let class = *[Class::Look, Class::Order, Class::Once].choose(&mut self.rng).unwrap_or(&Class::Look);
-        let remaining = Duration::from_millis(self.rng.random_range(150..DEADLINE.as_millis() as u64));
+        let longest = self.world.conditions.deadline(class);
+        let shortest = longest.mul_f64(MIN_REMAINING_PART).max(MIN_REMAINING).min(longest / 2);
+        let remaining = self.rng.random_range(shortest..longest);
         let transaction = self.world.next_transaction();
-        let customer = self.number * CUSTOMERS + self.rng.random_range(0..CUSTOMERS);
+        let customer = self.settings.number * CUSTOMERS + self.rng.random_range(0..CUSTOMERS);
         let body_length = if class == Class::Look { 0 } else { self.rng.random_range(0..4000) };
         let text = request_text(class, transaction, customer, remaining, body_length);
         Request { transaction, class, remaining, text }
@@ -212,6 +228,9 @@
         if self.was_killed(open) {
             return self.world.judge.borrow_mut().count("requests of killed gateways");
         }
+        if self.world.conditions.has_crowd && !self.was_forwarded(request) {
+            return self.world.judge.borrow_mut().count("requests shut unread in a crowd");
+        }
         if !open.is_reused && self.was_opened_too_late(open) {
             return self.world.judge.borrow_mut().count("requests to gateways that were ending");
         }
@@ -225,7 +244,7 @@
         // The process has been replaced, or was told to end long before.
         state.generation != open.generation
             && state.terminated_at.is_none()
-            && open.opened_at.elapsed() > DEADLINE
+            && open.opened_at.elapsed() > self.world.conditions.longest_deadline()
             || state.terminated_at.is_some_and(|at| open.opened_at > at + 2 * FRONT_DELAY)
     }
 
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -77,7 +77,7 @@
                 connection.respond(404, "", "").await?;
                 continue;
             };
-            let behaviour = self.world.fleet.borrow().endpoints[self.number].behaviour;
+            let behaviour = self.behaviour();
             if behaviour == Behaviour::TurnsAway {
                 connection.respond(503, "X-Turned-Away: 1\r\n", "").await?;
                 continue;
@@ -115,6 +115,14 @@
         Ok(())
     }
 
+    /// How this request is treated: as the endpoint behaves now, but for the few that hang in any case.
+    fn behaviour(&mut self) -> Behaviour {
+        if self.rng.random_range(0..100) < self.world.conditions.hanging_percent {
+            return Behaviour::Hangs;
+        }
+        self.world.fleet.borrow().endpoints[self.number].behaviour
+    }
+
     /// Hands what came to the judge. Returns the request's id.
     fn record_attempt(&self, request: &Message) -> Option<u64> {
         let transaction = u64::from_str_radix(request.header("x-txn")?, 16).ok()?;
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -5,6 +5,8 @@
 use crate::fleet::Behaviour;
 use crate::gateway::{Gateway, Launcher};
 use crate::gateway_config::Addresses;
+use crate::shutdown_clients;
+use crate::shutdown_plan::{ShutdownPlan, HOLD_UP};
 use crate::soak::SoakError;
 use crate::world::{ServiceMode, World};
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -22,8 +24,6 @@
 const PAUSE_MS: std::ops::Range<u64> = 150..900;
 /// How long a fault lasts that has no length of its own.
 const LENGTH_MS: std::ops::Range<u64> = 300..3000;
-/// A pause of a whole process.
-const HOLD_UP: Duration = Duration::from_millis(150);
 /// Largest share of gateways or endpoints that one fault meets.
 const MAX_SHARE: f64 = 0.35;
 /// Endpoints that stay at least.
@@ -44,7 +44,10 @@
     EndpointsVanish,
 }
 
-const ALL: [Fault; 10] = [
+/// All of them; restarts come more often.
+const ALL: [Fault; 12] = [
+    Fault::Restarts,
+    Fault::Restarts,
     Fault::Restarts,
     Fault::Kills,
     Fault::Pauses,
@@ -213,9 +216,13 @@
             let Some(gateway) = gateway else { continue };
             let call_faults = self.draw_call_faults();
             let (world, processes) = (self.world.clone(), self.processes.clone());
+            let mut rng = crate::stream(self.rng.random(), "shutdown", 0);
             restarts.spawn_local(async move {
-                let addresses =
-                    if kills { gateway.kill(&world).await } else { gateway.terminate(&world).await };
+                let addresses = if kills {
+                    gateway.kill(&world).await
+                } else {
+                    shut_down(&world, gateway, &mut rng).await
+                };
                 processes.start_again(&world, index, addresses, call_faults).await
             });
         }
@@ -286,6 +293,17 @@
     }
 }
 
+/// Ends a gateway under clients that send until it is killed.
+pub async fn shut_down(world: &Rc<World>, gateway: Gateway, rng: &mut ChaCha8Rng) -> Addresses {
+    let mut clients = shutdown_clients::start(world, gateway.index(), rng);
+    let conditions = world.conditions;
+    let plan = ShutdownPlan::draw(rng, conditions.kill_after(), conditions.repeats_signals);
+    sleep(shutdown_clients::LEAD).await;
+    let addresses = gateway.terminate(world, plan).await;
+    while clients.join_next().await.is_some() {}
+    addresses
+}
+
 /// Which system calls of a process fail, in the form of the library that does it; none for half of them.
 pub fn draw_call_faults(rng: &mut ChaCha8Rng) -> Option<String> {
     let kinds = [
--- a/soak/src/gateway.rs
+++ b/soak/src/gateway.rs
@@ -1,11 +1,13 @@
 //! The processes under test: starts, signals, logs, ends.
 
-use crate::gateway_config::{gateway_config, Addresses, Site, DEADLINE, KILL_GRACE};
+use crate::gateway_config::{gateway_config, Addresses, Site};
 use crate::http::Connection;
 use crate::judge::Rule;
+use crate::shutdown_plan::{suspend, ShutdownPlan};
 use crate::soak::SoakError;
 use crate::world::World;
 use fleet_emulator::peak_memory_kb;
+use nix::sched::{sched_getaffinity, sched_setaffinity, CpuSet};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::Value;
@@ -18,7 +20,7 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, timeout, Instant};
 
 /// A restarted gateway is ready within this time.
@@ -118,6 +120,9 @@
         }
         command.stdin(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
         let mut child = command.spawn()?;
+        if let (Some(pid), Some(sharing)) = (child.id(), world.conditions.gateways_per_processor) {
+            bind_to_processor(Pid::from_raw(pid as i32), index / sharing)?;
+        }
         if let Some(log) = child.stderr.take() {
             let file = open_log(launcher, index, generation);
             spawn_local(read_log(world.clone(), index, BufReader::new(log), file));
@@ -125,6 +130,11 @@
         Ok(Gateway { index, child, addresses, config_path, call_faults })
     }
 
+    /// Its number.
+    pub fn index(&self) -> usize {
+        self.index
+    }
+
     /// The addresses that it last got.
     pub fn addresses(&self) -> Addresses {
         self.addresses
@@ -180,11 +190,9 @@
     pub fn pause(&self, how_long: Duration) -> impl std::future::Future<Output = ()> {
         let pid = self.child.id().map(|pid| Pid::from_raw(pid as i32));
         async move {
-            let Some(pid) = pid else { return };
-            // Signals fail for a process that has just ended.
-            let _ = kill(pid, Signal::SIGSTOP);
-            sleep(how_long).await;
-            let _ = kill(pid, Signal::SIGCONT);
+            if let Some(pid) = pid {
+                suspend(pid, how_long).await;
+            }
         }
     }
 
@@ -217,15 +225,19 @@
         std::fs::rename(new, &self.config_path)
     }
 
-    /// Ends the process by SIGTERM; the front notices a moment later.
-    pub async fn terminate(mut self, world: &Rc<World>) -> Addresses {
+    /// Ends the process by SIGTERM; the front notices a moment later, and SIGKILL comes as early as it may.
+    pub async fn terminate(mut self, world: &Rc<World>, plan: ShutdownPlan) -> Addresses {
         let terminated_at = Instant::now();
         world.gateways.borrow_mut()[self.index].terminated_at = Some(terminated_at);
         self.signal(Signal::SIGTERM);
-        sleep(FRONT_DELAY).await;
-        world.gateways.borrow_mut()[self.index].is_admitted = false;
-        let kill_at = terminated_at + DEADLINE + KILL_GRACE;
-        match tokio::time::timeout_at(kill_at, self.child.wait()).await {
+        let disturbing =
+            self.child.id().map(|pid| spawn_local(plan.carry_out(Pid::from_raw(pid as i32), terminated_at)));
+        let front = spawn_local(withdraw_from_front(world.clone(), self.index));
+        let kill_at = terminated_at + world.conditions.kill_after();
+        let ended = tokio::time::timeout_at(kill_at, self.child.wait()).await;
+        // No signal is sent to a process that has ended: its id may be another one's soon.
+        disturbing.iter().for_each(JoinHandle::abort);
+        match ended {
             Ok(Ok(status)) if status.success() => {}
             Ok(status) => {
                 let detail = format!("gateway {} ended with {status:?}, {:?}", self.index, self.call_faults);
@@ -233,7 +245,7 @@
             }
             Err(_) => {
                 let detail = format!(
-                    "gateway {} is still there when it is killed, {:?}",
+                    "gateway {} is still there when it is killed, {plan}, {:?}",
                     self.index, self.call_faults
                 );
                 world.judge.borrow_mut().report(Rule::Process, detail);
@@ -241,6 +253,7 @@
                 let _ = self.child.wait().await;
             }
         }
+        let _ = front.await;
         world.judge.borrow_mut().count("planned restarts");
         self.addresses
     }
@@ -282,6 +295,24 @@
     }
 }
 
+/// The front sends no more clients after a moment.
+async fn withdraw_from_front(world: Rc<World>, index: usize) {
+    sleep(FRONT_DELAY).await;
+    world.gateways.borrow_mut()[index].is_admitted = false;
+}
+
+/// Lets a process run on one of this machine's processors alone, the one of this number, counted round.
+fn bind_to_processor(pid: Pid, number: usize) -> std::io::Result<()> {
+    let available = sched_getaffinity(Pid::from_raw(0))?;
+    let allowed: Vec<_> = (0..CpuSet::count()).filter(|cpu| available.is_set(*cpu) == Ok(true)).collect();
+    let mut only = CpuSet::new();
+    if let Some(cpu) = allowed.get(number % allowed.len().max(1)) {
+        only.set(*cpu)?;
+        sched_setaffinity(pid, &only)?;
+    }
+    Ok(())
+}
+
 fn log_level(launcher: &Launcher) -> &'static str {
     if launcher.log_folder.is_some() {
         "debug"
--- a/soak/src/gateway_config.rs
+++ b/soak/src/gateway_config.rs
@@ -1,14 +1,14 @@
 //! The configuration and the rules of a run.
 
-use crate::judge::RuleFigures;
+use crate::conditions::Conditions;
+use crate::judge::{Class, RuleFigures};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Longest time that a client waits.
-pub const DEADLINE: Duration = Duration::from_secs(2);
-/// SIGKILL follows SIGTERM after the longest deadline and this.
-pub const KILL_GRACE: Duration = Duration::from_millis(700);
+/// The latency objective of a class is this, or a part of its deadline where that is short.
+const LATENCY_OBJECTIVE: Duration = Duration::from_millis(1500);
+const LATENCY_OBJECTIVE_PART: f64 = 0.75;
 
 /// What the gateways get and the judge goes by.
 pub const RULES: RuleFigures = RuleFigures {
@@ -39,6 +39,8 @@
     pub gateways: usize,
     /// Gateways ask a service that all share for the list, in place of an agent that pushes it.
     pub is_polled: bool,
+    /// What the run is made under.
+    pub conditions: Conditions,
 }
 
 /// The configuration of one gateway.
@@ -50,14 +52,15 @@
         "counter": addresses.counter,
         "seed": format!("{seed:x}"),
         "known": known,
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": site.conditions.sockets()},
         "settings": settings(index, site),
     })
 }
 
-fn class(name: &str, effect: &str) -> Value {
+fn class(name: &str, effect: &str, deadline: Duration) -> Value {
+    let objective = LATENCY_OBJECTIVE.min(deadline.mul_f64(LATENCY_OBJECTIVE_PART));
     json!({
-        "name": name, "aim-ms": 1500.0, "give-up-ms": millis(DEADLINE), "value": 1.0, "late-worth": 0.2,
+        "name": name, "aim-ms": millis(objective), "give-up-ms": millis(deadline), "value": 1.0, "late-worth": 0.2,
         "effect": effect, "group": "all", "window-ms": millis(RULES.key_window)
     })
 }
@@ -76,7 +79,9 @@
         "granularity-ms": 2.0,
         "membership-mode": if site.is_polled { "ask" } else { "push" },
         "categories": [
-            class("look", "read_like"), class("order", "idempotency_key"), class("once", "non_idempotent")
+            class("look", "read_like", site.conditions.deadline(Class::Look)),
+            class("order", "idempotency_key", site.conditions.deadline(Class::Order)),
+            class("once", "non_idempotent", site.conditions.deadline(Class::Once))
         ],
         "tiers-of-service": [{
             "name": "plus", "refill": 2000.0, "store-size": 4000.0, "max-out": 0, "pays": 1.0, "extra-worth": 0.0,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,12 +5,18 @@
 //! - [`judge`]: what was seen of each request, and the rules
 //! - `world`: what all parts share; `fleet`: the endpoints and when which change of them was published
 //! - `endpoint`, `discovery`, `counter`: the stand-ins
-//! - `clients`, `misbehaving_clients`: the load, and clients that misbehave
+//! - `conditions`: what a run is made under, drawn from the seed
+//! - `clients`, `misbehaving_clients`, `crowd`: the load, clients that misbehave, and idle ones that fill the gateways'
+//!   descriptors
+//! - `shutdown_clients`: clients that send until a gateway that ends is killed
 //! - `gateway`: the processes, their signals and logs
+//! - `shutdown_plan`: what happens to a process while it ends
 //! - `faults`: what goes wrong when, drawn from the seed
 
 mod clients;
+mod conditions;
 mod counter;
+mod crowd;
 mod discovery;
 mod endpoint;
 mod faults;
@@ -21,9 +27,12 @@
 pub mod judge;
 mod lag;
 mod misbehaving_clients;
+mod shutdown_clients;
+mod shutdown_plan;
 mod soak;
 mod world;
 
+pub use conditions::Conditions;
 pub use soak::{Soak, SoakError, SoakReport};
 
 use fleet_emulator::stream;
--- /dev/null
+++ b/soak/src/shutdown_clients.rs
@@ -0,0 +1,154 @@
+//! Clients of a gateway that is about to end. They connect before or shortly after SIGTERM, rest, and send a request at
+//! any moment up to SIGKILL, on a connection that they have not used yet or have used once.
+
+use crate::clients::{Client, ClientSettings, Request};
+use crate::gateway::FRONT_DELAY;
+use crate::http::Connection;
+use crate::world::World;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+
+/// The first of these clients connect so long before SIGTERM.
+pub const LEAD: Duration = Duration::from_millis(500);
+/// Clients of one gateway.
+const CLIENTS: u64 = 40;
+/// An answer may come this long after the client's time.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Pause between the two pieces of a request.
+const PIECE_PAUSE_MS: std::ops::Range<u64> = 1..400;
+/// A connection comes up within this time or not at all.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Numbers of these clients start here, behind those of the steady load.
+const FIRST_NUMBER: u64 = 1 << 20;
+
+/// How a client sends what it has to send.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum SendPattern {
+    Whole,
+    InTwoPieces,
+    TwoAtOnce,
+}
+
+/// One of these clients.
+struct ShutdownClient {
+    world: Rc<World>,
+    gateway: usize,
+    address: SocketAddr,
+    rng: ChaCha8Rng,
+    requests: Client,
+}
+
+/// Starts the clients of a gateway that gets SIGTERM after `LEAD`.
+pub fn start(world: &Rc<World>, gateway: usize, rng: &mut ChaCha8Rng) -> JoinSet<()> {
+    let terminated_at = Instant::now() + LEAD;
+    let mut clients = JoinSet::new();
+    for number in 0..CLIENTS {
+        let rng = crate::stream(rng.random(), "shutdown client", number);
+        let number = FIRST_NUMBER + gateway as u64 * CLIENTS + number;
+        let client = ShutdownClient {
+            world: world.clone(),
+            gateway,
+            address: world.gateways.borrow()[gateway].address,
+            rng,
+            requests: Client::new(world.clone(), ClientSettings { number, leaving_percent: 0 }),
+        };
+        clients.spawn_local(client.run(terminated_at));
+    }
+    clients
+}
+
+impl ShutdownClient {
+    async fn run(mut self, terminated_at: Instant) {
+        let started_at = Instant::now();
+        let connect_after = self.rng.random_range(Duration::ZERO..LEAD + FRONT_DELAY);
+        let send_at =
+            terminated_at + self.rng.random_range(Duration::ZERO..self.world.conditions.kill_after());
+        sleep_until(started_at + connect_after).await;
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
+        let Ok(Ok(stream)) = connecting else { return };
+        let mut connection = Connection::new(stream);
+        if self.rng.random() && !self.use_once(&mut connection).await {
+            return;
+        }
+        sleep_until(send_at).await;
+        self.send_late(&mut connection).await;
+    }
+
+    /// Makes a request as any other client; false if the connection can't be used any more.
+    async fn use_once(&mut self, connection: &mut Connection) -> bool {
+        let request = self.requests.new_request();
+        self.note_sent(&request);
+        if connection.send(request.text.as_bytes()).await.is_err() {
+            self.judge_unanswered(&request);
+            return false;
+        }
+        self.receive(connection, &request).await
+    }
+
+    async fn send_late(&mut self, connection: &mut Connection) {
+        let pattern = match self.rng.random_range(0..3) {
+            0 => SendPattern::Whole,
+            1 => SendPattern::InTwoPieces,
+            _ => SendPattern::TwoAtOnce,
+        };
+        let mut requests = vec![self.requests.new_request()];
+        if pattern == SendPattern::TwoAtOnce {
+            requests.push(self.requests.new_request());
+        }
+        let text: String = requests.iter().map(|request| request.text.as_str()).collect();
+        let mut rest = text.as_bytes();
+        if pattern == SendPattern::InTwoPieces {
+            let (first, last) = rest.split_at(self.rng.random_range(1..rest.len()));
+            // It fails on a connection that was closed: nothing was sent.
+            if connection.send(first).await.is_err() {
+                return;
+            }
+            sleep(Duration::from_millis(self.rng.random_range(PIECE_PAUSE_MS))).await;
+            rest = last;
+        }
+        requests.iter().for_each(|request| self.note_sent(request));
+        self.world.judge.borrow_mut().count("requests at a gateway's end");
+        let is_sent = connection.send(rest).await.is_ok();
+        for request in &requests {
+            if !is_sent {
+                self.judge_unanswered(request);
+            } else if !self.receive(connection, request).await {
+                return;
+            }
+        }
+    }
+
+    fn note_sent(&self, request: &Request) {
+        let mut judge = self.world.judge.borrow_mut();
+        judge.request_sent(request.transaction, request.class, self.gateway, request.remaining);
+    }
+
+    /// Waits for an answer; false if nothing more is answered behind it.
+    async fn receive(&self, connection: &mut Connection, request: &Request) -> bool {
+        let deadline = Instant::now() + request.remaining + ANSWER_SLACK;
+        let Ok(Ok(Some(answer))) = timeout_at(deadline, connection.receive()).await else {
+            self.judge_unanswered(request);
+            return false;
+        };
+        let mut judge = self.world.judge.borrow_mut();
+        judge.answered(request.transaction, answer.status(), &answer.body);
+        !answer.closes()
+    }
+
+    /// A request that crossed the end of its connection, unread, may be sent once more elsewhere; one that was read and
+    /// forwarded is lost.
+    fn judge_unanswered(&self, request: &Request) {
+        let mut judge = self.world.judge.borrow_mut();
+        if judge.was_forwarded(request.transaction) {
+            judge.lost(request.transaction, "not answered at the gateway's end");
+        } else {
+            judge.count("requests at a gateway's end that crossed a close");
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/shutdown_plan.rs
@@ -0,0 +1,75 @@
+//! What happens to a process while it ends.
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::fmt::{Display, Formatter};
+use std::future::Future;
+use std::time::Duration;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// A process may be held up for this long, at any point.
+pub const HOLD_UP: Duration = Duration::from_millis(150);
+/// Pause between two signals of a series.
+const SIGNAL_INTERVAL: Duration = Duration::from_millis(30);
+
+/// What happens to a process between SIGTERM and its end.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ShutdownPlan {
+    /// It is held up once, this long after SIGTERM.
+    held_up_after: Option<Duration>,
+    /// SIGHUP and SIGTERM come again and again.
+    repeats_signals: bool,
+}
+
+impl ShutdownPlan {
+    /// One for a process that is killed after this time.
+    pub fn draw(rng: &mut ChaCha8Rng, kill_after: Duration, repeats_signals: bool) -> Self {
+        let held_up_after = rng.random_range(Duration::ZERO..kill_after);
+        ShutdownPlan { held_up_after: rng.random::<bool>().then_some(held_up_after), repeats_signals }
+    }
+
+    /// Carries the plan out, until it is aborted.
+    pub async fn carry_out(self, pid: Pid, terminated_at: Instant) {
+        tokio::join!(self.hold_up(pid, terminated_at), self.repeat_signals(pid));
+    }
+
+    async fn hold_up(self, pid: Pid, terminated_at: Instant) {
+        if let Some(after) = self.held_up_after {
+            sleep_until(terminated_at + after).await;
+            suspend(pid, HOLD_UP).await;
+        }
+    }
+
+    async fn repeat_signals(self, pid: Pid) {
+        let mut signals = [Signal::SIGHUP, Signal::SIGTERM].into_iter().cycle();
+        while self.repeats_signals {
+            sleep(SIGNAL_INTERVAL).await;
+            if let Some(signal) = signals.next() {
+                // It fails for a process that has just ended.
+                let _ = kill(pid, signal);
+            }
+        }
+    }
+}
+
+impl Display for ShutdownPlan {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        match self.held_up_after {
+            Some(after) => write!(formatter, "held up after {after:?}")?,
+            None => write!(formatter, "not held up")?,
+        }
+        write!(formatter, ", signals in series: {}", self.repeats_signals)
+    }
+}
+
+/// Suspends a process for a time. It may end meanwhile.
+pub fn suspend(pid: Pid, how_long: Duration) -> impl Future<Output = ()> {
+    async move {
+        // Signals fail for a process that has just ended.
+        let _ = kill(pid, Signal::SIGSTOP);
+        sleep(how_long).await;
+        let _ = kill(pid, Signal::SIGCONT);
+    }
+}
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -1,16 +1,18 @@
 //! One run, from its arguments to its report.
 
-use crate::clients::Client;
+use crate::clients::{Client, ClientSettings};
+use crate::conditions::Conditions;
 use crate::counter;
+use crate::crowd;
 use crate::discovery::Discovery;
 use crate::endpoint::RunningEndpoint;
-use crate::faults::{self, draw_call_faults, Processes};
+use crate::faults::{self, draw_call_faults, shut_down, Processes};
 use crate::gateway::{free_address, Gateway, GatewayState, Launcher};
 use crate::gateway_config::{Addresses, Site, RULES};
 use crate::judge::{Judge, Rule, Violation};
 use crate::lag::Lag;
 use crate::misbehaving_clients;
-use crate::world::World;
+use crate::world::{RunSettings, World};
 use clap::Args;
 use clap::Parser;
 use std::cell::RefCell;
@@ -115,6 +117,8 @@
     pub counts: BTreeMap<String, u64>,
     /// The seed.
     pub seed: u64,
+    /// What the run was made under.
+    pub conditions: Conditions,
     /// By how much the stand-ins ran late at worst.
     pub worst_lag: Duration,
 }
@@ -142,7 +146,9 @@
 
     async fn play(&self) -> Result<SoakReport, SoakError> {
         let ends_at = Instant::now() + Duration::from_secs(self.size.seconds);
-        let world = Rc::new(World::new(Judge::new(RULES), Lag::start(), ends_at, self.seed, self.polled));
+        let conditions = if self.calm { Conditions::calm() } else { Conditions::draw(self.seed) };
+        let run = RunSettings { conditions, seed: self.seed, is_polled: self.polled };
+        let world = Rc::new(World::new(Judge::new(RULES), Lag::start(), ends_at, run));
         let processes = Rc::new(self.start_processes(&world).await?);
         let mut load = self.start_load(&world);
         if self.calm {
@@ -168,7 +174,7 @@
         let counter = counter::start(world).await?;
         let launcher = Launcher {
             program: self.program.clone(),
-            site: Site { gateways: self.size.gateways, is_polled: self.polled },
+            site: Site { gateways: self.size.gateways, is_polled: self.polled, conditions: world.conditions },
             faults_library: self.faults_library.clone(),
             log_folder: self.logs.clone(),
         };
@@ -194,11 +200,17 @@
     fn start_load(&self, world: &Rc<World>) -> JoinSet<()> {
         let mut load = JoinSet::new();
         for number in 0..self.size.gateways * self.size.clients {
-            load.spawn_local(Client::new(world.clone(), number as u64, self.size.leaving_percent).run());
+            let settings =
+                ClientSettings { number: number as u64, leaving_percent: self.size.leaving_percent };
+            load.spawn_local(Client::new(world.clone(), settings).run());
         }
         for number in 0..self.size.gateways * MISBEHAVING_CLIENTS_PER_GATEWAY {
             load.spawn_local(misbehaving_clients::run(world.clone(), number as u64));
         }
+        let crowd = world.conditions.crowd_clients();
+        for number in 0..self.size.gateways * crowd {
+            load.spawn_local(crowd::run(world.clone(), number / crowd, number as u64));
+        }
         load
     }
 
@@ -208,6 +220,7 @@
         let mut ends = JoinSet::new();
         for (index, mut gateway) in gateways {
             let world = world.clone();
+            let mut rng = crate::stream(world.seed, "last shutdown", index as u64);
             ends.spawn_local(async move {
                 gateway.check_process(&world);
                 match gateway.own_violations().await {
@@ -221,7 +234,7 @@
                         world.judge.borrow_mut().report(Rule::Process, detail);
                     }
                 }
-                gateway.terminate(&world).await;
+                shut_down(&world, gateway, &mut rng).await;
             });
         }
         while ends.join_next().await.is_some() {}
@@ -233,6 +246,7 @@
             violations: judge.violations.clone(),
             counts: judge.counts.clone(),
             seed: self.seed,
+            conditions: world.conditions,
             worst_lag: world.lag.worst_ever(),
         }
     }
@@ -273,8 +287,8 @@
         let (seed, broken) = (self.seed, self.violations.len());
         writeln!(
             formatter,
-            "seed {seed}: {broken} rules broken; the stand-ins ran {:?} late at worst",
-            self.worst_lag
+            "seed {seed}: {broken} rules broken; {}; the stand-ins ran {:?} late at worst",
+            self.conditions, self.worst_lag
         )
     }
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,5 +1,6 @@
 //! What all parts of a run share.
 
+use crate::conditions::Conditions;
 use crate::fleet::Fleet;
 use crate::gateway::GatewayState;
 use crate::judge::Judge;
@@ -24,6 +25,17 @@
     Garbles,
 }
 
+/// What was asked for or drawn for a run.
+#[derive(Clone, Copy)]
+pub struct RunSettings {
+    /// What it is made under.
+    pub conditions: Conditions,
+    /// Its seed.
+    pub seed: u64,
+    /// Gateways ask a service that all share for the list, in place of an agent that pushes it.
+    pub is_polled: bool,
+}
+
 /// What all parts share.
 pub struct World {
     /// What was seen.
@@ -46,6 +58,8 @@
     pub lag: Lag,
     /// The load ends then.
     pub ends_at: Instant,
+    /// What the run is made under.
+    pub conditions: Conditions,
     /// The seed of the run.
     pub seed: u64,
     /// Gateways ask a service that all share for the list, in place of an agent that pushes it.
@@ -74,7 +88,7 @@
 
 impl World {
     /// A world in which all works.
-    pub fn new(judge: Judge, lag: Lag, ends_at: Instant, seed: u64, is_polled: bool) -> Self {
+    pub fn new(judge: Judge, lag: Lag, ends_at: Instant, run: RunSettings) -> Self {
         World {
             judge: RefCell::new(judge),
             fleet: RefCell::new(Fleet::new()),
@@ -86,8 +100,9 @@
             discovery_outages: RefCell::default(),
             lag,
             ends_at,
-            seed,
-            is_polled,
+            conditions: run.conditions,
+            seed: run.seed,
+            is_polled: run.is_polled,
             next_transaction: Cell::new(1),
         }
     }
