--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -7,6 +7,7 @@
 use rand::seq::IndexedRandom;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -18,6 +19,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// An answer may come this long after the client's time, and earns nothing then.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// A request and the end of its connection may cross for so long.
+const CROSSING_TIME: Duration = Duration::from_millis(10);
 /// Largest amount that a client sends ahead before it leaves.
 const MAX_SENT_AHEAD: usize = 4 << 20;
 /// A client waits for at least this, or this part of the class's deadline.
@@ -66,10 +69,32 @@
 enum End {
     Answered(Message),
     /// The connection ended without an answer.
-    Closed,
+    Closed(Close),
     TimedOut,
 }
 
+/// How a connection ended without an answer.
+#[derive(Clone, Copy)]
+pub enum Close {
+    /// It broke, or its end crossed the request: the gateway has not read that, and it may be sent again.
+    Unread,
+    /// It was closed in an orderly way after the request had arrived. With bytes unread the system would have broken
+    /// it: the gateway has read the request and dropped it.
+    Dropped,
+}
+
+impl Close {
+    /// The close that a client saw so long after it had sent its request on a connection that was open then.
+    pub fn seen(result: &io::Result<Option<Message>>, after: Duration, lag: Duration) -> Self {
+        let is_orderly = matches!(result, Ok(None));
+        if is_orderly && after > CROSSING_TIME + lag {
+            Close::Dropped
+        } else {
+            Close::Unread
+        }
+    }
+}
+
 /// One client.
 pub struct Client {
     world: Rc<World>,
@@ -170,10 +195,10 @@
                     return self.keep(open, &answer);
                 }
                 End::TimedOut => return self.judge_timed_out(&open, request),
-                End::Closed if open.is_reused && !self.was_forwarded(request) => {
+                End::Closed(Close::Unread) if open.is_reused && !self.was_forwarded(request) => {
                     self.world.judge.borrow_mut().count("requests that crossed a close");
                 }
-                End::Closed => return self.judge_closed(&open, request),
+                End::Closed(_) => return self.judge_closed(&open, request),
             }
         }
     }
@@ -199,9 +224,10 @@
     }
 
     async fn receive(&self, open: &mut Open, deadline: Instant) -> End {
+        let sent_at = Instant::now();
         match timeout_at(deadline, open.connection.receive()).await {
             Ok(Ok(Some(answer))) => End::Answered(answer),
-            Ok(_) => End::Closed,
+            Ok(result) => End::Closed(Close::seen(&result, sent_at.elapsed(), self.world.lag.allowance())),
             Err(_) => End::TimedOut,
         }
     }
@@ -298,8 +324,8 @@
                 }
                 End::TimedOut => return self.judge_timed_out(&open, request),
                 // Whoever sends ahead bears that the connection ends behind an answer.
-                End::Closed if self.was_forwarded(request) => return self.judge_closed(&open, request),
-                End::Closed => return,
+                End::Closed(_) if self.was_forwarded(request) => return self.judge_closed(&open, request),
+                End::Closed(_) => return,
             }
         }
         open.is_reused = true;
--- a/soak/src/conditions.rs
+++ b/soak/src/conditions.rs
@@ -51,6 +51,7 @@
 
 impl Conditions {
     /// Those of a run with faults.
+    #[must_use]
     pub fn draw(seed: u64) -> Self {
         let mut rng = crate::stream(seed, "conditions", 0);
         let (shortest, longest) = (LONGEST_DEADLINE_S.start.ln(), LONGEST_DEADLINE_S.end.ln());
@@ -71,6 +72,7 @@
     }
 
     /// Those of a run without faults.
+    #[must_use]
     pub fn calm() -> Self {
         Conditions {
             deadlines: Deadlines { look: CALM_DEADLINE, order: CALM_DEADLINE, once: CALM_DEADLINE },
@@ -82,6 +84,7 @@
     }
 
     /// How long clients wait for requests of this class at most.
+    #[must_use]
     pub fn deadline(&self, class: Class) -> Duration {
         match class {
             Class::Look => self.deadlines.look,
@@ -91,16 +94,19 @@
     }
 
     /// The longest of the deadlines.
+    #[must_use]
     pub fn longest_deadline(&self) -> Duration {
         self.deadlines.look.max(self.deadlines.order).max(self.deadlines.once)
     }
 
     /// How long after SIGTERM SIGKILL comes: as early as the protocol permits.
+    #[must_use]
     pub fn kill_after(&self) -> Duration {
         self.longest_deadline().min(MAX_COUNTED_DEADLINE) + KILL_GRACE
     }
 
     /// Sockets that a gateway may have.
+    #[must_use]
     pub fn sockets(&self) -> u64 {
         if self.has_crowd {
             CROWDED_SOCKETS
@@ -110,6 +116,7 @@
     }
 
     /// Idle clients that hold on to each gateway.
+    #[must_use]
     pub fn crowd_clients(&self) -> usize {
         if self.has_crowd {
             CROWD_CLIENTS
--- a/soak/src/counter.rs
+++ b/soak/src/counter.rs
@@ -1,6 +1,7 @@
 //! The stand-in for the shared counter.
 
 use crate::http::Connection;
+use crate::loopback::any_port;
 use crate::world::{ServiceMode, World};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -20,7 +21,7 @@
 
 /// Starts a counter; it runs until the end.
 pub async fn start(world: &Rc<World>) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+    let listener = TcpListener::bind(any_port()).await?;
     let address = listener.local_addr()?;
     let world = world.clone();
     spawn_local(async move {
--- a/soak/src/discovery.rs
+++ b/soak/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The stand-in for discovery, as each gateway's agent has it.
 
 use crate::http::{Connection, Message};
+use crate::loopback::any_port;
 use crate::world::{ServiceMode, World};
 use std::io;
 use std::net::SocketAddr;
@@ -27,7 +28,7 @@
 impl Discovery {
     /// Starts one.
     pub async fn start(world: &Rc<World>) -> io::Result<Self> {
-        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let listener = TcpListener::bind(any_port()).await?;
         let address = listener.local_addr()?;
         let closing = tokio::sync::watch::Sender::new(false);
         let accepting = spawn_local(accept(world.clone(), listener, closing.subscribe()));
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -3,11 +3,11 @@
 use crate::fleet::{Behaviour, ListedState};
 use crate::http::{Connection, Message};
 use crate::judge::{answer_body, SeenAttempt};
+use crate::loopback::any_port;
 use crate::world::World;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -28,7 +28,7 @@
 impl RunningEndpoint {
     /// Starts an endpoint and puts it into the list.
     pub async fn start(world: &Rc<World>, is_cold: bool) -> io::Result<(usize, Self)> {
-        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let listener = TcpListener::bind(any_port()).await?;
         let number = world.fleet.borrow_mut().add(listener.local_addr()?, is_cold);
         let connections = Rc::new(std::cell::RefCell::new(Vec::new()));
         let accepting = spawn_local(accept(world.clone(), number, listener, connections.clone()));
--- a/soak/src/gateway.rs
+++ b/soak/src/gateway.rs
@@ -3,6 +3,8 @@
 use crate::gateway_config::{gateway_config, Addresses, Site};
 use crate::http::Connection;
 use crate::judge::Rule;
+use crate::loopback::any_port;
+use crate::process_state::thread_states;
 use crate::shutdown_plan::{suspend, ShutdownPlan};
 use crate::soak::SoakError;
 use crate::world::World;
@@ -88,7 +90,7 @@
 
 /// A port that nobody uses at present.
 pub fn free_address() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?.local_addr()
+    std::net::TcpListener::bind(any_port())?.local_addr()
 }
 
 impl Gateway {
@@ -244,8 +246,9 @@
                 world.judge.borrow_mut().report(Rule::Process, detail);
             }
             Err(_) => {
+                let threads = self.child.id().map(thread_states).unwrap_or_default();
                 let detail = format!(
-                    "gateway {} is still there when it is killed, {plan}, {:?}",
+                    "gateway {} is still there when it is killed, {plan}, {:?}, threads: {threads}",
                     self.index, self.call_faults
                 );
                 world.judge.borrow_mut().report(Rule::Process, detail);
--- a/soak/src/http.rs
+++ b/soak/src/http.rs
@@ -1,6 +1,8 @@
 //! As much HTTP as the stand-ins and clients need.
 
-use std::io;
+use socket2::SockRef;
+use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -99,6 +101,15 @@
         Some(Message { head, body, began_at: self.began_at })
     }
 
+    /// True if the peer has closed or broken the connection, and that has arrived here.
+    pub fn is_closed_by_peer(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&self.stream).peek(&mut byte) {
+            Ok(bytes) => bytes == 0,
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
     /// Sends bytes as they are.
     pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
@@ -118,6 +129,6 @@
     /// Breaks the connection: the peer gets a reset.
     pub fn reset(self) {
         // It fails on a connection that is already broken.
-        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
     }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,7 +14,7 @@
 //! - `faults`: what goes wrong when, drawn from the seed
 
 mod clients;
-mod conditions;
+pub mod conditions;
 mod counter;
 mod crowd;
 mod discovery;
@@ -26,13 +26,14 @@
 mod http;
 pub mod judge;
 mod lag;
+mod loopback;
 mod misbehaving_clients;
+mod process_state;
 mod shutdown_clients;
 mod shutdown_plan;
 mod soak;
 mod world;
 
-pub use conditions::Conditions;
 pub use soak::{Soak, SoakError, SoakReport};
 
 use fleet_emulator::stream;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,23 +1,20 @@
 //! The command line of the soak test.
 
 use clap::Parser;
-use gateway_soak::Soak;
+use gateway_soak::{Soak, SoakError};
 use std::process::ExitCode;
 
-/// Exit code of a run in which a rule was broken.
+/// Exit code if a rule was broken.
 const EXIT_RULE_BROKEN: u8 = 1;
 /// Exit code of a run that could not be made.
 const EXIT_FAILURE: u8 = 2;
 
 fn main() -> ExitCode {
-    match Soak::parse().run() {
-        Ok(report) => {
-            print!("{report}");
-            if report.violations.is_empty() {
-                ExitCode::SUCCESS
-            } else {
-                ExitCode::from(EXIT_RULE_BROKEN)
-            }
+    match run_all(&Soak::parse()) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(broken_runs) => {
+            println!("rules were broken in {broken_runs} runs");
+            ExitCode::from(EXIT_RULE_BROKEN)
         }
         Err(error) => {
             eprintln!("gateway-soak: {error}");
@@ -25,3 +22,15 @@
         }
     }
 }
+
+/// Makes all runs. Returns in how many of them a rule was broken.
+fn run_all(soak: &Soak) -> Result<usize, SoakError> {
+    soak.check()?;
+    let mut broken_runs = 0;
+    for run in soak.each_run() {
+        let report = run.run()?;
+        print!("{report}");
+        broken_runs += usize::from(!report.violations.is_empty());
+    }
+    Ok(broken_runs)
+}
--- a/soak/src/shutdown_clients.rs
+++ b/soak/src/shutdown_clients.rs
@@ -1,7 +1,7 @@
 //! Clients of a gateway that is about to end. They connect before or shortly after SIGTERM, rest, and send a request at
 //! any moment up to SIGKILL, on a connection that they have not used yet or have used once.
 
-use crate::clients::{Client, ClientSettings, Request};
+use crate::clients::{Client, ClientSettings, Close, Request};
 use crate::gateway::FRONT_DELAY;
 use crate::http::Connection;
 use crate::world::World;
@@ -85,7 +85,7 @@
         let request = self.requests.new_request();
         self.note_sent(&request);
         if connection.send(request.text.as_bytes()).await.is_err() {
-            self.judge_unanswered(&request);
+            self.judge_unanswered(&request, Close::Unread);
             return false;
         }
         self.receive(connection, &request).await
@@ -112,12 +112,17 @@
             sleep(Duration::from_millis(self.rng.random_range(PIECE_PAUSE_MS))).await;
             rest = last;
         }
-        requests.iter().for_each(|request| self.note_sent(request));
+        if connection.is_closed_by_peer() {
+            return self.world.judge.borrow_mut().count("connections closed before the last request");
+        }
+        for request in &requests {
+            self.note_sent(request);
+        }
         self.world.judge.borrow_mut().count("requests at a gateway's end");
         let is_sent = connection.send(rest).await.is_ok();
         for request in &requests {
             if !is_sent {
-                self.judge_unanswered(request);
+                self.judge_unanswered(request, Close::Unread);
             } else if !self.receive(connection, request).await {
                 return;
             }
@@ -131,24 +136,34 @@
 
     /// Waits for an answer; false if nothing more is answered behind it.
     async fn receive(&self, connection: &mut Connection, request: &Request) -> bool {
-        let deadline = Instant::now() + request.remaining + ANSWER_SLACK;
-        let Ok(Ok(Some(answer))) = timeout_at(deadline, connection.receive()).await else {
-            self.judge_unanswered(request);
-            return false;
-        };
-        let mut judge = self.world.judge.borrow_mut();
-        judge.answered(request.transaction, answer.status(), &answer.body);
-        !answer.closes()
+        let sent_at = Instant::now();
+        let deadline = sent_at + request.remaining + ANSWER_SLACK;
+        let result = timeout_at(deadline, connection.receive()).await;
+        if let Ok(Ok(Some(answer))) = result {
+            let mut judge = self.world.judge.borrow_mut();
+            judge.answered(request.transaction, answer.status(), &answer.body);
+            return !answer.closes();
+        }
+        match result {
+            Ok(result) => {
+                let close = Close::seen(&result, sent_at.elapsed(), self.world.lag.allowance());
+                self.judge_unanswered(request, close);
+            }
+            Err(_) => self.world.judge.borrow_mut().lost(request.transaction, "no answer in time"),
+        }
+        false
     }
 
-    /// A request that crossed the end of its connection, unread, may be sent once more elsewhere; one that was read and
-    /// forwarded is lost.
-    fn judge_unanswered(&self, request: &Request) {
+    /// A request that crossed the end of its connection, unread, may be sent once more elsewhere; one that was read is
+    /// lost.
+    fn judge_unanswered(&self, request: &Request, close: Close) {
         let mut judge = self.world.judge.borrow_mut();
-        if judge.was_forwarded(request.transaction) {
-            judge.lost(request.transaction, "not answered at the gateway's end");
-        } else {
-            judge.count("requests at a gateway's end that crossed a close");
+        match close {
+            Close::Dropped => judge.lost(request.transaction, "read and dropped at the gateway's end"),
+            Close::Unread if judge.was_forwarded(request.transaction) => {
+                judge.lost(request.transaction, "not answered at the gateway's end");
+            }
+            Close::Unread => judge.count("requests at a gateway's end that crossed a close"),
         }
     }
 }
--- a/soak/src/shutdown_plan.rs
+++ b/soak/src/shutdown_plan.rs
@@ -5,7 +5,6 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::fmt::{Display, Formatter};
-use std::future::Future;
 use std::time::Duration;
 use tokio::time::{sleep, sleep_until, Instant};
 
@@ -43,13 +42,13 @@
     }
 
     async fn repeat_signals(self, pid: Pid) {
-        let mut signals = [Signal::SIGHUP, Signal::SIGTERM].into_iter().cycle();
-        while self.repeats_signals {
+        if !self.repeats_signals {
+            return;
+        }
+        for signal in [Signal::SIGHUP, Signal::SIGTERM].into_iter().cycle() {
             sleep(SIGNAL_INTERVAL).await;
-            if let Some(signal) = signals.next() {
-                // It fails for a process that has just ended.
-                let _ = kill(pid, signal);
-            }
+            // It fails for a process that has just ended.
+            let _ = kill(pid, signal);
         }
     }
 }
@@ -65,11 +64,9 @@
 }
 
 /// Suspends a process for a time. It may end meanwhile.
-pub fn suspend(pid: Pid, how_long: Duration) -> impl Future<Output = ()> {
-    async move {
-        // Signals fail for a process that has just ended.
-        let _ = kill(pid, Signal::SIGSTOP);
-        sleep(how_long).await;
-        let _ = kill(pid, Signal::SIGCONT);
-    }
+pub async fn suspend(pid: Pid, how_long: Duration) {
+    // Signals fail for a process that has just ended.
+    let _ = kill(pid, Signal::SIGSTOP);
+    sleep(how_long).await;
+    let _ = kill(pid, Signal::SIGCONT);
 }
--- a/soak/src/soak.rs
+++ b/soak/src/soak.rs
@@ -30,6 +30,7 @@
 const MAX_ENDPOINTS: usize = 200;
 const MAX_SECONDS: u64 = 600;
 const MAX_CLIENTS: usize = 20;
+const MAX_RUNS: u64 = 500;
 /// Clients that misbehave, for each gateway.
 const MISBEHAVING_CLIENTS_PER_GATEWAY: usize = 1;
 /// What is in progress when the load ends comes to its end within this time.
@@ -52,6 +53,9 @@
     /// Seed of all that is drawn. What the processes make of it differs from run to run.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Runs one after the other, with this seed and those that follow it.
+    #[arg(long, default_value_t = 1)]
+    runs: u64,
     /// Gateways ask a service that all share for the list, in place of an agent that pushes it.
     #[arg(long)]
     polled: bool,
@@ -124,22 +128,32 @@
 }
 
 impl Soak {
-    /// Makes the run.
+    /// The runs that were asked for.
+    pub fn each_run(&self) -> impl Iterator<Item = Soak> + '_ {
+        (0..self.runs).map(|number| Soak { seed: self.seed.wrapping_add(number), ..self.clone() })
+    }
+
+    /// Makes one run, with the first seed.
     ///
     /// # Errors
     ///
-    /// Fails if an argument is out of range, a file is not there, or the system refuses a socket or a process.
+    /// Fails if the system refuses a socket or a process.
     pub fn run(&self) -> Result<SoakReport, SoakError> {
-        self.check()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         LocalSet::new().block_on(&runtime, self.play())
     }
 
-    fn check(&self) -> Result<(), SoakError> {
+    /// Checks the arguments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one is out of range, or a file is not there.
+    pub fn check(&self) -> Result<(), SoakError> {
         within("--gateways", self.size.gateways as u64, MAX_GATEWAYS as u64)?;
         within("--endpoints", self.size.endpoints as u64, MAX_ENDPOINTS as u64)?;
         within("--clients", self.size.clients as u64, MAX_CLIENTS as u64)?;
         within("--seconds", self.size.seconds, MAX_SECONDS)?;
+        within("--runs", self.runs, MAX_RUNS)?;
         is_there("--program", &self.program)?;
         self.faults_library.as_ref().map_or(Ok(()), |library| is_there("--faults-library", library))
     }
--- a/soak/tests/command.rs
+++ b/soak/tests/command.rs
@@ -16,6 +16,7 @@
     for (arguments, named) in [
         (["--gateways", "0"], "--gateways"),
         (["--seconds", "100000"], "--seconds"),
+        (["--runs", "0"], "--runs"),
         (["--program", "nowhere"], "--program"),
         (["--faults-library", "nowhere"], "--faults-library"),
     ] {
--- a/tests/shim/syscall_faults.c
+++ b/tests/shim/syscall_faults.c
@@ -84,7 +84,35 @@
     return length <= 1 ? length : 1 + next_random() % (length - 1);
 }
 
-#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+/*
+ * The system's own functions, looked up once when the library is loaded. Handlers of signals call some of them, and
+ * dlsym takes a lock: in a handler that has interrupted another dlsym it would wait for itself.
+ */
+#define REAL(name) real_##name
+#define DECLARE(name) static __typeof__(&name) real_##name
+#define LOOK_UP(name) real_##name = (__typeof__(&name))dlsym(RTLD_NEXT, #name)
+
+DECLARE(recv);
+DECLARE(send);
+DECLARE(writev);
+DECLARE(accept4);
+DECLARE(connect);
+DECLARE(socket);
+DECLARE(open64);
+DECLARE(epoll_wait);
+DECLARE(clock_gettime);
+
+__attribute__((constructor)) static void look_up(void) {
+    LOOK_UP(recv);
+    LOOK_UP(send);
+    LOOK_UP(writev);
+    LOOK_UP(accept4);
+    LOOK_UP(connect);
+    LOOK_UP(socket);
+    LOOK_UP(open64);
+    LOOK_UP(epoll_wait);
+    LOOK_UP(clock_gettime);
+}
 
 ssize_t recv(int fd, void *buffer, size_t length, int flags) {
     int kind = family(fd);
