Failing test: an attempt for a client whose end lies behind bytes that there is no room for

Traced with the debug log: with the room for what is sent ahead used up by other clients (4 MB of all), nothing more is read of a client but at an interval of 40 ms; the guard waits for 64 turns of all tasks, which take under 3 ms, finds unread bytes and not the end, and the attempt is written 0.15 s after the close. The program could have known: the system shows the end behind unread bytes (POLLRDHUP), and was not asked.

--- a/tests/gateway/crossings.rs
+++ b/tests/gateway/crossings.rs
@@ -154,6 +154,54 @@
     }
 }
 
+/// The same where other clients have used up the room for what is sent ahead, so that nobody reads up to its end.
+#[test]
+fn a_client_that_went_is_seen_behind_bytes_that_there_is_no_room_for() {
+    let sent = Arc::new(Mutex::new(Vec::new()));
+    let seen = sent.clone();
+    let endpoint = start_server(move |request| {
+        let transaction = request.headers["x-txn"].clone();
+        let hangs = transaction.ends_with("ff");
+        seen.lock().unwrap().push(transaction);
+        if hangs {
+            return Reply::StaySilent(channel().0);
+        }
+        Reply::Send(response(200, "", "done"))
+    });
+    let mut config = config_with_silent_discovery(&[endpoint]);
+    // Nothing is waited for before the attempt.
+    config["settings"]["domain"]["may-count"] = false.into();
+    let gateway = Gateway::new(&config);
+    assert_eq!(gateway.get(90, 1).status(), 200);
+    // 1 MB is kept of each, and 4 MB of all.
+    let _greedy: Vec<_> = (1..=5)
+        .map(|number| {
+            let mut client = gateway.connect();
+            client.get_mut().write_all(get_request(number << 8 | 0xff, 1, 3500).as_bytes()).unwrap();
+            client.get_mut().write_all(&vec![b'x'; 1 << 20]).unwrap();
+            client
+        })
+        .collect();
+    let start = Instant::now();
+    while sent.lock().unwrap().len() < 6 {
+        assert!(start.elapsed() < TEST_TIMEOUT, "the first clients are not served");
+        sleep(Duration::from_millis(5));
+    }
+    sleep(Duration::from_millis(50));
+    sent.lock().unwrap().clear();
+    gateway.signal("-STOP");
+    let mut client = gateway.connect();
+    client.get_mut().write_all(get_request(30, 1, 3000).as_bytes()).unwrap();
+    client.get_mut().write_all(&[b'x'; 20_000]).unwrap();
+    drop(client);
+    sleep(Duration::from_millis(150));
+    gateway.signal("-CONT");
+    assert_eq!(gateway.get(31, 1).status(), 200);
+    // An attempt for the client that went would come within some milliseconds.
+    sleep(Duration::from_millis(200));
+    assert_eq!(*sent.lock().unwrap(), [format!("{:016x}", 31)], "sent for a client that had gone");
+}
+
 /// Requests that were sent ahead on one connection are all answered, though the end begins meanwhile.
 #[test]
 fn requests_sent_ahead_are_answered_at_the_end() {
