The guard sees the end of a client behind bytes that nobody reads

Cause: WeakSocket::unread looked at the next byte alone; with unread bytes in front of it the system's knowledge of the end (POLLRDHUP) was not asked for, and with no room for what is sent ahead those bytes are read at intervals of 40 ms only.

Change: it asks, if bytes lie unread. `Socket::peer_has_closed` holds the call that server/disconnect.rs had for itself; it is made again if it was interrupted.

What stays: an end that the system has not got yet, behind a full buffer, or in a segment that was dropped for lack of room and is sent again after 0.2 s (seen on loopback under 4 MB of 30 to 600 clients: TCPTimeouts 1 to 20, PruneCalled 1 to 3). That can't be known.

The soak's clients now read an answer that came before a write failed.

--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -181,9 +181,8 @@
     async fn make(&mut self, request: &Request, slowly: bool) {
         for _ in 0..2 {
             let Some(mut open) = self.connect().await else { return };
-            if !self.send(&mut open, request, slowly).await && !open.is_reused {
-                return self.judge_closed(&open, request);
-            }
+            // Where it fails, an answer may have come before.
+            let _ = self.send(&mut open, request, slowly).await;
             let end = self.receive(&mut open, Instant::now() + request.remaining + ANSWER_SLACK).await;
             match end {
                 End::Answered(answer) => {
--- a/soak/src/shutdown_clients.rs
+++ b/soak/src/shutdown_clients.rs
@@ -84,10 +84,8 @@
     async fn use_once(&mut self, connection: &mut Connection) -> bool {
         let request = self.requests.new_request();
         self.note_sent(&request);
-        if connection.send(request.text.as_bytes()).await.is_err() {
-            self.judge_unanswered(&request, Close::Unread);
-            return false;
-        }
+        // Where it fails, an answer may have come before.
+        let _ = connection.send(request.text.as_bytes()).await;
         self.receive(connection, &request).await
     }
 
@@ -119,11 +117,10 @@
             self.note_sent(request);
         }
         self.world.judge.borrow_mut().count("requests at a gateway's end");
-        let is_sent = connection.send(rest).await.is_ok();
+        // As above.
+        let _ = connection.send(rest).await;
         for request in &requests {
-            if !is_sent {
-                self.judge_unanswered(request, Close::Unread);
-            } else if !self.receive(connection, request).await {
+            if !self.receive(connection, request).await {
                 return;
             }
         }
--- a/src/bin/quota-gateway/server/disconnect.rs
+++ b/src/bin/quota-gateway/server/disconnect.rs
@@ -3,18 +3,15 @@
 use super::client::Client;
 use crate::socket::{Socket, Unread};
 use bytes::BytesMut;
-use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
-use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant, Sleep};
 
 #[cfg(test)]
@@ -134,7 +131,7 @@
     fn poll_ended_unread(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         ready!(self.next_poll.as_mut().poll(cx));
         self.next_poll.set(sleep(POLL_INTERVAL));
-        self.ended = ended_unread(self.socket.as_stream());
+        self.ended = self.socket.peer_has_closed();
         Poll::Ready(())
     }
 
@@ -211,13 +208,6 @@
     }
 }
 
-/// Whether the system knows that the client has closed its side or that the connection broke, though unread bytes
-/// lie before that. Asked for no other event, it reports these alone.
-fn ended_unread(stream: &TcpStream) -> bool {
-    let half_closed = PollFlags::from_bits_retain(nix::libc::POLLRDHUP);
-    poll(&mut [PollFd::new(stream.as_fd(), half_closed)], PollTimeout::ZERO).is_ok_and(|found| found > 0)
-}
-
 impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let inner = &mut *self.inner.borrow_mut();
--- a/src/bin/quota-gateway/socket.rs
+++ b/src/bin/quota-gateway/socket.rs
@@ -5,10 +5,13 @@
 //! system to report the next change. After a call that was cut short for another reason there may be none.
 
 use crate::patience::may_pass;
+use nix::errno::Errno;
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
@@ -96,15 +99,26 @@
         SockRef::from(&*self.stream).peek(&mut space).is_ok_and(|bytes| bytes >= count)
     }
 
+    /// Whether the system knows that the peer has closed its side or that the connection broke, though unread bytes may
+    /// lie before that.
+    pub fn peer_has_closed(&self) -> bool {
+        // Asked for no other event, the system reports these alone.
+        let closed = PollFlags::from_bits_retain(nix::libc::POLLRDHUP);
+        let mut sockets = [PollFd::new(self.stream.as_fd(), closed)];
+        for _ in 0..MAX_LOOKS {
+            match poll(&mut sockets, PollTimeout::ZERO) {
+                Ok(found) => return found > 0,
+                Err(Errno::EINTR | Errno::EAGAIN | Errno::ENOMEM) => {}
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
     /// A handle that does not keep the socket open.
     pub fn downgrade(&self) -> WeakSocket {
         WeakSocket { stream: Rc::downgrade(&self.stream) }
     }
-
-    /// The stream, for polling the system.
-    pub fn as_stream(&self) -> &TcpStream {
-        &self.stream
-    }
 }
 
 /// A handle that does not keep the socket open.
@@ -114,9 +128,15 @@
 }
 
 impl WeakSocket {
-    /// What lies unread in the socket; its end, once it is closed here.
+    /// What lies unread in the socket; its end if the peer has closed its side, whatever lies before that, and once it
+    /// is closed here.
     pub fn unread(&self) -> Unread {
-        self.stream.upgrade().map_or(Unread::End, |stream| Socket { stream }.unread())
+        let Some(stream) = self.stream.upgrade() else { return Unread::End };
+        let socket = Socket { stream };
+        match socket.unread() {
+            Unread::Bytes if socket.peer_has_closed() => Unread::End,
+            unread => unread,
+        }
     }
 }
 
