Look for SIGTERM every 0.1 s, which the time of the shutdown leaves

The handler's byte may be lost (the system may refuse it); then only the flag tells, and the 0.5 s between two looks at it were more than the shutdown leaves.

--- a/src/bin/quota-gateway/signals.rs
+++ b/src/bin/quota-gateway/signals.rs
@@ -14,8 +14,9 @@
 #[cfg(test)]
 mod tests;
 
-/// A signal whose byte in the pipe was lost is noticed after this.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// A signal whose byte in the pipe was lost is noticed after this. The time of the shutdown counts from then on, so that it
+/// has to be less than what that leaves before SIGKILL.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Bytes read from the pipe at a time; each signal writes one.
 const PIPE_READ_BYTES: usize = 64;
 
