Responses written outside of hyper are written to their end

The refusal of a request that has come in part waits for the socket now; that of a client without a slot, which must not wait, is tried again up to 8 times where the system fails for a moment, and goes on behind a short write.

--- a/src/bin/quota-gateway/server/accept.rs
+++ b/src/bin/quota-gateway/server/accept.rs
@@ -101,7 +101,8 @@
             errors_in_a_row = 0;
             self.driver.metrics().connections_accepted.inc();
             let Some(slot) = self.acquire_slot().await else {
-                let _ = stream.try_write(self.no_slot_response.as_bytes());
+                // A broken connection needs no response.
+                let _ = stream.write_at_once(self.no_slot_response.as_bytes());
                 self.driver.metrics().connections_ended.increment(ConnectionEnd::NoSlot);
                 continue;
             };
--- a/src/bin/quota-gateway/server/connection.rs
+++ b/src/bin/quota-gateway/server/connection.rs
@@ -174,7 +174,7 @@
             }
             Ended::Incomplete => {
                 // A broken connection needs no response.
-                let _ = stream.socket().try_write(response::incomplete_at_shutdown().as_bytes());
+                let _ = stream.socket().write_all(response::incomplete_at_shutdown().as_bytes()).await;
                 Some(stream)
             }
             // Closed unread: a request that crosses the close may be sent again.
--- a/src/bin/quota-gateway/socket.rs
+++ b/src/bin/quota-gateway/socket.rs
@@ -22,7 +22,8 @@
 
 /// Attempts to connect, if the reasons for the failures lie on this machine and may pass.
 const MAX_CONNECT_ATTEMPTS: u32 = 4;
-/// Looks into a socket, if they fail for a reason that may pass; after that nothing is known to lie there.
+/// Looks into a socket and writes without waiting, if they fail for a reason that may pass; after that nothing is known
+/// to lie there, and nothing more is written.
 const MAX_LOOKS: u32 = 8;
 /// Pause before the next attempt to connect.
 const CONNECT_RETRY: Duration = Duration::from_millis(3);
@@ -78,6 +79,25 @@
         written.map_err(|error| if is_passing(&error) { ErrorKind::WouldBlock.into() } else { error })
     }
 
+    /// Writes a short message to a socket that has room for it, without waiting.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not take all of it at once, or the connection is broken.
+    pub fn write_at_once(&self, message: &[u8]) -> io::Result<()> {
+        let mut written = 0;
+        let mut failures = 0;
+        while written < message.len() {
+            match self.try_write(&message[written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(bytes) => written += bytes,
+                Err(error) if error.kind() == ErrorKind::WouldBlock && failures < MAX_LOOKS => failures += 1,
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
     /// What the system has received and nobody has read, whether or not the runtime knows of it.
     pub fn unread(&self) -> Unread {
         let mut byte = [MaybeUninit::uninit()];
