Failing test: a connection is not looked at again after a wait before its first byte

Found by reading for the incident's class (a check before a wait): a reused connection is checked when it is taken from the pool; before the first byte the attempt may wait until its client's bytes are read, and the endpoint may close meanwhile. The request would end as a reset, which may have run.

--- a/src/bin/quota-gateway/upstream/connection.rs
+++ b/src/bin/quota-gateway/upstream/connection.rs
@@ -9,6 +9,9 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// The number of open connections, over all endpoints.
 #[derive(Clone, Default)]
 pub struct OpenConnections {
--- /dev/null
+++ b/src/bin/quota-gateway/upstream/connection/tests.rs
@@ -0,0 +1,47 @@
+//! What happens to a connection between its choice and the first byte.
+
+use super::{Connection, OpenConnections, OutgoingRequest, Written};
+use crate::socket::{Socket, Unread};
+use crate::upstream::Settled;
+use quota_gateway::Outcome;
+use std::cell::RefCell;
+use std::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// A request whose endpoint closes the connection while something is waited for.
+struct CrossedRequest {
+    endpoint: RefCell<Option<std::net::TcpStream>>,
+    connection: Socket,
+}
+
+impl OutgoingRequest for CrossedRequest {
+    fn settle(&self) -> Option<Settled<'_>> {
+        Some(Box::pin(async {
+            drop(self.endpoint.take());
+            while self.connection.unread() != Unread::End {
+                tokio::task::yield_now().await;
+            }
+        }))
+    }
+
+    fn refusal(&self) -> Option<Outcome> {
+        None
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        b"POST / HTTP/1.1\r\n\r\n".to_vec()
+    }
+}
+
+/// Written there, the request would end as a reset and might have run: a request that must not run twice would fail.
+#[tokio::test]
+async fn nothing_is_written_on_a_connection_that_was_closed_while_something_was_waited_for() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (endpoint, _) = listener.accept().unwrap();
+    let socket = Socket::new(stream);
+    let connection = Connection::new(socket.clone(), OpenConnections::default().acquire());
+    let request = CrossedRequest { endpoint: RefCell::new(Some(endpoint)), connection: socket };
+    let written = connection.write(&request).await;
+    assert!(!matches!(written, Ok(Written::Complete)), "written on a closed connection");
+}
