A connection is looked at again after a wait before its first byte

Cause: see the failing test before; a new connection is tried then, as nothing was written. Eviction, after its own wait, looks at what is owed and not only at open requests: a response that is made and not written was cut.

--- a/src/bin/quota-gateway/server/connection.rs
+++ b/src/bin/quota-gateway/server/connection.rs
@@ -95,7 +95,7 @@
             if ended {
                 return;
             }
-            if !client.has_open_request() {
+            if !client.is_owed_response() {
                 return self.record_end(ConnectionEnd::Evicted);
             }
         }
--- a/src/bin/quota-gateway/upstream/connection.rs
+++ b/src/bin/quota-gateway/upstream/connection.rs
@@ -83,6 +83,10 @@
             if written == 0 {
                 if let Some(settled) = request.settle() {
                     settled.await;
+                    // The endpoint may have closed the connection meanwhile.
+                    if !self.is_usable() {
+                        return Err(ErrorKind::ConnectionReset.into());
+                    }
                 }
                 if let Some(outcome) = request.refusal() {
                     return Ok(Written::Refused(outcome));
