One list of the errors that pass, one count of broken rules

Behaviour as before but for one call: the poll for a client's end takes the same list as the transfers.

--- a/src/bin/quota-gateway/config/error.rs
+++ b/src/bin/quota-gateway/config/error.rs
@@ -1,6 +1,6 @@
 //! What can be wrong with a configuration.
 
-use crate::patience::may_pass;
+use crate::transient_errors::may_pass;
 use std::io;
 use thiserror::Error;
 
--- a/src/bin/quota-gateway/config/mod.rs
+++ b/src/bin/quota-gateway/config/mod.rs
@@ -11,7 +11,7 @@
 pub use error::ConfigError;
 
 use crate::discovery::list::EndpointList;
-use crate::patience::retry;
+use crate::retry::retry;
 use error::FieldProblem;
 use file::WireConfig;
 use quota_gateway::Settings;
--- a/src/bin/quota-gateway/driver/guard.rs
+++ b/src/bin/quota-gateway/driver/guard.rs
@@ -59,7 +59,6 @@
     metrics: Rc<Metrics>,
     drain_grace: Duration,
     slow_start: RefCell<SlowStartCheck>,
-    violations: Cell<u64>,
 }
 
 impl Guard {
@@ -69,7 +68,6 @@
             metrics,
             drain_grace: duration(rules.drain_grace_ms),
             slow_start: RefCell::new(SlowStartCheck::new(rules)),
-            violations: Cell::new(0),
         }
     }
 
@@ -90,14 +88,13 @@
 
     /// Counts and logs a broken rule.
     pub fn report(&self, rule: Rule, what: &str) {
-        self.violations.set(self.violations.get() + 1);
         self.metrics.violations.increment(rule);
         tracing::error!("rule broken: {rule}: {what}");
     }
 
     /// How many rules were broken.
     pub fn violations(&self) -> u64 {
-        self.violations.get()
+        self.metrics.violations.total()
     }
 }
 
--- a/src/bin/quota-gateway/metrics/family.rs
+++ b/src/bin/quota-gateway/metrics/family.rs
@@ -33,6 +33,11 @@
         CounterFamily { counters, label: PhantomData }
     }
 
+    /// The sum over all values.
+    pub fn total(&self) -> u64 {
+        self.counters.iter().map(IntCounter::get).sum()
+    }
+
     /// Counts one more.
     pub fn increment(&self, value: L) {
         self.counters[value.index()].inc();
--- a/src/bin/quota-gateway/patience.rs
+++ b/src/bin/quota-gateway/retry.rs
@@ -1,9 +1,9 @@
 //! What the system can't do for a moment is tried again for a while: opening sockets and files, at the start and at a
 //! reload.
 
-use nix::libc;
+use crate::transient_errors::may_pass;
 use std::future::Future;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::thread;
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
@@ -12,28 +12,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// How long the parts of the runtime are tried for.
 const RUNTIME_PATIENCE: Duration = Duration::from_secs(5);
-/// Errors that lie on this machine and may pass.
-const PASSING_ERRORS: [i32; 8] = [
-    libc::EADDRNOTAVAIL,
-    libc::EAGAIN,
-    libc::EINTR,
-    libc::EIO,
-    libc::EMFILE,
-    libc::ENFILE,
-    libc::ENOBUFS,
-    libc::ENOMEM,
-];
-
-/// Whether an error of opening something lies on this machine and may pass.
-pub fn may_pass(error: &io::Error) -> bool {
-    error.raw_os_error().is_some_and(|code| PASSING_ERRORS.contains(&code))
-}
-
-/// Whether an error of taking an address may pass: the former process may not have ended.
-pub fn may_pass_for_address(error: &io::Error) -> bool {
-    error.kind() == ErrorKind::AddrInUse || may_pass(error)
-}
-
 /// Tries until it works, fails for a reason that does not pass, or the time is over.
 ///
 /// # Errors
--- a/src/bin/quota-gateway/server/accept.rs
+++ b/src/bin/quota-gateway/server/accept.rs
@@ -6,7 +6,7 @@
 use crate::metrics::ConnectionEnd;
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::socket::{Socket, Unread};
-use nix::libc::{EMFILE, ENFILE, ENOBUFS, ENOMEM};
+use crate::transient_errors::lacks_resources;
 use std::future::poll_fn;
 use std::io;
 use std::rc::Rc;
@@ -63,8 +63,7 @@
 /// Leaves time for a lack of resources to pass. Most other errors concern the one connection that they took out of
 /// the queue, and the next one may be accepted at once.
 async fn pause_after_error(error: &io::Error, errors_in_a_row: u32) {
-    let lacks_resources = matches!(error.raw_os_error(), Some(EMFILE | ENFILE | ENOBUFS | ENOMEM));
-    if lacks_resources || errors_in_a_row >= MAX_ERRORS_WITHOUT_PAUSE {
+    if lacks_resources(error) || errors_in_a_row >= MAX_ERRORS_WITHOUT_PAUSE {
         sleep(ACCEPT_RETRY).await;
     } else {
         yield_now().await;
--- a/src/bin/quota-gateway/socket.rs
+++ b/src/bin/quota-gateway/socket.rs
@@ -4,8 +4,7 @@
 //! The runtime's own stream takes a short read for an empty socket and a short write for a full one, and waits for the
 //! system to report the next change. After a call that was cut short for another reason there may be none.
 
-use crate::patience::may_pass;
-use nix::errno::Errno;
+use crate::transient_errors::{may_pass, may_pass_for_transfer};
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice};
@@ -76,7 +75,8 @@
     /// `WouldBlock` if it takes nothing now; else the connection is broken.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         let written = self.stream.try_write(bytes);
-        written.map_err(|error| if is_passing(&error) { ErrorKind::WouldBlock.into() } else { error })
+        written
+            .map_err(|error| if may_pass_for_transfer(&error) { ErrorKind::WouldBlock.into() } else { error })
     }
 
     /// Writes a short message to a socket that has room for it, without waiting.
@@ -106,7 +106,7 @@
                 Ok(0) => return Unread::End,
                 Ok(_) => return Unread::Bytes,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Unread::Nothing,
-                Err(error) if is_passing(&error) => {}
+                Err(error) if may_pass_for_transfer(&error) => {}
                 Err(_) => return Unread::End,
             }
         }
@@ -128,7 +128,7 @@
         for _ in 0..MAX_LOOKS {
             match poll(&mut sockets, PollTimeout::ZERO) {
                 Ok(found) => return found > 0,
-                Err(Errno::EINTR | Errno::EAGAIN | Errno::ENOMEM) => {}
+                Err(error) if may_pass_for_transfer(&error.into()) => {}
                 Err(_) => return false,
             }
         }
@@ -171,18 +171,12 @@
     End,
 }
 
-/// True if a call on an open socket is to be made again: the system can't carry it out at this moment.
-fn is_passing(error: &io::Error) -> bool {
-    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
-        || matches!(error.raw_os_error(), Some(nix::libc::ENOBUFS | nix::libc::ENOMEM))
-}
-
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read_buf(buf) {
-                Err(error) if is_passing(&error) => {}
+                Err(error) if may_pass_for_transfer(&error) => {}
                 result => return Poll::Ready(result.map(drop)),
             }
         }
@@ -194,7 +188,7 @@
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
             match self.stream.try_write(buf) {
-                Err(error) if is_passing(&error) => {}
+                Err(error) if may_pass_for_transfer(&error) => {}
                 result => return Poll::Ready(result),
             }
         }
@@ -208,7 +202,7 @@
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
             match self.stream.try_write_vectored(bufs) {
-                Err(error) if is_passing(&error) => {}
+                Err(error) if may_pass_for_transfer(&error) => {}
                 result => return Poll::Ready(result),
             }
         }
