--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -13,6 +13,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
+#[cfg(test)]
+mod tests;
+
 /// Mean pause of a client between two requests.
 const PAUSE_MS: std::ops::Range<u64> = 5..200;
 /// A connection comes up within this time or not at all.
@@ -74,7 +77,7 @@
 }
 
 /// How a connection ended without an answer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Close {
     /// It broke, or its end crossed the request: the gateway has not read that, and it may be sent again.
     Unread,
--- a/soak/src/conditions.rs
+++ b/soak/src/conditions.rs
@@ -5,6 +5,9 @@
 use std::fmt::{Display, Formatter};
 use std::time::Duration;
 
+#[cfg(test)]
+mod tests;
+
 /// Bounds of the longest deadline of a run, in seconds.
 const LONGEST_DEADLINE_S: std::ops::Range<f64> = 0.1..5.0;
 /// No deadline is shorter.
