The early end of the shutdown waits for the listener's queue again

The acceptor ends first now, then the last connection or the quiet; at most until requests are refused.

--- a/src/bin/quota-gateway/shutdown.rs
+++ b/src/bin/quota-gateway/shutdown.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tokio::task::{yield_now, JoinHandle};
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 /// Interval at which open requests are checked for.
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
@@ -63,15 +63,17 @@
         tracing::info!("shutdown: {phase:?}, {connections} connections, {busy} busy");
     }
 
-    /// Waits until the last connection has ended, until no request is open and it has been quiet for long enough, or
-    /// until requests have to be refused.
+    /// Waits until those that had connected are accepted, and then until the last connection has ended or no request is
+    /// open and it has been quiet for long enough; at most until requests have to be refused.
     async fn wait_for_open_requests(&mut self, timeline: &Timeline) {
-        let server = self.server.clone();
-        tokio::select! {
-            () = sleep_until(timeline.refusing_at) => {}
-            () = self.all_connections_ended() => {}
-            () = until_idle(&server, timeline.quiet_from) => {}
-        }
+        let settled = async {
+            self.acceptor.ended().await;
+            tokio::select! {
+                () = self.client_slots.all_free() => {}
+                () = until_idle(&self.server, timeline.quiet_from) => {}
+            }
+        };
+        let _ = timeout_at(timeline.refusing_at, settled).await;
     }
 
     /// Waits until all connections have ended, for as long as there is time.
