Soak: both kinds of clients wait for an answer by one function

The wait for an answer, its hand-over to the judge and the slack stood in clients.rs twice and in shutdown_clients.rs once more; outcome.rs (close.rs before) holds them.

--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -1,8 +1,8 @@
 //! The load: clients that behave, and some that leave early, send slowly or send ahead.
 
-use crate::close::Close;
 use crate::gateway::FRONT_DELAY;
 use crate::http::{Connection, Message};
+use crate::outcome::{receive, Close, End};
 use crate::request::{Request, RequestSource};
 use crate::world::World;
 use rand::seq::IndexedRandom;
@@ -11,14 +11,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Mean pause of a client between two requests.
 const PAUSE_MS: std::ops::Range<u64> = 5..200;
 /// A connection comes up within this time or not at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// An answer may come this long after the client's time, and earns nothing then.
-const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// Largest amount that a client sends ahead before it leaves.
 const MAX_SENT_AHEAD: usize = 4 << 20;
 
@@ -46,14 +44,6 @@
     SendsAhead,
 }
 
-/// What became of a request.
-enum End {
-    Answered(Message),
-    /// The connection ended without an answer.
-    Closed(Close),
-    TimedOut,
-}
-
 /// One client.
 pub struct Client {
     world: Rc<World>,
@@ -122,16 +112,8 @@
             let Some(mut open) = self.connect().await else { return };
             // Where it fails, an answer may have come before.
             let _ = self.send(&mut open, request, slowly).await;
-            let end = self.receive(&mut open, Instant::now() + request.remaining + ANSWER_SLACK).await;
-            match end {
-                End::Answered(answer) => {
-                    self.world.judge.borrow_mut().answered(
-                        request.transaction,
-                        answer.status(),
-                        &answer.body,
-                    );
-                    return self.keep(open, &answer);
-                }
+            match receive(&self.world, &mut open.connection, request).await {
+                End::Answered(answer) => return self.keep(open, &answer),
                 End::TimedOut => return self.judge_timed_out(&open, request),
                 End::Closed(Close::Unread) if open.is_reused && !self.was_forwarded(request) => {
                     self.world.judge.borrow_mut().count("requests that crossed a close");
@@ -161,15 +143,6 @@
         open.connection.send(rest).await.is_ok()
     }
 
-    async fn receive(&self, open: &mut Open, deadline: Instant) -> End {
-        let sent_at = Instant::now();
-        match timeout_at(deadline, open.connection.receive()).await {
-            Ok(Ok(Some(answer))) => End::Answered(answer),
-            Ok(result) => End::Closed(Close::seen(&result, sent_at.elapsed(), self.world.lag.allowance())),
-            Err(_) => End::TimedOut,
-        }
-    }
-
     fn keep(&mut self, mut open: Open, answer: &Message) {
         if !answer.closes() && self.rng.random_range(0..10) > 0 {
             open.is_reused = true;
@@ -254,19 +227,10 @@
             }
         }
         for request in [first, &second] {
-            let deadline = Instant::now() + request.remaining + ANSWER_SLACK;
-            match self.receive(&mut open, deadline).await {
-                End::Answered(answer) => {
-                    self.world.judge.borrow_mut().answered(
-                        request.transaction,
-                        answer.status(),
-                        &answer.body,
-                    );
-                    // Behind this nothing more is answered.
-                    if answer.closes() {
-                        return;
-                    }
-                }
+            match receive(&self.world, &mut open.connection, request).await {
+                // Behind this nothing more is answered.
+                End::Answered(answer) if answer.closes() => return,
+                End::Answered(_) => {}
                 End::TimedOut => return self.judge_timed_out(&open, request),
                 // Whoever sends ahead bears that the connection ends behind an answer.
                 End::Closed(close) if self.was_forwarded(request) => {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,14 +8,13 @@
 //! - `conditions`: what a run is made under, drawn from the seed
 //! - `clients`, `misbehaving_clients`, `crowd`: the load, clients that misbehave, and idle ones that fill the gateways'
 //!   descriptors
-//! - `request`, `close`: requests as clients send them, and what the end of a connection tells of one without an answer
+//! - `request`, `outcome`: requests as clients send them, and what becomes of them
 //! - `shutdown_clients`: clients that send until a gateway that ends is killed
 //! - `gateway`: the processes, their signals and logs
 //! - `shutdown_plan`: what happens to a process while it ends
 //! - `faults`: what goes wrong when, drawn from the seed
 
 mod clients;
-mod close;
 pub mod conditions;
 mod counter;
 mod crowd;
@@ -30,6 +29,7 @@
 mod lag;
 mod loopback;
 mod misbehaving_clients;
+mod outcome;
 mod process_state;
 mod request;
 mod shutdown_clients;
--- a/soak/src/close.rs
+++ b/soak/src/outcome.rs
@@ -1,12 +1,17 @@
-//! What the end of a connection tells of a request that has no answer.
+//! What becomes of a request that was sent: its answer, or what the end of its connection tells.
 
-use crate::http::Message;
+use crate::http::{Connection, Message};
+use crate::request::Request;
+use crate::world::World;
 use std::io;
 use std::time::Duration;
+use tokio::time::{timeout, Instant};
 
 #[cfg(test)]
 mod tests;
 
+/// An answer may come this long after the client's time, and earns nothing then.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// A request and the end of its connection may cross for so long.
 const CROSSING_TIME: Duration = Duration::from_millis(10);
 
@@ -36,3 +41,26 @@
         self == Close::Unread && !was_forwarded
     }
 }
+
+/// What became of a request.
+pub enum End {
+    /// Its answer came whole.
+    Answered(Message),
+    /// The connection ended without an answer.
+    Closed(Close),
+    /// Nothing came in time.
+    TimedOut,
+}
+
+/// Waits for the answer to a request that was sent just now, and hands it to the judge.
+pub async fn receive(world: &World, connection: &mut Connection, request: &Request) -> End {
+    let sent_at = Instant::now();
+    match timeout(request.remaining + ANSWER_SLACK, connection.receive()).await {
+        Ok(Ok(Some(answer))) => {
+            world.judge.borrow_mut().answered(request.transaction, answer.status(), &answer.body);
+            End::Answered(answer)
+        }
+        Ok(result) => End::Closed(Close::seen(&result, sent_at.elapsed(), world.lag.allowance())),
+        Err(_) => End::TimedOut,
+    }
+}
--- a/soak/src/shutdown_clients.rs
+++ b/soak/src/shutdown_clients.rs
@@ -1,9 +1,9 @@
 //! Clients of a gateway that is about to end. They connect before or shortly after SIGTERM, rest, and send a request at
 //! any moment up to SIGKILL, on a connection that they have not used yet or have used once.
 
-use crate::close::Close;
 use crate::gateway::FRONT_DELAY;
 use crate::http::Connection;
+use crate::outcome::{receive, Close, End};
 use crate::request::{Request, RequestSource};
 use crate::world::World;
 use rand::Rng;
@@ -13,14 +13,12 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// The first of these clients connect so long before SIGTERM.
 pub const LEAD: Duration = Duration::from_millis(500);
 /// Clients of one gateway.
 const CLIENTS: u64 = 40;
-/// An answer may come this long after the client's time.
-const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// Pause between the two pieces of a request.
 const PIECE_PAUSE_MS: std::ops::Range<u64> = 1..400;
 /// A connection comes up within this time or not at all.
@@ -134,20 +132,10 @@
 
     /// Waits for an answer; false if nothing more is answered behind it.
     async fn receive(&self, connection: &mut Connection, request: &Request) -> bool {
-        let sent_at = Instant::now();
-        let deadline = sent_at + request.remaining + ANSWER_SLACK;
-        let result = timeout_at(deadline, connection.receive()).await;
-        if let Ok(Ok(Some(answer))) = result {
-            let mut judge = self.world.judge.borrow_mut();
-            judge.answered(request.transaction, answer.status(), &answer.body);
-            return !answer.closes();
-        }
-        match result {
-            Ok(result) => {
-                let close = Close::seen(&result, sent_at.elapsed(), self.world.lag.allowance());
-                self.judge_unanswered(request, close);
-            }
-            Err(_) => self.world.judge.borrow_mut().lost(request.transaction, "no answer in time"),
+        match receive(&self.world, connection, request).await {
+            End::Answered(answer) => return !answer.closes(),
+            End::Closed(close) => self.judge_unanswered(request, close),
+            End::TimedOut => self.world.judge.borrow_mut().lost(request.transaction, "no answer in time"),
         }
         false
     }
