--- a/review/stand-ins/memory.rs
+++ b/review/stand-ins/memory.rs
@@ -13,17 +13,20 @@
 /// The limits that the configuration states: the largest that a scored day has.
 const MEMORY_MB: u32 = 192;
 const SOCKETS: u32 = 1024;
-/// Clients with a request each: under a third of the descriptors.
-const CLIENTS: usize = 150;
+/// Clients with a long request each. With the disruption they write it slowly.
+const CLIENTS: usize = 60;
+/// Clients that send short requests all the while, each one after the answer to the one before and a pause.
+const STEADY_CLIENTS: usize = 4;
+const STEADY_PAUSE: Duration = Duration::from_millis(20);
 /// Length of a body. A body may hold 64 KiB.
 const BODY_BYTES: usize = 64 * 1024;
 /// With the disruption, a body is written in pieces of this length, with this time between two of them.
-const PIECE_BYTES: usize = 150;
-const PIECE_INTERVAL: Duration = Duration::from_micros(4500);
+const PIECE_BYTES: usize = 64;
+const PIECE_INTERVAL: Duration = Duration::from_micros(1900);
 /// Time from one client's start to the next one's.
 const STAGGER: Duration = Duration::from_millis(1);
 /// The same without the disruption, where requests are short.
-const STAGGER_WITHOUT: Duration = Duration::from_millis(14);
+const STAGGER_WITHOUT: Duration = Duration::from_millis(33);
 /// Time of the work on one request.
 const WORK: Duration = Duration::from_millis(70);
 const ROOMS: [&str; 3] = ["room-a", "room-b", "room-c"];
@@ -89,6 +92,14 @@
         })
         .collect();
 
+    let steady: Vec<_> = (0..STEADY_CLIENTS)
+        .map(|number| {
+            let addr = gateway.addr;
+            let (record, stop) = (record.clone(), stop.clone());
+            thread::spawn(move || send_steadily(&record, addr, number, &stop))
+        })
+        .collect();
+
     // The platform watches the memory until the last client has its answer.
     let mut over = false;
     let mut peak = 0;
@@ -122,9 +133,16 @@
         .iter()
         .filter(|outcome| outcome.starts_with("HTTP"))
         .count();
+    let mut short = (0, 0);
+    for client in steady {
+        let (sent, answered) = client.join().expect("clients do not panic");
+        short = (short.0 + sent, short.1 + answered);
+    }
     drop(gateway);
     record.say(format!(
-        "{CLIENTS} clients, {answered} answered; peak memory {} KiB, limit {} KiB",
+        "{CLIENTS} long requests, {answered} answered; {} short ones, {} answered; peak memory {} KiB, limit {} KiB",
+        short.0,
+        short.1,
         peak >> 10,
         limit >> 10
     ));
@@ -183,3 +201,40 @@
     ));
     answer
 }
+
+/// Sends short requests until told to stop or until one gets no answer. Returns the numbers of requests and answers.
+fn send_steadily(
+    record: &Record,
+    addr: std::net::SocketAddr,
+    number: usize,
+    stop: &AtomicBool,
+) -> (usize, usize) {
+    let Ok(stream) = std::net::TcpStream::connect(addr) else {
+        return (0, 0);
+    };
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(4)));
+    let mut reader = BufReader::new(stream.try_clone().expect("the stream can be cloned"));
+    let mut sent = 0;
+    while !stop.load(Ordering::SeqCst) {
+        let (id, message) = Request {
+            class: "price-calc",
+            method: "GET",
+            customer: 5000 + (number * 1000 + sent) as u64,
+            remaining_ms: 2500,
+            headers: "",
+            body: &[],
+        }
+        .encode();
+        if (&stream).write_all(&message).is_err() {
+            break;
+        }
+        sent += 1;
+        if read_message(&mut reader).is_none() {
+            record.line(format!("short request {id}: no answer"));
+            return (sent, sent - 1);
+        }
+        thread::sleep(STEADY_PAUSE);
+    }
+    (sent, sent)
+}
