--- /dev/null
+++ b/src/bin/quota-gateway/http/body_buffer/tests.rs
@@ -0,0 +1,35 @@
+use super::*;
+
+#[test]
+fn a_body_is_returned_as_its_pieces_were_pushed() {
+    let mut buffer = BodyBuffer::new(10);
+    for piece in ["a", "", "bcd", "efghij"] {
+        buffer.push(piece.as_bytes()).unwrap();
+    }
+    assert_eq!(buffer.into_bytes(), "abcdefghij");
+    assert_eq!(BodyBuffer::new(10).into_bytes(), "");
+}
+
+#[test]
+fn a_body_longer_than_the_maximum_is_refused() {
+    let mut buffer = BodyBuffer::new(3);
+    buffer.push(b"abc").unwrap();
+    assert_eq!(buffer.push(b"d"), Err(BodyTooLong { max_bytes: 3 }));
+}
+
+/// Guards against a buffer that allocates much more than a peer has sent: the clients of a gateway can hold hundreds
+/// of incomplete bodies at once.
+#[test]
+fn the_allocation_follows_the_bytes_received() {
+    const MAX_BYTES: usize = 1000;
+    let mut buffer = BodyBuffer::new(MAX_BYTES);
+    for received in 1..=MAX_BYTES {
+        buffer.push(b"x").unwrap();
+        let limit = (2 * received).min(MAX_BYTES);
+        assert!(
+            buffer.bytes.capacity() <= limit,
+            "{} bytes are allocated for {received} received",
+            buffer.bytes.capacity()
+        );
+    }
+}
--- a/src/bin/quota-gateway/http/mod.rs
+++ b/src/bin/quota-gateway/http/mod.rs
@@ -3,11 +3,13 @@
 //!
 //! - `head`: parses the status line and the headers with httparse
 //! - `body`: decodes bodies that are framed by length, by chunks or by the end of the connection
+//! - `body_buffer`: collects bodies from the pieces in which they arrive, those of requests as well
 //! - `reader`: reads responses from a connection
 //! - `header_names`: the names of the protocol's request headers
 //! - `error`: the errors of a malformed response
 
 mod body;
+mod body_buffer;
 mod error;
 mod head;
 pub mod header_names;
@@ -15,6 +17,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use body_buffer::BodyBuffer;
 pub use head::Head;
 pub use reader::Reader;
 
--- a/src/bin/quota-gateway/server/body.rs
+++ b/src/bin/quota-gateway/server/body.rs
@@ -2,14 +2,17 @@
 
 use super::request::{ClassRoute, RequestError};
 use super::Server;
-use crate::http::MAX_BODY_BYTES;
+use crate::http::{BodyBuffer, MAX_BODY_BYTES};
 use crate::lifecycle::Phase;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::Method;
 use tokio::time::{timeout_at, Instant};
 
+#[cfg(test)]
+mod tests;
+
 /// Checks a body before it is read, by its announced length and by the method of the class.
 pub fn check_body(class: &ClassRoute, body: &Incoming) -> Result<(), RequestError> {
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
@@ -42,10 +45,24 @@
 
 /// Reads a body, which must be complete by the deadline.
 async fn read_body(body: Incoming, deadline: Instant) -> Result<Bytes, RequestError> {
-    match timeout_at(deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(RequestError::BodyTooLarge),
-        Ok(Err(_)) => Err(RequestError::IncompleteBody),
-        Err(_) => Err(RequestError::BodyTimeout),
+    timeout_at(deadline, collect(body))
+        .await
+        .unwrap_or(Err(RequestError::BodyTimeout))
+}
+
+/// Collects a body from the pieces in which it arrives. Trailers are discarded.
+async fn collect<B>(mut body: B) -> Result<Bytes, RequestError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut buffer = BodyBuffer::new(MAX_BODY_BYTES);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| RequestError::IncompleteBody)?;
+        if let Ok(piece) = frame.into_data() {
+            buffer
+                .push(&piece)
+                .map_err(|_| RequestError::BodyTooLarge)?;
+        }
     }
+    Ok(buffer.into_bytes())
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod counter;
 mod discovery;
 mod log_output;
+mod memory;
 mod peers;
 mod races;
 mod service;
--- /dev/null
+++ b/tests/gateway/memory.rs
@@ -0,0 +1,85 @@
+//! Memory: what clients and endpoints send must not take the process over the memory limit of its machine.
+
+use crate::stand_ins::*;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::Duration;
+
+/// The lowest memory limit of a machine that the operators name, in MB.
+const MEMORY_LIMIT_MB: u64 = 32;
+/// Maximum length of a body in the protocol.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// The largest resident memory of the gateway so far, in bytes.
+fn peak_memory(gateway: &Gateway) -> u64 {
+    let path = format!("/proc/{}/status", gateway.child.id());
+    let status = std::fs::read_to_string(path).unwrap();
+    let peak = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))
+        .expect("the system reports the peak memory of a running process");
+    let kib: u64 = peak.trim().trim_end_matches("kB").trim().parse().unwrap();
+    kib * 1024
+}
+
+fn assert_within_memory_limit(gateway: &Gateway) {
+    let peak = peak_memory(gateway);
+    assert!(
+        peak <= MEMORY_LIMIT_MB << 20,
+        "the peak memory is {peak} bytes, the limit {MEMORY_LIMIT_MB} MB"
+    );
+}
+
+fn config_with_memory_limit() -> serde_json::Value {
+    let (endpoint, _) = healthy_endpoint();
+    let mut config = config_with_silent_discovery(&[endpoint]);
+    config["limits"]["memory_mb"] = MEMORY_LIMIT_MB.into();
+    config["limits"]["sockets"] = 1024.into();
+    // The quota of a customer must not decide about the requests.
+    config["settings"]["tiers-of-service"][0]["refill"] = 1000.0.into();
+    config["settings"]["tiers-of-service"][0]["store-size"] = 1000.0.into();
+    config
+}
+
+/// A request of the class `once` with the longest body, and with its own transaction id.
+fn longest_request(number: usize) -> String {
+    let transaction_id = format!("X-Txn: {number:016x}");
+    post_request("once", "", &"b".repeat(MAX_BODY_BYTES))
+        .replace("X-Txn: 9b1f03aa5c7e2d41", &transaction_id)
+}
+
+/// Clients write long bodies slowly, in many short pieces. If each piece kept the read buffer in which it arrived, a
+/// body of 64 KiB would take 4 MiB, and the platform would kill the process. The memory must follow the number of bytes.
+#[test]
+fn bodies_in_short_pieces_stay_within_the_memory_limit() {
+    const CLIENTS: usize = 30;
+    const PIECE_BYTES: usize = 64;
+    let gateway = Gateway::new(&config_with_memory_limit());
+    let requests: Vec<_> = (0..CLIENTS).map(longest_request).collect();
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| gateway.connect()).collect();
+    for client in &clients {
+        client.get_ref().set_nodelay(true).unwrap();
+    }
+    let mut pieces: Vec<_> = requests
+        .iter()
+        .map(|request| request.as_bytes().chunks(PIECE_BYTES))
+        .collect();
+    for _ in 0..requests[0].len().div_ceil(PIECE_BYTES) {
+        for (client, pieces) in clients.iter_mut().zip(&mut pieces) {
+            client
+                .get_mut()
+                .write_all(pieces.next().unwrap_or_default())
+                .unwrap();
+        }
+        // Gives the gateway time to read the pieces one by one.
+        sleep(Duration::from_millis(1));
+    }
+    let statuses: Vec<_> = clients.iter_mut().map(status_of).collect();
+    assert_eq!(statuses, [Some(200); CLIENTS]);
+    assert_within_memory_limit(&gateway);
+}
+
+fn status_of(client: &mut BufReader<TcpStream>) -> Option<u16> {
+    read_message(client).map(|response| response.status())
+}
