--- a/src/policy/candidate.rs
+++ b/src/policy/candidate.rs
@@ -1,6 +1,7 @@
 //! The order of candidates: the comparison of the endpoints that may be sent an attempt.
 
-use crate::api::{Endpoint, EndpointId, Idempotency, KeyScope, Millis};
+use crate::api::{EndpointId, Idempotency, KeyScope, Millis};
+use crate::state::Location;
 
 /// An endpoint that may be sent an attempt.
 #[derive(Clone, Copy)]
@@ -9,6 +10,7 @@
     /// Expected latency plus the price of a handshake if one is needed, in ms.
     pub(crate) cost_ms: Millis,
     pub(crate) endpoint: EndpointId,
+    pub(crate) location: Location,
 }
 
 /// Preference for an endpoint, regardless of its cost. The variants are in order of preference.
@@ -36,16 +38,16 @@
 pub(crate) enum DeduplicationScope {
     All,
     Zone { zone: u32 },
-    Cell { zone: u32, cell: u32 },
+    Cell(Location),
 }
 
 impl DeduplicationScope {
-    /// Returns the scope of a request that `first_possible_executor` may have executed.
+    /// Returns the scope of a request that an endpoint at `first_possible_execution` may have executed.
     pub(crate) fn new(
         idempotency: Idempotency,
-        first_possible_executor: Option<&Endpoint>,
+        first_possible_execution: Option<Location>,
     ) -> Self {
-        let Some(first) = first_possible_executor else {
+        let Some(first) = first_possible_execution else {
             return DeduplicationScope::All;
         };
         match idempotency {
@@ -56,10 +58,7 @@
             Idempotency::WithKey {
                 scope: KeyScope::Cell,
                 ..
-            } => DeduplicationScope::Cell {
-                zone: first.zone,
-                cell: first.cell,
-            },
+            } => DeduplicationScope::Cell(first),
             Idempotency::WithKey {
                 scope: KeyScope::All,
                 ..
@@ -69,13 +68,11 @@
         }
     }
 
-    pub(crate) fn contains(&self, endpoint: &Endpoint) -> bool {
+    pub(crate) fn contains(&self, location: Location) -> bool {
         match *self {
             DeduplicationScope::All => true,
-            DeduplicationScope::Zone { zone } => endpoint.zone == zone,
-            DeduplicationScope::Cell { zone, cell } => {
-                endpoint.zone == zone && endpoint.cell == cell
-            }
+            DeduplicationScope::Zone { zone } => location.zone == zone,
+            DeduplicationScope::Cell(cell) => location == cell,
         }
     }
 }
--- a/src/policy/endpoint_comparison.rs
+++ b/src/policy/endpoint_comparison.rs
@@ -1,9 +1,9 @@
 //! Comparison of endpoints for one attempt: the endpoints that may be sent the attempt, and the cost of each.
 
-use crate::api::{Endpoint, Millis};
+use crate::api::Millis;
 use crate::policy::candidate::{Candidate, DeduplicationScope, Preference};
 use crate::policy::ejection::in_panic_mode;
-use crate::state::{Context, OpenRequest, TrackedEndpoint};
+use crate::state::{Context, Location, OpenRequest, TrackedEndpoint};
 use fastrand::Rng;
 
 /// Largest random part of a cost, in baseline latencies. Without it, gateways that have equally little
@@ -24,19 +24,16 @@
 }
 
 impl<'a> EndpointComparison<'a> {
-    /// Creates the comparison for a request that `first_possible_executor` may have executed already.
-    /// `baseline_ms` is the latency of the request's class at an idle endpoint.
-    pub(super) fn new(
-        cx: &Context,
-        open_request: &'a OpenRequest,
-        first_possible_executor: Option<&Endpoint>,
-        baseline_ms: Millis,
-    ) -> Self {
+    /// Creates the comparison for the request's next attempt. `baseline_ms` is the latency of the request's class at an idle endpoint.
+    pub(super) fn new(cx: &Context, open_request: &'a OpenRequest, baseline_ms: Millis) -> Self {
         let class = cx.class(&open_request.request);
+        let first_possible_execution = open_request
+            .first_possible_execution
+            .map(|first| first.location);
         EndpointComparison {
             now: cx.now,
             open_request,
-            scope: DeduplicationScope::new(class.idempotency, first_possible_executor),
+            scope: DeduplicationScope::new(class.idempotency, first_possible_execution),
             baseline_ms,
             handshake_cost_ms: HANDSHAKE_FACTOR
                 * cx.settings.prices.handshake
@@ -54,7 +51,7 @@
         let mut best: Option<Candidate> = None;
         for endpoint in endpoints.filter(|endpoint| endpoint.is_ready()) {
             let is_warming = endpoint.warm_up.capacity_share(self.now).is_some();
-            let is_in_scope = self.scope.contains(&endpoint.entry);
+            let is_in_scope = self.scope.contains(Location::of(&endpoint.entry));
             if !is_in_scope || is_warming && !endpoint.warm_up.has_token() {
                 continue;
             }
@@ -94,6 +91,7 @@
             preference: self.preference(endpoint, ignore_ejections),
             cost_ms: latency_ms + handshake_ms,
             endpoint: endpoint.entry.id,
+            location: Location::of(&endpoint.entry),
         }
     }
 
--- a/src/policy/forwarding.rs
+++ b/src/policy/forwarding.rs
@@ -1,7 +1,8 @@
 //! Sends the attempts of requests to endpoints, and records what their outcomes show about the fleet.
 
-use crate::api::{Action, AttemptEnd, EndpointId, Millis, Outcome, Request, Settings};
+use crate::api::{Action, AttemptEnd, Millis, Outcome, Request, Settings};
 use crate::policy::attempt_timeout::{attempt_timeout, TimeoutInputs};
+use crate::policy::candidate::Candidate;
 use crate::policy::final_response::EndReason;
 use crate::policy::load_balancer::LoadBalancer;
 use crate::policy::load_estimate::LoadEstimate;
@@ -64,13 +65,13 @@
         // The endpoint is chosen before the decision. The choice draws random numbers also for an attempt
         // that is then denied, and a request without an endpoint ends with `NoEndpoint` even if its attempt
         // would be denied.
-        let endpoint = self.load_balancer.choose(cx, open_request);
-        let endpoint = endpoint.ok_or(EndReason::NoEndpoint)?;
+        let candidate = self.load_balancer.choose(cx, open_request);
+        let candidate = candidate.ok_or(EndReason::NoEndpoint)?;
         match retry::decide_attempt(&attempt_inputs(cx, customers, open_request)) {
             AttemptDecision::Denied(denial) => Err(EndReason::AttemptDenied(denial)),
             AttemptDecision::Allowed { start_timeout_ms } => {
                 customers.attempt_started(&open_request.request, open_request.attempts.is_empty());
-                self.start_attempt(cx, open_request, endpoint, start_timeout_ms);
+                self.start_attempt(cx, open_request, candidate, start_timeout_ms);
                 Ok(())
             }
         }
@@ -80,26 +81,27 @@
         &mut self,
         cx: &mut Context,
         open_request: &mut OpenRequest,
-        endpoint: EndpointId,
+        candidate: Candidate,
         start_timeout_ms: Millis,
     ) {
         let is_first = open_request.attempts.is_empty();
-        let endpoint_in_flight = self
-            .load_balancer
-            .attempt_started(cx.now, endpoint, is_first);
+        let endpoint_in_flight =
+            self.load_balancer
+                .attempt_started(cx.now, candidate.endpoint, is_first);
         self.load.attempt_started(cx.now);
         if is_first {
             self.retry_budget.deposit();
         }
         open_request.attempts.push(Attempt {
-            endpoint,
+            endpoint: candidate.endpoint,
+            location: candidate.location,
             started_at: cx.now,
             endpoint_in_flight,
             in_flight: true,
         });
         cx.actions.push(Action::SendAttempt {
             id: open_request.request.id,
-            endpoint,
+            endpoint: candidate.endpoint,
             timeout_ms: attempt_timeout(&timeout_inputs(cx, open_request)),
             start_timeout_ms,
         });
--- a/src/policy/load_balancer.rs
+++ b/src/policy/load_balancer.rs
@@ -120,13 +120,12 @@
         &mut self,
         cx: &mut Context,
         open_request: &OpenRequest,
-    ) -> Option<EndpointId> {
+    ) -> Option<Candidate> {
         let mut rng = cx.rng.fork();
         self.refill_warming_members(cx);
         let comparison = self.comparison_for(cx, open_request);
         self.preferred_member(cx, &comparison, &mut rng)
             .or_else(|| comparison.best(self.endpoints.all(), &mut rng))
-            .map(|candidate| candidate.endpoint)
     }
 
     /// Returns the best candidate of a sample of the subset if it is preferred, or else the best candidate of
@@ -156,12 +155,8 @@
         cx: &Context,
         open_request: &'a OpenRequest,
     ) -> EndpointComparison<'a> {
-        let first_possible_executor = open_request
-            .first_possible_execution
-            .and_then(|first| self.endpoints.get(first.endpoint))
-            .map(|tracked| &tracked.entry);
         let baseline_ms = self.baseline_latency(open_request.request.class as usize);
-        EndpointComparison::new(cx, open_request, first_possible_executor, baseline_ms)
+        EndpointComparison::new(cx, open_request, baseline_ms)
     }
 
     /// Refills, up to now, the tokens of the members that are warming up.
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -1,12 +1,14 @@
 //! Open requests: those without a final response, and those with attempts in flight.
 
 use crate::api::{AttemptEnd, EndpointId, Millis, Outcome, Request, RequestId, Settings};
-use crate::state::Account;
+use crate::state::{Account, Location};
 use std::collections::BTreeMap;
 
 /// One attempt of a request.
 pub(crate) struct Attempt {
     pub(crate) endpoint: EndpointId,
+    /// Location of the endpoint when the attempt was sent.
+    pub(crate) location: Location,
     pub(crate) started_at: Millis,
     /// Number of this gateway's attempts in flight at the endpoint when the attempt was sent, including the attempt.
     pub(crate) endpoint_in_flight: f64,
@@ -26,11 +28,11 @@
 }
 
 /// The first attempt of a request to end with an outcome after which it may have been executed. Retries that rely on an
-/// idempotency key must stay in the zone or cell of this attempt's endpoint, and within a window after its start.
+/// idempotency key must stay in the zone or cell to which this attempt was sent, and within a window after its start.
 #[derive(Clone, Copy)]
 pub(crate) struct PossibleExecution {
     pub(crate) started_at: Millis,
-    pub(crate) endpoint: EndpointId,
+    pub(crate) location: Location,
 }
 
 /// A request that has no final response yet or has attempts in flight.
@@ -138,7 +140,7 @@
         if !end.outcome.never_executed() && self.first_possible_execution.is_none() {
             let first = PossibleExecution {
                 started_at: attempt.started_at,
-                endpoint: attempt.endpoint,
+                location: attempt.location,
             };
             self.first_possible_execution = Some(first);
         }
--- a/src/state/request/tests.rs
+++ b/src/state/request/tests.rs
@@ -1,6 +1,9 @@
 use super::*;
 use crate::api::{Class, Plan};
 
+/// Location to which attempts are sent.
+const LOCATION: Location = Location { zone: 2, cell: 5 };
+
 fn request(id: RequestId) -> Request {
     Request {
         id,
@@ -35,6 +38,7 @@
     let mut open_request = new_open_request(request(1));
     open_request.attempts.push(Attempt {
         endpoint: 7,
+        location: LOCATION,
         started_at: 1000.0,
         endpoint_in_flight: 1.0,
         in_flight: true,
@@ -102,8 +106,8 @@
     assert_eq!(
         open_request
             .first_possible_execution
-            .map(|first| first.endpoint),
-        Some(7)
+            .map(|first| first.location),
+        Some(LOCATION)
     );
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -89,6 +89,102 @@
     }
 }
 
+/// An endpoint crashes under a request with an idempotency key, and is removed from the list while the retry is in
+/// flight. If the scope of the key were forgotten together with the record of the endpoint, the next retry would go to
+/// another zone or cell and execute the request again. It must stay in the scope of the first attempt, whatever happens
+/// to the record of the endpoint.
+#[test]
+fn a_retry_stays_in_the_scope_of_its_key_after_the_first_endpoint_is_forgotten() {
+    for scope in [KeyScope::Zone, KeyScope::Cell] {
+        for removal in [Removal::Forgotten, Removal::RelistedElsewhere] {
+            for seed in 1..=8 {
+                let attempts = locations_of_three_attempts(scope, removal, seed);
+                let first = attempts[0];
+                for later in &attempts[1..] {
+                    let is_in_scope = match scope {
+                        KeyScope::Cell => (later.zone, later.cell) == (first.zone, first.cell),
+                        _ => later.zone == first.zone,
+                    };
+                    assert!(
+                        is_in_scope,
+                        "{scope:?}, {removal:?}, seed {seed}: {attempts:?}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// What happens to the record of the first endpoint while the second attempt is in flight.
+#[derive(Clone, Copy, Debug)]
+enum Removal {
+    /// The endpoint is removed from the list, and its record is forgotten.
+    Forgotten,
+    /// An endpoint with the same id is listed in another zone and cell.
+    RelistedElsewhere,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Location {
+    zone: u32,
+    cell: u32,
+}
+
+/// Plays a request with a key whose first two attempts break after they may have been executed. The fleet has two
+/// endpoints in each of two cells of two zones. Returns where the attempts were sent.
+fn locations_of_three_attempts(scope: KeyScope, removal: Removal, seed: u64) -> Vec<Location> {
+    let mut settings = settings_without_quota();
+    settings.classes[1].idempotency = Idempotency::WithKey {
+        scope,
+        window_ms: 5000.0,
+    };
+    settings.classes[1].latency_objective_ms = 2000.0;
+    let location = |id: u32| Location {
+        zone: id / 4,
+        cell: id / 2 % 2,
+    };
+    let entry = |id: u32, state| Endpoint {
+        cell: location(id).cell,
+        ..endpoint_entry(id, location(id).zone, state)
+    };
+    let mut gateway = TestGateway::without_endpoints(settings, seed, 1000.0);
+    gateway.handle(Event::EndpointUpdate {
+        complete: true,
+        endpoints: (0..8).map(|id| entry(id, EndpointState::Ready)).collect(),
+    });
+    // The record of a removed endpoint is kept for 60 s after its last success.
+    gateway.now += 62_000.0;
+
+    let first = sent_to(&gateway.request(1, 1, 1.0)).expect("the request is sent");
+    let actions = gateway.attempt_ended(1, 0, first, Outcome::ConnectionReset, None);
+    let second = sent_to(&actions).expect("the request is retried");
+    let changed = match removal {
+        Removal::Forgotten => entry(first, EndpointState::Removed),
+        Removal::RelistedElsewhere => Endpoint {
+            zone: 1 - location(first).zone,
+            cell: 1 - location(first).cell,
+            ..entry(first, EndpointState::Ready)
+        },
+    };
+    gateway.handle(Event::EndpointUpdate {
+        complete: false,
+        endpoints: vec![changed.clone()],
+    });
+    gateway.now += 500.0;
+    gateway.handle(Event::TimerFired { token: 0 });
+    let actions = gateway.attempt_ended(1, 1, second, Outcome::ConnectionReset, None);
+    let third = sent_to(&actions).expect("the request is retried again");
+    let last = if third == first {
+        Location {
+            zone: changed.zone,
+            cell: changed.cell,
+        }
+    } else {
+        location(third)
+    };
+    vec![location(first), location(second), last]
+}
+
 /// Endpoints drain or are removed from the list. An attempt sent to such an endpoint is lost when the endpoint exits.
 /// Requests are forwarded to the other endpoints, and rejected if there is none.
 #[test]
