--- a/src/bin/quota-gateway/server/body.rs
+++ b/src/bin/quota-gateway/server/body.rs
@@ -1,68 +1,160 @@
-//! Checks and reads the bodies of requests.
+//! Reads the bodies of requests.
+//!
+//! A client may pipeline: it sends further requests before the response to the current one. They follow the body, and
+//! are lost if the connection is closed because the end of the body was not found. This module guards against that:
+//!
+//! - The time limit of a body applies to bytes that have not arrived. hyper passes on a body piece by piece, each once
+//!   the connection's task is polled again, so a timer may fire while the rest of the body waits in a buffer. What has
+//!   arrived is read first; only then has the time limit been exceeded.
+//! - The body of a request that is refused by its head is read and discarded, so that the next request is found.
 
 use super::request::{ClassRoute, RequestError};
-use super::Server;
 use crate::http::{BodyBuffer, MAX_BODY_BYTES};
-use crate::lifecycle::Phase;
+use crate::lifecycle::{Lifecycle, Phase};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::Method;
-use tokio::time::{timeout_at, Instant};
+use std::future::{poll_fn, Future};
+use std::pin::pin;
+use std::task::Poll;
+use tokio::task::yield_now;
+use tokio::time::{sleep_until, Instant};
 
 #[cfg(test)]
 mod tests;
 
-/// Checks a body before it is read, by its announced length and by the method of the class.
-pub fn check_body(class: &ClassRoute, body: &Incoming) -> Result<(), RequestError> {
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(RequestError::BodyTooLarge);
+/// The body of a request, while it arrives.
+pub struct RequestBody<'a, B = Incoming> {
+    body: B,
+    /// Time by which the body must have arrived.
+    deadline: Instant,
+    lifecycle: &'a Lifecycle,
+}
+
+/// A body that was read, unless the shutdown came first.
+pub enum ReceivedBody {
+    /// The complete body.
+    Complete(Bytes),
+    /// The shutdown refuses requests, and the body is incomplete.
+    Refused,
+}
+
+/// The next part of a body.
+enum Piece {
+    Data(Bytes),
+    End,
+    /// The shutdown refuses requests, and nothing more has arrived.
+    Refused,
+}
+
+impl<'a, B> RequestBody<'a, B>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    /// Wraps a body that must have arrived by the deadline.
+    pub fn new(body: B, deadline: Instant, lifecycle: &'a Lifecycle) -> Self {
+        RequestBody {
+            body,
+            deadline,
+            lifecycle,
+        }
     }
-    if class.method == Method::GET && !body.is_end_stream() {
-        return Err(RequestError::UnexpectedBody);
+
+    /// Checks the body before it is read, by its announced length and by the method of the class.
+    ///
+    /// # Errors
+    ///
+    /// The body is too long, or the class takes no body.
+    pub fn check(&self, class: &ClassRoute) -> Result<(), RequestError> {
+        if self.is_announced_too_large() {
+            return Err(RequestError::BodyTooLarge);
+        }
+        if class.method == Method::GET && !self.body.is_end_stream() {
+            return Err(RequestError::UnexpectedBody);
+        }
+        Ok(())
+    }
+
+    /// Reads the complete body.
+    ///
+    /// # Errors
+    ///
+    /// The body is too long, broke off, or did not arrive in time.
+    pub async fn read(&mut self) -> Result<ReceivedBody, RequestError> {
+        let mut buffer = BodyBuffer::new(MAX_BODY_BYTES);
+        loop {
+            match self.next_piece().await? {
+                Piece::Data(piece) => buffer
+                    .push(&piece)
+                    .map_err(|_| RequestError::BodyTooLarge)?,
+                Piece::End => return Ok(ReceivedBody::Complete(buffer.into_bytes())),
+                Piece::Refused => return Ok(ReceivedBody::Refused),
+            }
+        }
+    }
+
+    /// Reads and discards what is left of the body. Returns true if its end was reached, so that the next request can be
+    /// read. A body that is announced as too long is not read.
+    pub async fn discard(&mut self) -> bool {
+        if self.is_announced_too_large() {
+            return false;
+        }
+        loop {
+            match self.next_piece().await {
+                Ok(Piece::Data(_)) => {}
+                Ok(Piece::End) => return true,
+                Ok(Piece::Refused) | Err(_) => return false,
+            }
+        }
+    }
+
+    fn is_announced_too_large(&self) -> bool {
+        self.body.size_hint().lower() > MAX_BODY_BYTES as u64
     }
-    Ok(())
-}
 
-impl Server {
-    /// Reads the complete body. Returns `None` if the shutdown refuses requests before the body has arrived.
-    pub(super) async fn read_body_unless_refusing(
-        &self,
-        body: Incoming,
-        deadline: Instant,
-    ) -> Result<Option<Bytes>, RequestError> {
-        if body.size_hint().exact() == Some(0) {
-            return Ok(Some(Bytes::new()));
+    /// Waits for the next piece of the body, until the deadline or until the shutdown refuses requests.
+    async fn next_piece(&mut self) -> Result<Piece, RequestError> {
+        if self.body.is_end_stream() {
+            return Ok(Piece::End);
         }
         tokio::select! {
-            // The body is polled first, so that a request whose body has arrived is served rather than refused.
+            // The body is polled first, so that what has arrived is read.
             biased;
-            body = read_body(body, deadline) => body.map(Some),
-            () = self.lifecycle.wait_for_phase(Phase::Refusing) => Ok(None),
+            piece = read_piece(&mut self.body) => return piece,
+            () = sleep_until(self.deadline) => {}
+            () = self.lifecycle.wait_for_phase(Phase::Refusing) => {}
         }
+        // Yielding makes the runtime poll the sockets, and hyper pass on the next piece if one has arrived.
+        yield_now().await;
+        if let Some(piece) = poll_once(read_piece(&mut self.body)).await {
+            return piece;
+        }
+        if Instant::now() >= self.deadline {
+            return Err(RequestError::BodyTimeout);
+        }
+        Ok(Piece::Refused)
     }
 }
 
-/// Reads a body, which must be complete by the deadline.
-async fn read_body(body: Incoming, deadline: Instant) -> Result<Bytes, RequestError> {
-    timeout_at(deadline, collect(body))
-        .await
-        .unwrap_or(Err(RequestError::BodyTimeout))
-}
-
-/// Collects a body from the pieces in which it arrives. Trailers are discarded.
-async fn collect<B>(mut body: B) -> Result<Bytes, RequestError>
+/// Reads the next piece of a body. Trailers count as its end.
+async fn read_piece<B>(body: &mut B) -> Result<Piece, RequestError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let mut buffer = BodyBuffer::new(MAX_BODY_BYTES);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| RequestError::IncompleteBody)?;
-        if let Ok(piece) = frame.into_data() {
-            buffer
-                .push(&piece)
-                .map_err(|_| RequestError::BodyTooLarge)?;
-        }
+    match body.frame().await {
+        None => Ok(Piece::End),
+        Some(Ok(frame)) => Ok(frame.into_data().map_or(Piece::End, Piece::Data)),
+        Some(Err(_)) => Err(RequestError::IncompleteBody),
     }
-    Ok(buffer.into_bytes())
+}
+
+/// Polls a future once. Returns `None` if it is pending.
+async fn poll_once<F: Future>(future: F) -> Option<F::Output> {
+    let mut future = pin!(future);
+    poll_fn(|cx| match future.as_mut().poll(cx) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
 }
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -1,6 +1,6 @@
 //! Handles one request, from its complete head to its response.
 
-use super::body::check_body;
+use super::body::{ReceivedBody, RequestBody};
 use super::client::Client;
 use super::forward::forwarded_request;
 use super::in_progress::RequestInProgress;
@@ -10,11 +10,12 @@
 use crate::driver::{FinalResponse, ForwardedRequest, IncomingRequest};
 use crate::metrics::RequestEnd;
 use crate::socket::WeakSocket;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::TRANSFER_ENCODING;
+use hyper::http::request::Parts;
 use hyper::Request;
 use std::time::Duration;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::timeout_at;
 
 /// Time after a request's deadline at which the handler ends the request. The decision library normally ends the
 /// request by the deadline, but the library's timer may fire late, for instance after a stall of the process, and the
@@ -31,19 +32,23 @@
         client_socket: WeakSocket,
     ) -> Response {
         let mut in_progress = RequestInProgress::begin(self, client);
-        let body_deadline = client.request_deadline();
-        let has_body = !request.body().is_end_stream();
-        let mut response = match self
-            .handle(request, client_socket, &mut in_progress, body_deadline)
-            .await
-        {
+        let (head, body) = request.into_parts();
+        let mut body = RequestBody::new(body, client.request_deadline(), &self.lifecycle);
+        let handled = self
+            .handle(&head, &mut body, client_socket, &mut in_progress)
+            .await;
+        let mut response = match handled {
             Ok(response) => response,
             Err(error) => {
                 tracing::debug!(%error, "invalid request");
                 in_progress.end = Some(RequestEnd::Invalid);
-                response::request_error(&error, has_body)
+                response::request_error(&error)
             }
         };
+        // Further requests of the client follow the end of the body. Without it, no further request can be read.
+        if !body.discard().await {
+            response::ask_to_close(&mut response);
+        }
         in_progress.driver_id = None;
         // hyper reads no further request after a response that asks to close.
         if self.lifecycle.is_shutting_down() && !client.may_have_pipelined_request() {
@@ -54,37 +59,34 @@
 
     async fn handle(
         &self,
-        request: Request<Incoming>,
+        head: &Parts,
+        body: &mut RequestBody<'_>,
         client_socket: WeakSocket,
         in_progress: &mut RequestInProgress<'_>,
-        body_deadline: Instant,
     ) -> Result<Response, RequestError> {
         // The remaining time counts from the arrival of the request, which may have been pipelined during an earlier
         // one.
         let received_at = in_progress.client.last_arrival();
-        let (parts, body) = request.into_parts();
         // Guards against request smuggling. hyper reads a request with both Content-Length and Transfer-Encoding as
         // chunked and removes the length, so that a second request hidden in what the sender regards as the body would
         // be served. The protocol has no Transfer-Encoding in requests: a request with one is rejected and its
         // connection is closed.
-        if parts.headers.contains_key(TRANSFER_ENCODING) {
+        if head.headers.contains_key(TRANSFER_ENCODING) {
             return Err(RequestError::TransferEncoding);
         }
-        if let Some(response) = self.health_response(parts.uri.path()) {
+        if let Some(response) = self.health_response(head.uri.path()) {
             in_progress.end = Some(RequestEnd::HealthCheck);
             return Ok(response);
         }
         let ParsedRequest { incoming, class } =
             self.parser
-                .parse(&parts.method, &parts.uri, &parts.headers, received_at)?;
-        check_body(class, &body)?;
+                .parse(&head.method, &head.uri, &head.headers, received_at)?;
+        body.check(class)?;
         in_progress.claim_transaction_id(incoming.transaction_id)?;
-        let remaining = Duration::from_secs_f64(incoming.remaining_ms / 1000.0);
-        let body_deadline = body_deadline.min(received_at + remaining);
-        let Some(body) = self.read_body_unless_refusing(body, body_deadline).await? else {
+        let ReceivedBody::Complete(body) = body.read().await? else {
             return Ok(refuse_incomplete(&incoming, in_progress));
         };
-        let forwarded = forwarded_request(class, &parts.uri, &parts.headers, &body);
+        let forwarded = forwarded_request(class, &head.uri, &head.headers, &body);
         let final_response = self
             .forward(&incoming, forwarded, client_socket, in_progress)
             .await;
@@ -124,9 +126,7 @@
 ) -> Response {
     log_refusal(incoming);
     in_progress.end = Some(RequestEnd::ShuttingDown);
-    let mut response = response::final_response(FinalResponse::ShuttingDown);
-    response::ask_to_close(&mut response);
-    response
+    response::final_response(FinalResponse::ShuttingDown)
 }
 
 fn log_refusal(incoming: &IncomingRequest) {
--- a/src/bin/quota-gateway/server/response.rs
+++ b/src/bin/quota-gateway/server/response.rs
@@ -29,16 +29,15 @@
         .insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
-/// Builds the response to an invalid request. If the request has a body, which was not read, the connection is closed,
-/// so that the body is neither waited for nor parsed as another request.
-pub fn request_error(error: &RequestError, has_body: bool) -> Response {
+/// Builds the response to an invalid request.
+pub fn request_error(error: &RequestError) -> Response {
     let mut response = plain(error.status(), format!("{error}\n"));
     if let RequestError::MethodNotAllowed { allowed } = error {
         if let Ok(allowed) = HeaderValue::try_from(allowed.as_str()) {
             response.headers_mut().insert(ALLOW, allowed);
         }
     }
-    if has_body || error.closes_connection() {
+    if error.closes_connection() {
         ask_to_close(&mut response);
     }
     response
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod log_output;
 mod memory;
 mod peers;
+mod pipelining;
 mod races;
 mod service;
 mod shutdown;
--- /dev/null
+++ b/tests/gateway/pipelining.rs
@@ -0,0 +1,130 @@
+//! Several requests that a client sends on one connection before the first is answered: each gets its own response.
+
+use crate::stand_ins::*;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::Duration;
+
+/// Body length of a usual request, and of one that does not fit into the buffer in which the gateway reads its head.
+const BODY_LENGTHS: [usize; 2] = [212, 30_000];
+/// Length of the pieces in which requests arrive, if they do not arrive at once.
+const PIECE_BYTES: usize = 150;
+/// Time between two pieces.
+const PIECE_INTERVAL: Duration = Duration::from_millis(1);
+/// Time that the endpoint takes to serve a request.
+const SERVICE_TIME: Duration = Duration::from_millis(300);
+
+/// A request of the class `once` with its own transaction id.
+fn request(number: usize, body_bytes: usize) -> String {
+    let transaction_id = format!("X-Txn: {number:016x}");
+    post_request("once", "", &"b".repeat(body_bytes))
+        .replace("X-Txn: 9b1f03aa5c7e2d41", &transaction_id)
+}
+
+/// How the bytes of several requests are written.
+#[derive(Clone, Copy, Debug)]
+enum Writing {
+    AtOnce,
+    InPieces,
+}
+
+fn write(client: &mut BufReader<TcpStream>, requests: &[String], writing: Writing) {
+    let bytes = requests.concat().into_bytes();
+    client.get_ref().set_nodelay(true).unwrap();
+    match writing {
+        Writing::AtOnce => client.get_mut().write_all(&bytes).unwrap(),
+        Writing::InPieces => {
+            for piece in bytes.chunks(PIECE_BYTES) {
+                client.get_mut().write_all(piece).unwrap();
+                sleep(PIECE_INTERVAL);
+            }
+        }
+    }
+}
+
+/// Writes the requests on one connection and returns the status of each response, `None` for a missing one.
+fn statuses(gateway: &Gateway, requests: &[String], writing: Writing) -> Vec<Option<u16>> {
+    let mut client = gateway.connect();
+    write(&mut client, requests, writing);
+    requests
+        .iter()
+        .map(|_| read_message(&mut client).map(|response| response.status()))
+        .collect()
+}
+
+/// A configuration with an endpoint that takes [`SERVICE_TIME`] for each request, and quotas that are never used up.
+fn config_with_slow_endpoint() -> serde_json::Value {
+    let endpoint = start_server(|_| {
+        sleep(SERVICE_TIME);
+        Reply::Send(response(200, "", "done"))
+    });
+    let mut config = config_with_silent_discovery(&[endpoint]);
+    config["settings"]["tiers-of-service"][0]["refill"] = 1000.0.into();
+    config["settings"]["tiers-of-service"][0]["store-size"] = 1000.0.into();
+    config
+}
+
+/// The time of a request passes while it waits behind another one on its connection. If the gateway took its body, which
+/// has arrived long ago, for one that was not sent in time, it would close the connection, and the requests behind would
+/// never be answered. The request must be rejected, and those behind it must be served.
+#[test]
+fn requests_behind_an_expired_one_are_served() {
+    let gateway = Gateway::new(&config_with_slow_endpoint());
+    for body_bytes in BODY_LENGTHS {
+        for writing in [Writing::AtOnce, Writing::InPieces] {
+            let requests: Vec<_> = (0..4)
+                .map(|number| match number {
+                    1 => request(1, body_bytes)
+                        .replace("X-Remaining-Ms: 3000", "X-Remaining-Ms: 100"),
+                    _ => request(number, body_bytes),
+                })
+                .collect();
+            assert_eq!(
+                statuses(&gateway, &requests, writing),
+                [Some(200), Some(429), Some(200), Some(200)],
+                "bodies of {body_bytes} bytes, {writing:?}"
+            );
+        }
+    }
+}
+
+/// A client sends a request that is refused by its head, and others behind it. If the gateway closed the connection
+/// instead of reading the body of the refused request, the others would never be answered. They must be served.
+#[test]
+fn requests_behind_an_invalid_one_are_served() {
+    let gateway = Gateway::new(&config_with_slow_endpoint());
+    for body_bytes in BODY_LENGTHS {
+        let valid = request(1, body_bytes);
+        let health_check = format!(
+            "GET /health/ready HTTP/1.1\r\nHost: x\r\nContent-Length: {body_bytes}\r\n\r\n{}",
+            "b".repeat(body_bytes)
+        );
+        let get_with_body = get_request(2, 1, 3000).replace(
+            "\r\n\r\n",
+            &format!(
+                "\r\nContent-Length: {body_bytes}\r\n\r\n{}",
+                "b".repeat(body_bytes)
+            ),
+        );
+        for (name, refused, status) in [
+            ("plan", valid.replace("X-Plan: small", "X-Plan: none"), 400),
+            ("class", valid.replace("POST /once", "POST /else"), 404),
+            ("GET with a body", get_with_body, 400),
+            ("health check with a body", health_check, 200),
+        ] {
+            for writing in [Writing::AtOnce, Writing::InPieces] {
+                let requests = [
+                    refused.clone(),
+                    request(3, body_bytes),
+                    request(4, body_bytes),
+                ];
+                assert_eq!(
+                    statuses(&gateway, &requests, writing),
+                    [Some(status), Some(200), Some(200)],
+                    "{name}, bodies of {body_bytes} bytes, {writing:?}"
+                );
+            }
+        }
+    }
+}
