Do not read on behind a request whose end cannot be found

The error names whether the end can be found at all; if not, the response is written at once, as before. The decision to close now stands in one place, Server::respond.

--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -37,16 +37,16 @@
         let handled = self
             .handle(&head, &mut body, client_socket, &mut in_progress)
             .await;
-        let mut response = match handled {
-            Ok(response) => response,
+        let (mut response, may_find_end) = match handled {
+            Ok(response) => (response, true),
             Err(error) => {
                 tracing::debug!(%error, "invalid request");
                 in_progress.end = Some(RequestEnd::Invalid);
-                response::request_error(&error)
+                (response::request_error(&error), !error.hides_end())
             }
         };
         // Further requests of the client follow the end of the body. Without it, no further request can be read.
-        if !body.discard().await {
+        if !(may_find_end && body.discard().await) {
             response::ask_to_close(&mut response);
         }
         in_progress.driver_id = None;
--- a/src/bin/quota-gateway/server/request/error.rs
+++ b/src/bin/quota-gateway/server/request/error.rs
@@ -64,8 +64,8 @@
         }
     }
 
-    /// True if the end of the request is unknown, so that nothing after its head can be read.
-    pub fn closes_connection(&self) -> bool {
+    /// True if the end of the request cannot be found, so that nothing after its head can be read.
+    pub fn hides_end(&self) -> bool {
         matches!(self, RequestError::TransferEncoding)
     }
 }
--- a/src/bin/quota-gateway/server/response.rs
+++ b/src/bin/quota-gateway/server/response.rs
@@ -37,9 +37,6 @@
             response.headers_mut().insert(ALLOW, allowed);
         }
     }
-    if error.closes_connection() {
-        ask_to_close(&mut response);
-    }
     response
 }
 
