Keep the body of a request once, and neither its head nor a long read buffer

While a body arrived, its head kept the buffer allocated into which hyper had read it; hyper doubled its read buffer to 16 KiB after long reads; a body grew by doubling; while the request was served its body existed three times (as received, as forwarded, and in each attempt until it was written).

Change: the head for endpoints is built before the body is read, and the client's head is dropped. A body with an announced length is allocated once. It is shared by the attempts, which write head and body with one vectored write. hyper reads at most 2 KiB at once, so that its buffer stays at 8 KiB.

--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -11,7 +11,8 @@
 use crate::metrics::{AttemptRefusal, Metrics};
 use crate::socket::{PeekResult, WeakSocket};
 use crate::upstream::{
-    AttemptResult, CompleteResponse, ConnectionPool, OutgoingRequest, Preparation, Target,
+    AttemptResult, CompleteResponse, ConnectionPool, EncodedRequest, OutgoingRequest, Preparation,
+    Target,
 };
 use quota_gateway::{EndpointId, Outcome, RequestId};
 use std::cell::{Cell, RefCell};
@@ -190,7 +191,7 @@
         Some(refusal_outcome(refusal))
     }
 
-    fn encode(&self) -> Vec<u8> {
+    fn encode(&self) -> EncodedRequest {
         // The process may exit before the deadline of the request.
         let deadline = self.sender.lifecycle.limit_deadline(self.times.deadline);
         self.propagated_remaining
--- a/src/bin/quota-gateway/driver/messages.rs
+++ b/src/bin/quota-gateway/driver/messages.rs
@@ -1,6 +1,7 @@
 //! The messages between the server and the driver: requests, and the final responses to them.
 
 use crate::http::header_names::REMAINING_MS;
+use crate::upstream::EncodedRequest;
 use bytes::Bytes;
 use quota_gateway::RequestId;
 use std::io::Write;
@@ -8,8 +9,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Bytes reserved for the `X-Remaining-Ms` line.
-const REMAINING_LINE_BYTES: usize = 32;
+/// Bytes reserved for the `X-Remaining-Ms` line and the empty line after it.
+const REMAINING_LINE_BYTES: usize = 34;
 
 /// The fields of a client's request, checked by the server.
 pub struct IncomingRequest {
@@ -34,26 +35,26 @@
 }
 
 /// A request as it is forwarded to endpoints. The header line with the remaining time is only known when an attempt is
-/// sent, and is inserted between the two parts.
+/// sent, and is inserted between head and body.
 pub struct ForwardedRequest {
-    /// The request line and all other headers.
+    /// The request line and all other headers, without the empty line that ends the head.
     pub head: Vec<u8>,
-    /// The empty line that ends the head, and the body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// True if the request must not be executed twice and endpoints do not deduplicate retries.
     pub at_most_once: bool,
 }
 
 impl ForwardedRequest {
     /// Encodes an attempt that propagates this remaining time, in whole milliseconds.
-    pub fn encode(&self, remaining: Duration) -> Vec<u8> {
-        let mut message =
-            Vec::with_capacity(self.head.len() + self.body.len() + REMAINING_LINE_BYTES);
-        message.extend_from_slice(&self.head);
+    pub fn encode(&self, remaining: Duration) -> EncodedRequest {
+        let mut head = Vec::with_capacity(self.head.len() + REMAINING_LINE_BYTES);
+        head.extend_from_slice(&self.head);
         // Writing to a Vec can't fail.
-        let _ = write!(message, "{REMAINING_MS}: {}\r\n", remaining.as_millis());
-        message.extend_from_slice(&self.body);
-        message
+        let _ = write!(head, "{REMAINING_MS}: {}\r\n\r\n", remaining.as_millis());
+        EncodedRequest {
+            head,
+            body: self.body.clone(),
+        }
     }
 }
 
--- a/src/bin/quota-gateway/driver/registry/tests.rs
+++ b/src/bin/quota-gateway/driver/registry/tests.rs
@@ -33,7 +33,7 @@
     let (response_sender, response) = oneshot::channel();
     let forwarded = ForwardedRequest {
         head: Vec::new(),
-        body: Vec::new(),
+        body: Bytes::new(),
         at_most_once: true,
     };
     let deadline = Instant::now() + TIMEOUT;
--- a/src/bin/quota-gateway/http/body_buffer.rs
+++ b/src/bin/quota-gateway/http/body_buffer.rs
@@ -17,18 +17,25 @@
 ///
 /// Guards against a peer that sends a body in many short pieces. A piece is a slice of the buffer into which it was
 /// read, and a slice keeps that whole buffer allocated: several KiB for a piece of a few bytes. Pieces are therefore
-/// copied. The buffer allocates at most twice as many bytes as it has received, and at most the maximum length.
+/// copied.
+///
+/// An announced length is allocated with the first piece, so that the body is never moved; the system provides memory
+/// only for the pages that are written. Without one, the buffer allocates at most twice as many bytes as it has received.
+/// In both cases it allocates at most the maximum length.
 pub struct BodyBuffer {
     bytes: Vec<u8>,
     max_bytes: usize,
+    announced_bytes: usize,
 }
 
 impl BodyBuffer {
-    /// Creates an empty buffer for a body of at most `max_bytes`. Allocates nothing.
-    pub fn new(max_bytes: usize) -> Self {
+    /// Creates an empty buffer for a body of at most `max_bytes`. `announced_bytes` is the length that the peer has
+    /// announced, if any. Allocates nothing.
+    pub fn new(max_bytes: usize, announced_bytes: Option<usize>) -> Self {
         BodyBuffer {
             bytes: Vec::new(),
             max_bytes,
+            announced_bytes: announced_bytes.unwrap_or(0),
         }
     }
 
@@ -45,7 +52,8 @@
             });
         }
         if length > self.bytes.capacity() {
-            let capacity = length.max(2 * self.bytes.len()).min(self.max_bytes);
+            let wanted = length.max(2 * self.bytes.len()).max(self.announced_bytes);
+            let capacity = wanted.min(self.max_bytes);
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(piece);
--- a/src/bin/quota-gateway/server/body.rs
+++ b/src/bin/quota-gateway/server/body.rs
@@ -82,7 +82,9 @@
     ///
     /// The body is too long, broke off, or did not arrive in time.
     pub async fn read(&mut self) -> Result<ReceivedBody, RequestError> {
-        let mut buffer = BodyBuffer::new(MAX_BODY_BYTES);
+        let announced = self.body.size_hint().exact();
+        let announced = announced.and_then(|length| usize::try_from(length).ok());
+        let mut buffer = BodyBuffer::new(MAX_BODY_BYTES, announced);
         loop {
             match self.next_piece().await? {
                 Piece::Data(piece) => buffer
--- a/src/bin/quota-gateway/server/client_stream.rs
+++ b/src/bin/quota-gateway/server/client_stream.rs
@@ -38,8 +38,8 @@
 const MAX_UNREAD_BYTES: usize = 32 * 1024;
 /// Maximum number of discarded bytes of one client, which bounds the work.
 const MAX_DISCARDED_BYTES: u64 = 64 << 20;
-/// Size of one read into the read-ahead buffer.
-const READ_BUFFER_BYTES: usize = 4096;
+/// Maximum size of one read, by hyper or into the read-ahead buffer. After longer reads, hyper would double its buffer.
+const MAX_READ_BYTES: usize = 2048;
 /// Size of one read of bytes that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -66,7 +66,7 @@
 impl StreamState {
     /// Reads and buffers pipelined bytes, or detects the end of the stream.
     fn poll_read_ahead(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let mut storage = [0; READ_BUFFER_BYTES];
+        let mut storage = [0; MAX_READ_BYTES];
         let mut buffer = ReadBuf::new(&mut storage);
         let result = ready!(Pin::new(&mut self.socket).poll_read(cx, &mut buffer));
         let bytes = buffer.filled();
@@ -186,13 +186,18 @@
         if state.ended || state.discarded > 0 {
             return Poll::Ready(Ok(()));
         }
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut state.socket).poll_read(cx, buf))
+        // The bytes are read into the stack first: `buf` is not written before bytes arrive, so that the memory of an
+        // idle connection's buffer is not used.
+        let mut storage = [0; MAX_READ_BYTES];
+        let length = buf.remaining().min(MAX_READ_BYTES);
+        let mut read = ReadBuf::new(&mut storage[..length]);
+        ready!(Pin::new(&mut state.socket).poll_read(cx, &mut read))
             .inspect_err(|_| state.ended = true)?;
-        let bytes = &buf.filled()[before..];
+        let bytes = read.filled();
         if !bytes.is_empty() {
+            buf.put_slice(bytes);
             state.client.on_bytes_read(bytes, Instant::now());
-        } else if buf.remaining() > 0 {
+        } else if length > 0 {
             state.ended = true;
         }
         Poll::Ready(Ok(()))
--- a/src/bin/quota-gateway/server/forward.rs
+++ b/src/bin/quota-gateway/server/forward.rs
@@ -3,6 +3,7 @@
 use super::request::ClassRoute;
 use crate::driver::ForwardedRequest;
 use crate::http::header_names;
+use bytes::Bytes;
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{HeaderMap, Method, Uri};
 use std::io::Write;
@@ -13,13 +14,9 @@
 /// `Content-Type` as it is written on the wire.
 const CONTENT_TYPE_NAME: &str = "Content-Type";
 
-/// Builds the request for endpoints from the client's request. Only the headers listed here are forwarded.
-pub fn forwarded_request(
-    class: &ClassRoute,
-    uri: &Uri,
-    headers: &HeaderMap,
-    body: &[u8],
-) -> ForwardedRequest {
+/// Builds the request for endpoints from the head of the client's request; its body is added once it has arrived. Only
+/// the headers listed here are forwarded. The result has copies, so that the client's head need not be kept.
+pub fn forwarded_head(class: &ClassRoute, uri: &Uri, headers: &HeaderMap) -> ForwardedRequest {
     let mut head = Vec::with_capacity(HEAD_BYTES);
     let target = uri.path_and_query().map_or("/", |target| target.as_str());
     let method = class.method.as_str();
@@ -40,18 +37,23 @@
             push_header(&mut head, name, value.as_bytes());
         }
     }
+    ForwardedRequest {
+        head,
+        body: Bytes::new(),
+        at_most_once: class.at_most_once,
+    }
+}
+
+/// Adds the complete body and its length.
+pub fn add_body(class: &ClassRoute, forwarded: &mut ForwardedRequest, body: Bytes) {
     if class.method == Method::POST || !body.is_empty() {
         push_header(
-            &mut head,
+            &mut forwarded.head,
             CONTENT_LENGTH.as_str(),
             body.len().to_string().as_bytes(),
         );
     }
-    ForwardedRequest {
-        head,
-        body: [b"\r\n", body].concat(),
-        at_most_once: class.at_most_once,
-    }
+    forwarded.body = body;
 }
 
 fn push_header(head: &mut Vec<u8>, name: &str, value: &[u8]) {
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -2,7 +2,7 @@
 
 use super::body::{ReceivedBody, RequestBody};
 use super::client::Client;
-use super::forward::forwarded_request;
+use super::forward::{add_body, forwarded_head};
 use super::in_progress::RequestInProgress;
 use super::request::{ParsedRequest, RequestError};
 use super::response::{self, Response};
@@ -35,7 +35,7 @@
         let (head, body) = request.into_parts();
         let mut body = RequestBody::new(body, client.request_deadline(), &self.lifecycle);
         let handled = self
-            .handle(&head, &mut body, client_socket, &mut in_progress)
+            .handle(head, &mut body, client_socket, &mut in_progress)
             .await;
         let (mut response, may_find_end) = match handled {
             Ok(response) => (response, true),
@@ -57,9 +57,11 @@
         response
     }
 
+    /// Handles a request with a valid or invalid head. The head is dropped before the body is read: it keeps the buffer
+    /// allocated into which hyper has read it.
     async fn handle(
         &self,
-        head: &Parts,
+        head: Parts,
         body: &mut RequestBody<'_>,
         client_socket: WeakSocket,
         in_progress: &mut RequestInProgress<'_>,
@@ -83,10 +85,12 @@
                 .parse(&head.method, &head.uri, &head.headers, received_at)?;
         body.check(class)?;
         in_progress.claim_transaction_id(incoming.transaction_id)?;
+        let mut forwarded = forwarded_head(class, &head.uri, &head.headers);
+        drop(head);
         let ReceivedBody::Complete(body) = body.read().await? else {
             return Ok(refuse_incomplete(&incoming, in_progress));
         };
-        let forwarded = forwarded_request(class, &head.uri, &head.headers, &body);
+        add_body(class, &mut forwarded, body);
         let final_response = self
             .forward(&incoming, forwarded, client_socket, in_progress)
             .await;
--- a/src/bin/quota-gateway/socket.rs
+++ b/src/bin/quota-gateway/socket.rs
@@ -85,14 +85,25 @@
     ///
     /// Fails with `WouldBlock` if the system accepts no bytes now. Any other error means that the connection is broken.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
-        let written = self.stream.try_write(bytes);
-        written.map_err(|error| {
-            if is_transient_transfer_error(&error) {
-                ErrorKind::WouldBlock.into()
-            } else {
-                error
-            }
-        })
+        self.stream
+            .try_write(bytes)
+            .map_err(transient_as_would_block)
+    }
+
+    /// Like [`Socket::try_write`], with several slices that follow each other. Empty ones are passed over.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Socket::try_write`] does.
+    pub fn try_write_vectored(&self, slices: &[IoSlice<'_>]) -> io::Result<usize> {
+        let mut filled = slices.iter().filter(|slice| !slice.is_empty());
+        match (filled.next(), filled.next()) {
+            (Some(only), None) => self.try_write(only),
+            _ => self
+                .stream
+                .try_write_vectored(slices)
+                .map_err(transient_as_would_block),
+        }
     }
 
     /// Writes a short message without waiting. Intended for new connections, whose send buffer is empty.
@@ -198,6 +209,15 @@
     EndOfStream,
 }
 
+/// Maps a transient error of a write to `WouldBlock`.
+fn transient_as_would_block(error: io::Error) -> io::Error {
+    if is_transient_transfer_error(&error) {
+        ErrorKind::WouldBlock.into()
+    } else {
+        error
+    }
+}
+
 /// Makes a system call once the socket is ready for it, and repeats the call after transient errors. A call that would
 /// block clears the readiness, so that the next `poll_ready` waits. Repeated failures with other transient errors are
 /// limited by the runtime: each `poll_ready` uses a part of the task's cooperative budget and is pending once the
--- a/src/bin/quota-gateway/upstream/connection.rs
+++ b/src/bin/quota-gateway/upstream/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to an endpoint.
 
-use super::request::OutgoingRequest;
+use super::request::{EncodedRequest, OutgoingRequest};
 use crate::http::Reader;
 use crate::socket::{PeekResult, Socket};
 use quota_gateway::Outcome;
@@ -86,7 +86,7 @@
     /// first byte, and nothing else runs between the two. After the first byte the request is written to its end.
     pub async fn write(&self, request: &dyn OutgoingRequest) -> io::Result<WriteResult> {
         let socket = &self.reader.io;
-        let mut message = Vec::new();
+        let mut message = EncodedRequest::default();
         let mut written = 0;
         while written == 0 || written < message.len() {
             socket.writable().await?;
@@ -103,7 +103,7 @@
                 }
                 message = request.encode();
             }
-            match socket.try_write(&message[written..]) {
+            match socket.try_write_vectored(&message.remaining(written)) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(bytes) => written += bytes,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
--- a/src/bin/quota-gateway/upstream/connection/tests.rs
+++ b/src/bin/quota-gateway/upstream/connection/tests.rs
@@ -1,8 +1,9 @@
 //! Tests an endpoint that closes its connection between the choice of the connection and the first byte of the request.
 
-use super::{Connection, OpenConnections, OutgoingRequest, WriteResult};
+use super::{Connection, EncodedRequest, OpenConnections, OutgoingRequest, WriteResult};
 use crate::socket::{PeekResult, Socket};
 use crate::upstream::Preparation;
+use bytes::Bytes;
 use quota_gateway::Outcome;
 use std::cell::RefCell;
 use std::net::TcpListener;
@@ -28,8 +29,11 @@
         None
     }
 
-    fn encode(&self) -> Vec<u8> {
-        b"POST / HTTP/1.1\r\n\r\n".to_vec()
+    fn encode(&self) -> EncodedRequest {
+        EncodedRequest {
+            head: b"POST / HTTP/1.1\r\n\r\n".to_vec(),
+            body: Bytes::new(),
+        }
     }
 }
 
--- a/src/bin/quota-gateway/upstream/mod.rs
+++ b/src/bin/quota-gateway/upstream/mod.rs
@@ -12,4 +12,4 @@
 
 pub use attempt::{AttemptResult, CompleteResponse};
 pub use pool::ConnectionPool;
-pub use request::{OutgoingRequest, Preparation, Target};
+pub use request::{EncodedRequest, OutgoingRequest, Preparation, Target};
--- a/src/bin/quota-gateway/upstream/request.rs
+++ b/src/bin/quota-gateway/upstream/request.rs
@@ -1,7 +1,9 @@
 //! The request that an attempt sends, and its target.
 
+use bytes::Bytes;
 use quota_gateway::{EndpointId, Outcome};
 use std::future::Future;
+use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::pin::Pin;
 
@@ -13,6 +15,28 @@
     pub addr: SocketAddr,
 }
 
+/// The bytes of a request. The body is shared with the request, not copied for each attempt.
+#[derive(Default)]
+pub struct EncodedRequest {
+    /// The head, up to and including the empty line that ends it.
+    pub head: Vec<u8>,
+    pub body: Bytes,
+}
+
+impl EncodedRequest {
+    /// Number of bytes.
+    pub fn len(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// The bytes that are left after the first `written` ones.
+    pub fn remaining(&self, written: usize) -> [IoSlice<'_>; 2] {
+        let head = &self.head[written.min(self.head.len())..];
+        let body = &self.body[written.saturating_sub(self.head.len())..];
+        [IoSlice::new(head), IoSlice::new(body)]
+    }
+}
+
 /// The future that `OutgoingRequest::prepare` returns.
 pub type Preparation<'a> = Pin<Box<dyn Future<Output = ()> + 'a>>;
 
@@ -27,7 +51,7 @@
     fn check_before_write(&self) -> Option<Outcome>;
     /// Returns the bytes to write. They propagate the remaining time, which decreases while a connection is
     /// established.
-    fn encode(&self) -> Vec<u8>;
+    fn encode(&self) -> EncodedRequest;
     /// Called once the last byte is written.
     fn on_written(&self) {}
 }
