Keep no buffers of a response on an idle connection

It now collects in BodyBuffer and drops its read buffer once it is empty. Found by reading; reader::tests::no_buffer_is_kept_between_two_responses fails if the read buffer is kept.

--- a/src/bin/quota-gateway/http/body.rs
+++ b/src/bin/quota-gateway/http/body.rs
@@ -42,6 +42,14 @@
         matches!(self, BodyDecoder::UntilClose)
     }
 
+    /// The length of the body that is left, if the peer has announced it.
+    pub fn announced_bytes(&self) -> Option<usize> {
+        match self {
+            BodyDecoder::Length(length) => Some(*length),
+            _ => None,
+        }
+    }
+
     /// Takes the next bytes of the body out of the buffer. Bytes are returned as they arrive, so that a large length
     /// announced by a peer uses no memory.
     pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Decoded, MalformedResponse> {
--- a/src/bin/quota-gateway/http/reader.rs
+++ b/src/bin/quota-gateway/http/reader.rs
@@ -1,12 +1,16 @@
 //! Reads responses from a connection.
 
 use super::body::{BodyDecoder, Decoded};
+use super::body_buffer::BodyBuffer;
 use super::error::MalformedResponse;
 use super::head::{parse_head, Head, MAX_HEAD_BYTES};
 use bytes::{Buf, Bytes, BytesMut};
 use std::io::{self, ErrorKind};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum number of interim responses before a final one. Bounds the work for a peer that sends them without end.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 /// Status code 101 Switching Protocols.
@@ -25,10 +29,15 @@
     /// Decoder of the body that is being read.
     body: BodyDecoder,
     interim_responses: u32,
-    /// Head of the response that `read_response` is reading.
-    partial_head: Option<Head>,
-    /// Body bytes that `read_response` has read so far.
-    partial_body: BytesMut,
+    /// The response that `read_response` is reading.
+    partial: Option<PartialResponse>,
+}
+
+/// A response whose head is complete.
+struct PartialResponse {
+    head: Head,
+    /// The part of the body that was read.
+    body: BodyBuffer,
 }
 
 impl<R: AsyncRead + Unpin> Reader<R> {
@@ -39,8 +48,7 @@
             buffer: BytesMut::new(),
             body: BodyDecoder::Complete,
             interim_responses: 0,
-            partial_head: None,
-            partial_body: BytesMut::new(),
+            partial: None,
         }
     }
 
@@ -94,26 +102,33 @@
         }
     }
 
-    /// Reads a complete response with a body of at most `max_body` bytes.
+    /// Reads a complete response with a body of at most `max_body` bytes. Between two responses the reader keeps no
+    /// buffers, so that an idle connection takes no memory for the longest response that it has carried.
     pub async fn read_response(&mut self, max_body: usize) -> io::Result<(Head, Bytes)> {
-        if self.partial_head.is_none() {
-            self.partial_head = Some(self.read_head().await?);
+        if self.partial.is_none() {
+            let head = self.read_head().await?;
+            let body = BodyBuffer::new(max_body, self.body.announced_bytes());
+            self.partial = Some(PartialResponse { head, body });
         }
         // A body that is announced as too long fails before it is read.
-        if matches!(self.body, BodyDecoder::Length(length) if length > max_body) {
+        if self.body.announced_bytes() > Some(max_body) {
             return Err(MalformedResponse::BodyTooLong.into());
         }
         while let Some(chunk) = self.read_body_chunk().await? {
-            self.partial_body.extend_from_slice(&chunk);
-            if self.partial_body.len() > max_body {
-                return Err(MalformedResponse::BodyTooLong.into());
-            }
+            let partial = self
+                .partial
+                .as_mut()
+                .ok_or(MalformedResponse::MissingHead)?;
+            partial
+                .body
+                .push(&chunk)
+                .map_err(|_| MalformedResponse::BodyTooLong)?;
+        }
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
         }
-        let head = self
-            .partial_head
-            .take()
-            .ok_or(MalformedResponse::MissingHead)?;
-        Ok((head, self.partial_body.split().freeze()))
+        let partial = self.partial.take().ok_or(MalformedResponse::MissingHead)?;
+        Ok((partial.head, partial.body.into_bytes()))
     }
 
     async fn fill(&mut self) -> io::Result<()> {
