--- a/tests/gateway/memory.rs
+++ b/tests/gateway/memory.rs
@@ -125,6 +125,7 @@
         &format!("Content-Length: {MAX_BODY_BYTES}"),
         &format!("Content-Length: {ANNOUNCED_BYTES}"),
     );
+    let longest_body = vec![b'b'; MAX_BODY_BYTES];
     let mut clients: Vec<_> = (0..CLIENTS).map(|_| gateway.connect()).collect();
     for client in &mut clients {
         client.get_mut().write_all(request.as_bytes()).unwrap();
@@ -133,7 +134,7 @@
     assert_eq!(statuses, [Some(413); CLIENTS]);
     for client in &mut clients {
         // The gateway still reads. An error means that it has closed the connection.
-        let _ = client.get_mut().write_all(&[b'b'; MAX_BODY_BYTES]);
+        let _ = client.get_mut().write_all(&longest_body);
     }
     sleep(Duration::from_millis(100));
     assert_within_memory_limit(&gateway);
