Limit the memory for what clients send by the memory limit of the machine

Hundreds of clients that stop in their bodies took more than the lowest limit; a client that sent more than 1 MiB of requests at once lost those beyond it on a machine with room for many times as much.

Change: server::client_memory counts what is kept of clients for as long as it is kept: connections, bodies that arrive or are served, pipelined bytes. If a body finds no room, the body without a piece for longest is given up: its client gets 408 and a close at once. Pipelined bytes may take a quarter of the limit, and those of one client a quarter of that: 2 MiB and 8 MiB in all at 32 MB.

limits.memory_mb out of range (1 to 1,048,576) is an error of the configuration from now on.

--- a/src/bin/quota-gateway/config/error.rs
+++ b/src/bin/quota-gateway/config/error.rs
@@ -40,12 +40,14 @@
 }
 
 /// The problem of a field that has the right type.
-#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Error, PartialEq)]
 pub enum FieldProblem {
     #[error(transparent)]
     Setting(#[from] SettingProblem),
     #[error("must be at least {minimum}")]
     TooFewSockets { minimum: usize },
+    #[error("out of range, must be from {minimum} to {maximum}")]
+    MemoryOutOfRange { minimum: f64, maximum: f64 },
     #[error("gossip requires peer_listen and one address for each gateway")]
     IncompletePeers,
     #[error("not a 64-bit hexadecimal number")]
--- a/src/bin/quota-gateway/config/file.rs
+++ b/src/bin/quota-gateway/config/file.rs
@@ -35,6 +35,8 @@
 pub struct MachineLimits {
     /// Number of file descriptors that the process may use.
     pub sockets: usize,
+    /// Memory that the process may use, in MB (2^20 bytes).
+    pub memory_mb: Option<f64>,
 }
 
 /// The settings that the program uses itself, as opposed to those that only the decision library uses.
--- a/src/bin/quota-gateway/config/mod.rs
+++ b/src/bin/quota-gateway/config/mod.rs
@@ -12,7 +12,7 @@
 use crate::discovery::list::EndpointList;
 use crate::retry::retry;
 use error::FieldProblem;
-use file::{ClassOrPlan, LibraryFile, ProgramFile};
+use file::{ClassOrPlan, LibraryFile, MachineLimits, ProgramFile};
 use quota_gateway::Settings;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -24,6 +24,10 @@
 /// counts as notified of changes at the new discovery service 4 s after SIGHUP.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Memory limit of a file without one, in MB.
+const DEFAULT_MEMORY_MB: f64 = 192.0;
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
 /// A checked configuration.
 pub struct Config {
     /// Address on which the gateway listens for clients.
@@ -37,6 +41,8 @@
     pub seed: u64,
     /// Number of file descriptors that the process may use, from `limits.sockets`.
     pub max_descriptors: usize,
+    /// Memory that the process may use, in bytes, from `limits.memory_mb`.
+    pub memory_limit: usize,
     /// Last known endpoint list, used until discovery responds.
     pub known_endpoints: Option<EndpointList>,
     /// Settings of the decision library; `limits.max_connections` is not set.
@@ -100,6 +106,7 @@
         },
         seed,
         max_descriptors: file.limits.sockets,
+        memory_limit: memory_limit(&file.limits),
         known_endpoints: file.known,
         class_names: names(file.settings.categories),
         plan_names: names(file.settings.tiers_of_service),
@@ -111,6 +118,12 @@
     })
 }
 
+/// The memory limit in bytes. `validate` has checked its range.
+fn memory_limit(limits: &MachineLimits) -> usize {
+    let megabytes = limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+    (megabytes * BYTES_PER_MB) as usize
+}
+
 /// Parses the keys that `T` defines.
 fn parse_part<'text, T: Deserialize<'text>>(text: &'text str) -> Result<T, ConfigError> {
     let mut json = serde_json::Deserializer::from_str(text);
--- a/src/bin/quota-gateway/config/tests.rs
+++ b/src/bin/quota-gateway/config/tests.rs
@@ -6,7 +6,7 @@
 fn sample() -> Value {
     json!({
         "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
-        "limits": {"sockets": 256}, "counter": "127.0.0.1:2",
+        "limits": {"sockets": 256, "memory_mb": 48}, "counter": "127.0.0.1:2",
         "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:3"],
         "settings": {
             "balancers": 1, "position": 0, "locality": 0, "zones": ["room-a"], "kinds": ["std-2c"],
@@ -32,16 +32,27 @@
     let config = parse(&sample().to_string()).unwrap();
     assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
     assert_eq!(config.class_names, ["order"]);
+    assert_eq!(config.memory_limit, 48 << 20);
     assert_eq!(config.plan_names, ["small"]);
     assert_eq!(config.gossip.max_messages_per_second, 60.0);
     assert_eq!(config.settings.classes[0].deadline_ms, 4000.0);
     assert!(config.settings.counter.is_some() && !config.settings.endpoints_polled);
 }
 
+/// A file of an operator that states no memory limit stays valid.
+#[test]
+fn the_memory_limit_has_a_default() {
+    let mut file = sample();
+    file["limits"]["memory_mb"] = Value::Null;
+    let config = parse(&file.to_string()).unwrap();
+    assert_eq!(config.memory_limit, 192 << 20);
+}
+
 #[test]
 fn each_error_is_one_line_that_names_the_field() {
     for (pointer, value, line) in [
         ("/limits/sockets", json!(39), "limits.sockets: must be at least 40"),
+        ("/limits/memory_mb", json!(0.5), "limits.memory_mb: out of range, must be from 1 to 1048576"),
         ("/settings/position", json!(1), "settings.position: must be less than settings.balancers"),
         ("/settings/locality", json!(1), "settings.locality: must be an index into settings.zones"),
         ("/settings/categories", json!([]), "settings.categories: must not be empty"),
--- a/src/bin/quota-gateway/config/validate.rs
+++ b/src/bin/quota-gateway/config/validate.rs
@@ -6,9 +6,12 @@
     is_valid_duration, InvalidSetting, SettingProblem, WireSettings,
 };
 use quota_gateway::Settings;
+use std::ops::RangeInclusive;
 
 /// Minimum number of file descriptors with which the gateway can work.
 const MIN_SOCKETS: usize = 40;
+/// Range of the memory limit, in MB.
+const MEMORY_MB: RangeInclusive<f64> = 1.0..=1_048_576.0;
 
 /// Checks everything that the types of the fields do not enforce, and returns the decision library's settings.
 pub fn validate(file: &ProgramFile, wire: &WireSettings) -> Result<Settings, ConfigError> {
@@ -20,6 +23,7 @@
         };
         return Err(ConfigError::invalid("limits.sockets", problem));
     }
+    check_memory_limit(file.limits.memory_mb)?;
     let settings = wire.to_settings();
     check_counter(file, &settings)?;
     check_gossip(file, &settings)?;
@@ -52,6 +56,19 @@
     Ok(())
 }
 
+fn check_memory_limit(memory_mb: Option<f64>) -> Result<(), ConfigError> {
+    match memory_mb {
+        Some(mb) if !MEMORY_MB.contains(&mb) => {
+            let problem = FieldProblem::MemoryOutOfRange {
+                minimum: *MEMORY_MB.start(),
+                maximum: *MEMORY_MB.end(),
+            };
+            Err(ConfigError::invalid("limits.memory_mb", problem))
+        }
+        _ => Ok(()),
+    }
+}
+
 fn check_counter(file: &ProgramFile, settings: &Settings) -> Result<(), ConfigError> {
     if settings.counter.is_some() && file.counter.is_none() {
         return Err(ConfigError::invalid(
--- a/src/bin/quota-gateway/server/body.rs
+++ b/src/bin/quota-gateway/server/body.rs
@@ -8,6 +8,8 @@
 //!   arrived is read first; only then has the time limit been exceeded.
 //! - The body of a request that is refused by its head is read and discarded, so that the next request is found.
 
+use super::arriving_bodies::{ArrivingBodies, ArrivingBody};
+use super::client_memory::{ClientMemory, Reservation};
 use super::request::{ClassRoute, RequestError};
 use crate::http::{BodyBuffer, MAX_BODY_BYTES};
 use crate::lifecycle::{Lifecycle, Phase};
@@ -17,6 +19,7 @@
 use hyper::Method;
 use std::future::{poll_fn, Future};
 use std::pin::pin;
+use std::sync::Arc;
 use std::task::Poll;
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
@@ -40,6 +43,18 @@
     Refused,
 }
 
+/// A complete body, counted in the memory of clients until it is dropped.
+struct CountedBody {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for CountedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// The next part of a body.
 enum Piece {
     Data(Bytes),
@@ -76,26 +91,58 @@
         Ok(())
     }
 
-    /// Reads the complete body.
+    /// Reads the complete body. Its bytes count in `memory` until the last reference to them is dropped.
     ///
     /// # Errors
     ///
-    /// The body is too long, broke off, or did not arrive in time.
-    pub async fn read(&mut self) -> Result<ReceivedBody, RequestError> {
+    /// The body is too long, broke off, did not arrive in time, or was given up in favor of `others`.
+    pub async fn read(
+        &mut self,
+        others: &ArrivingBodies,
+        memory: &Arc<ClientMemory>,
+    ) -> Result<ReceivedBody, RequestError> {
+        if self.body.is_end_stream() {
+            return Ok(ReceivedBody::Complete(Bytes::new()));
+        }
+        let arriving = others.add();
+        let mut reservation = memory.reserve();
         let announced = self.body.size_hint().exact();
         let announced = announced.and_then(|length| usize::try_from(length).ok());
         let mut buffer = BodyBuffer::new(MAX_BODY_BYTES, announced);
         loop {
-            match self.next_piece().await? {
-                Piece::Data(piece) => buffer
-                    .push(&piece)
-                    .map_err(|_| RequestError::BodyTooLarge)?,
-                Piece::End => return Ok(ReceivedBody::Complete(buffer.into_bytes())),
+            match self.next_piece_unless_given_up(&arriving).await? {
+                Piece::Data(piece) => {
+                    arriving
+                        .reserve(&mut reservation, piece.len())
+                        .await
+                        .map_err(|_| RequestError::BodyGivenUp)?;
+                    buffer
+                        .push(&piece)
+                        .map_err(|_| RequestError::BodyTooLarge)?;
+                }
+                Piece::End => {
+                    let counted = CountedBody {
+                        bytes: buffer.into_bytes(),
+                        _reservation: reservation,
+                    };
+                    return Ok(ReceivedBody::Complete(Bytes::from_owner(counted)));
+                }
                 Piece::Refused => return Ok(ReceivedBody::Refused),
             }
         }
     }
 
+    async fn next_piece_unless_given_up(
+        &mut self,
+        arriving: &ArrivingBody<'_>,
+    ) -> Result<Piece, RequestError> {
+        tokio::select! {
+            biased;
+            () = arriving.given_up() => Err(RequestError::BodyGivenUp),
+            piece = self.next_piece() => piece,
+        }
+    }
+
     /// Reads and discards what is left of the body. Returns true if its end was reached, so that the next request can be
     /// read. A body that is announced as too long is not read.
     pub async fn discard(&mut self) -> bool {
--- a/src/bin/quota-gateway/server/body/tests.rs
+++ b/src/bin/quota-gateway/server/body/tests.rs
@@ -64,7 +64,8 @@
     };
     let lifecycle = Lifecycle::new();
     let deadline = Instant::now() + Duration::from_secs(1);
-    let received = RequestBody::new(body, deadline, &lifecycle).read().await;
+    let mut received = RequestBody::new(body, deadline, &lifecycle);
+    let received = read(&mut received).await;
     assert!(matches!(received, Ok(ReceivedBody::Complete(bytes)) if bytes.len() == 1000));
     assert_eq!(
         max_allocated.get(),
@@ -73,6 +74,15 @@
     );
 }
 
+/// Reads a body with ample memory.
+async fn read<B>(body: &mut RequestBody<'_, B>) -> Result<ReceivedBody, RequestError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let memory = ClientMemory::new(usize::MAX);
+    body.read(&ArrivingBodies::default(), &memory).await
+}
+
 /// A body that has arrived up to a point, as hyper passes it on: one piece for each poll of the connection's task.
 struct ArrivedBody {
     /// Number of pieces that have arrived and were not read.
@@ -124,7 +134,7 @@
     let lifecycle = Lifecycle::new();
     let passed = Instant::now();
     let mut body = RequestBody::new(ArrivedBody::new(5, true), passed, &lifecycle);
-    let received = body.read().await;
+    let received = read(&mut body).await;
     assert!(matches!(received, Ok(ReceivedBody::Complete(bytes)) if bytes == "xxxxx"));
     let mut body = RequestBody::new(ArrivedBody::new(5, true), passed, &lifecycle);
     assert!(body.discard().await);
@@ -137,7 +147,7 @@
     let start = Instant::now();
     let limit = Duration::from_secs(2);
     let mut body = RequestBody::new(ArrivedBody::new(5, false), start + limit, &lifecycle);
-    let received = body.read().await;
+    let received = read(&mut body).await;
     assert!(matches!(received, Err(RequestError::BodyTimeout)));
     assert!(start.elapsed() >= limit && start.elapsed() < 2 * limit);
     let mut body = RequestBody::new(ArrivedBody::new(5, false), start + limit, &lifecycle);
@@ -152,9 +162,9 @@
     lifecycle.advance_to(Phase::Refusing);
     let deadline = Instant::now() + Duration::from_secs(2);
     let mut body = RequestBody::new(ArrivedBody::new(5, true), deadline, &lifecycle);
-    let received = body.read().await;
+    let received = read(&mut body).await;
     assert!(matches!(received, Ok(ReceivedBody::Complete(bytes)) if bytes == "xxxxx"));
     let mut body = RequestBody::new(ArrivedBody::new(5, false), deadline, &lifecycle);
-    assert!(matches!(body.read().await, Ok(ReceivedBody::Refused)));
+    assert!(matches!(read(&mut body).await, Ok(ReceivedBody::Refused)));
     assert!(Instant::now() < deadline);
 }
--- /dev/null
+++ b/src/bin/quota-gateway/server/client_memory/tests.rs
@@ -0,0 +1,39 @@
+use super::*;
+
+const MB: usize = 1 << 20;
+/// Maximum length of a body in the protocol.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// Guards against refusing requests within the operators' limits: clients hold at most a third of the descriptors for
+/// requests, and a body has at most 64 KiB. The combination is that of the lowest memory with the most descriptors.
+#[test]
+fn the_longest_bodies_of_all_permitted_clients_have_room() {
+    const CLIENTS: usize = 1024 / 3;
+    let memory = ClientMemory::new(32 * MB);
+    let connections: Vec<_> = (0..CLIENTS).map(|_| memory.add_connection()).collect();
+    let mut bodies = memory.reserve();
+    for _ in &connections {
+        assert!(bodies.try_grow(MAX_BODY_BYTES));
+    }
+}
+
+/// Guards against a count that exceeds the limit of the machine, whatever the number of connections.
+#[test]
+fn connections_and_bytes_stay_within_the_limit() {
+    let memory = ClientMemory::new(32 * MB);
+    for count in [0, 300, 600] {
+        let connections: Vec<_> = (0..count).map(|_| memory.add_connection()).collect();
+        let mut reservation = memory.reserve();
+        while reservation.try_grow(1024) {}
+        assert!(connections.len() * CONNECTION_BYTES + reservation.bytes <= 32 * MB);
+        assert!(reservation.bytes > 15 * MB);
+    }
+    assert!(memory.has_room(15 * MB), "dropped bytes are still counted");
+}
+
+#[test]
+fn some_room_is_left_at_any_limit() {
+    let memory = ClientMemory::new(MB);
+    let _connections: Vec<_> = (0..1000).map(|_| memory.add_connection()).collect();
+    assert!(memory.has_room(MAX_BODY_BYTES));
+}
--- a/src/bin/quota-gateway/server/client_stream.rs
+++ b/src/bin/quota-gateway/server/client_stream.rs
@@ -39,7 +39,7 @@
 /// Maximum number of discarded bytes of one client, which bounds the work.
 const MAX_DISCARDED_BYTES: u64 = 64 << 20;
 /// Maximum size of one read, by hyper or into the read-ahead buffer. After longer reads, hyper would double its buffer.
-const MAX_READ_BYTES: usize = 2048;
+pub const MAX_READ_BYTES: usize = 2048;
 /// Size of one read of bytes that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 
--- a/src/bin/quota-gateway/server/client_stream/tests.rs
+++ b/src/bin/quota-gateway/server/client_stream/tests.rs
@@ -2,7 +2,7 @@
 
 use super::{ClientStream, ReadAheadBudget, DISCONNECT_POLL_INTERVAL};
 use crate::server::client::Client;
-use crate::server::read_ahead::MAX_TOTAL_BYTES;
+use crate::server::client_memory::ClientMemory;
 use crate::socket::Socket;
 use std::future::poll_fn;
 use std::io::Write;
@@ -12,14 +12,20 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// Memory limit of the process, and the part of it that pipelined bytes may take.
+const MEMORY_LIMIT: usize = 32 << 20;
+const MAX_READ_AHEAD: usize = 8 << 20;
+
 /// Returns a client and the server's stream of it, with the read-ahead budget used up.
 fn connect_without_budget() -> (std::net::TcpStream, ClientStream, ReadAheadBudget) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let (stream, _) = listener.accept().unwrap();
     stream.set_nonblocking(true).unwrap();
-    let budget = ReadAheadBudget::default();
-    budget.add(MAX_TOTAL_BYTES);
+    let memory = ClientMemory::new(MEMORY_LIMIT);
+    let budget = ReadAheadBudget::new(&memory);
+    budget.add(memory.max_read_ahead());
+    assert_eq!(budget.used(), MAX_READ_AHEAD);
     let socket = Socket::new(TcpStream::from_std(stream).unwrap());
     let stream = ClientStream::new(socket, Rc::new(Client::new(None)), budget.clone());
     (client, stream, budget)
@@ -52,7 +58,7 @@
         timeout(3 * DISCONNECT_POLL_INTERVAL, disconnected())
             .await
             .expect("the client has disconnected");
-        assert_eq!(budget.used(), MAX_TOTAL_BYTES, "nothing was read");
+        assert_eq!(budget.used(), MAX_READ_AHEAD, "nothing was read");
     }
 }
 
@@ -67,5 +73,5 @@
         .await
         .expect("the client has disconnected");
     assert!(sending.join().unwrap().is_ok(), "all bytes were read");
-    assert_eq!(budget.used(), MAX_TOTAL_BYTES, "nothing was buffered");
+    assert_eq!(budget.used(), MAX_READ_AHEAD, "nothing was buffered");
 }
--- a/src/bin/quota-gateway/server/mod.rs
+++ b/src/bin/quota-gateway/server/mod.rs
@@ -8,6 +8,8 @@
 //! - `read_ahead`: buffers pipelined bytes
 //! - `handler`: handles one request, from its complete head to its response
 //! - `body`: checks and reads bodies
+//! - `arriving_bodies`: the bodies that are arriving, and the one that is given up if there are too many
+//! - `client_memory`: limits the memory for bytes that clients have sent
 //! - `in_progress`: the state of a request until its response is made
 //! - `health`: the health checks and the metrics of the gateway itself
 //! - `request`: parses the head of a request
@@ -15,8 +17,10 @@
 //! - `response`: builds the responses to clients
 
 mod accept;
+mod arriving_bodies;
 mod body;
 mod client;
+mod client_memory;
 mod client_stream;
 mod connection;
 mod forward;
@@ -33,7 +37,9 @@
 
 use crate::driver::Driver;
 use crate::lifecycle::Lifecycle;
+use arriving_bodies::ArrivingBodies;
 use client::Client;
+use client_memory::ClientMemory;
 use quota_gateway::Settings;
 use read_ahead::ReadAheadBudget;
 use request::RequestParser;
@@ -54,14 +60,16 @@
     slots: Arc<Semaphore>,
     /// The open connections, by their sequence number in the order of accepting.
     clients: RefCell<HashMap<u64, Rc<Client>>>,
+    client_memory: Arc<ClientMemory>,
+    arriving_bodies: ArrivingBodies,
     read_ahead: ReadAheadBudget,
     /// Transaction ids of requests that have no response yet.
     open_transactions: RefCell<HashSet<u64>>,
 }
 
 impl Server {
-    /// Creates a server with one slot for each permit of `slots`. `classes` and `plans` are the names of the classes
-    /// and plans of `settings`, in the same order.
+    /// Creates a server with one slot for each permit of `slots`, in a process that may use `memory_limit` bytes.
+    /// `classes` and `plans` are the names of the classes and plans of `settings`, in the same order.
     pub fn new(
         driver: Rc<Driver>,
         lifecycle: Rc<Lifecycle>,
@@ -69,7 +77,9 @@
         classes: Vec<String>,
         plans: Vec<String>,
         slots: Arc<Semaphore>,
+        memory_limit: usize,
     ) -> Rc<Self> {
+        let client_memory = ClientMemory::new(memory_limit);
         Rc::new(Server {
             driver,
             lifecycle,
@@ -77,7 +87,9 @@
             no_slot_response: response::no_slot(&settings.limits),
             slots,
             clients: RefCell::default(),
-            read_ahead: ReadAheadBudget::default(),
+            read_ahead: ReadAheadBudget::new(&client_memory),
+            client_memory,
+            arriving_bodies: ArrivingBodies::default(),
             open_transactions: RefCell::default(),
         })
     }
--- a/src/bin/quota-gateway/server/read_ahead.rs
+++ b/src/bin/quota-gateway/server/read_ahead.rs
@@ -1,29 +1,42 @@
 //! Buffers for pipelined bytes, which clients send before the response to their current request: one buffer for each
 //! connection, and one budget for all of them.
 
+use super::client_memory::{ClientMemory, Reservation};
+use super::client_stream::MAX_READ_BYTES;
 use bytes::BytesMut;
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Once this many bytes of one client are buffered, further bytes are discarded (see `client_stream`). The limit is
-/// far above the largest request, so that only a client that pipelines many requests loses any.
-const MAX_BYTES: usize = 1 << 20;
-/// Once this many bytes of all clients are buffered, no more bytes are read ahead; further bytes stay in the sockets.
-pub const MAX_TOTAL_BYTES: usize = 4 << 20;
+/// One client may buffer this part of what all clients may: once it has, further bytes are discarded (see
+/// `client_stream`). The limit is far above the largest request, so that only a client that pipelines many requests loses
+/// any.
+const CLIENT_SHARE_DIVISOR: usize = 4;
+/// Memory that an arrival takes in addition to its bytes.
+const ARRIVAL_BYTES: usize = 128;
 /// Time after the first read within which further bytes count as having arrived together with the first.
 const ARRIVAL_RESOLUTION: Duration = Duration::from_millis(5);
 
-/// Counts the bytes in the buffers of all connections. Clones share one count.
-#[derive(Clone, Default)]
+/// Counts the memory of the buffers of all connections, as a part of the memory of clients. Clones share one count.
+#[derive(Clone)]
 pub struct ReadAheadBudget {
     used: Rc<Cell<usize>>,
+    memory: Arc<ClientMemory>,
 }
 
 impl ReadAheadBudget {
-    /// Number of bytes in all buffers.
+    /// Creates the count of empty buffers.
+    pub fn new(memory: &Arc<ClientMemory>) -> Self {
+        ReadAheadBudget {
+            used: Rc::default(),
+            memory: memory.clone(),
+        }
+    }
+
+    /// Memory of all buffers, in bytes.
     pub fn used(&self) -> usize {
         self.used.get()
     }
@@ -37,9 +50,9 @@
         self.used.set(self.used.get() - bytes);
     }
 
-    /// True if more bytes may be buffered.
+    /// True if more bytes may be buffered. Once there is no room, no more bytes are read ahead; they stay in the sockets.
     pub fn has_room(&self) -> bool {
-        self.used() < MAX_TOTAL_BYTES
+        self.used() < self.memory.max_read_ahead() && self.memory.has_room(MAX_READ_BYTES)
     }
 }
 
@@ -57,6 +70,7 @@
     /// Number of bytes in all arrivals.
     len: usize,
     budget: ReadAheadBudget,
+    reservation: Reservation,
 }
 
 impl ReadAheadBuffer {
@@ -65,6 +79,7 @@
         ReadAheadBuffer {
             arrivals: VecDeque::new(),
             len: 0,
+            reservation: budget.memory.reserve(),
             budget,
         }
     }
@@ -81,7 +96,7 @@
 
     /// True if the client has reached its limit, so that no more of its bytes are buffered.
     pub fn is_full(&self) -> bool {
-        self.len >= MAX_BYTES
+        self.len >= self.budget.memory.max_read_ahead() / CLIENT_SHARE_DIVISOR
     }
 
     /// Appends bytes that have just been read.
@@ -89,13 +104,26 @@
         let now = Instant::now();
         match self.arrivals.back_mut() {
             Some(last) if now - last.at < ARRIVAL_RESOLUTION => last.bytes.extend_from_slice(bytes),
-            _ => self.arrivals.push_back(Arrival {
-                at: now,
-                bytes: BytesMut::from(bytes),
-            }),
+            _ => {
+                self.arrivals.push_back(Arrival {
+                    at: now,
+                    bytes: BytesMut::from(bytes),
+                });
+                self.count(ARRIVAL_BYTES);
+            }
         }
         self.len += bytes.len();
-        self.budget.add(bytes.len());
+        self.count(bytes.len());
+    }
+
+    fn count(&mut self, bytes: usize) {
+        self.budget.add(bytes);
+        self.reservation.grow(bytes);
+    }
+
+    fn release(&mut self, bytes: usize) {
+        self.budget.release(bytes);
+        self.reservation.shrink(bytes);
     }
 
     /// Takes up to `max_bytes` from the oldest arrival; `None` if the buffer is empty.
@@ -106,17 +134,20 @@
             at: first.at,
             bytes: first.bytes.split_to(count),
         };
+        let mut released = count;
         if first.bytes.is_empty() {
             self.arrivals.pop_front();
+            released += ARRIVAL_BYTES;
         }
         self.len -= count;
-        self.budget.release(count);
+        self.release(released);
         Some(taken)
     }
 }
 
 impl Drop for ReadAheadBuffer {
     fn drop(&mut self) {
-        self.budget.release(self.len);
+        self.budget
+            .release(self.len + self.arrivals.len() * ARRIVAL_BYTES);
     }
 }
--- a/src/bin/quota-gateway/server/request/error.rs
+++ b/src/bin/quota-gateway/server/request/error.rs
@@ -40,6 +40,8 @@
     IncompleteBody,
     #[error("request body was not received in time")]
     BodyTimeout,
+    #[error("request body was given up without progress: too many others are arriving")]
+    BodyGivenUp,
 }
 
 impl RequestError {
@@ -51,7 +53,7 @@
             RequestError::MethodNotAllowed { .. } => StatusCode::METHOD_NOT_ALLOWED,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::DuplicateTransaction => StatusCode::CONFLICT,
-            RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            RequestError::BodyTimeout | RequestError::BodyGivenUp => StatusCode::REQUEST_TIMEOUT,
             RequestError::ClassMismatch
             | RequestError::InvalidTransactionId
             | RequestError::InvalidIdempotencyKey
@@ -66,6 +68,9 @@
 
     /// True if the end of the request cannot be found, so that nothing after its head can be read.
     pub fn hides_end(&self) -> bool {
-        matches!(self, RequestError::TransferEncoding)
+        matches!(
+            self,
+            RequestError::TransferEncoding | RequestError::BodyGivenUp
+        )
     }
 }
--- a/src/bin/quota-gateway/startup.rs
+++ b/src/bin/quota-gateway/startup.rs
@@ -56,10 +56,6 @@
     let metrics = Metrics::new();
     let addresses = ReloadableAddresses::new(config.discovery, counter_addr, metrics.clone());
     let (counter_client, counter_queues) = CounterClient::new();
-    let names = TopologyNames {
-        zones: config.zone_names,
-        kinds: config.kind_names,
-    };
     let transports = Transports {
         pool: ConnectionPool::new(
             budget.endpoints,
@@ -73,7 +69,10 @@
     let driver = Driver::new(
         settings.clone(),
         config.seed,
-        names,
+        TopologyNames {
+            zones: config.zone_names,
+            kinds: config.kind_names,
+        },
         transports,
         lifecycle.clone(),
         metrics.clone(),
@@ -92,6 +91,7 @@
         config.class_names,
         config.plan_names,
         client_slots.semaphore(),
+        config.memory_limit,
     );
     let acceptor = accept_clients(listener, &server)?;
     Ok(RunningGateway {
--- a/tests/gateway/memory.rs
+++ b/tests/gateway/memory.rs
@@ -113,6 +113,37 @@
     assert_within_memory_limit(&gateway);
 }
 
+/// Hundreds of clients stop in the middle of their bodies and stay. Their bytes would take the process over its memory
+/// limit, and they would lock out the clients that send whole requests. The ones that have stopped must be given up.
+#[test]
+fn clients_that_stop_in_their_bodies_neither_exhaust_the_memory_nor_lock_out_others() {
+    const STALLED_CLIENTS: usize = 580;
+    const LATER_CLIENTS: usize = 10;
+    let gateway = Gateway::new(&config_with_memory_limit());
+    let mut stalled: Vec<_> = (0..STALLED_CLIENTS)
+        .map(|number| {
+            let request = longest_request(number);
+            let mut client = gateway.connect();
+            // An error means that this client was given up.
+            let _ = client
+                .get_mut()
+                .write_all(&request.as_bytes()[..request.len() - 1]);
+            client
+        })
+        .collect();
+    for number in 0..LATER_CLIENTS {
+        let request = longest_request(STALLED_CLIENTS + number);
+        assert_eq!(gateway.exchange(&request).status(), 200);
+    }
+    assert_within_memory_limit(&gateway);
+    for client in &mut stalled {
+        assert!(
+            matches!(status_of(client), Some(408) | None),
+            "an incomplete request got neither an error nor a close"
+        );
+    }
+}
+
 /// Clients send bodies that are longer than a body may be. The gateway refuses them by their announced length, and reads
 /// on for a while, so that the clients get the response. What it reads and discards must take no memory of its own for
 /// each client.
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -12,7 +12,7 @@
 const PIECE_BYTES: usize = 150;
 /// Time between two pieces.
 const PIECE_INTERVAL: Duration = Duration::from_millis(1);
-/// Time that the endpoint takes to serve a request.
+/// Time that the endpoint takes to serve a request, if a test needs requests to wait.
 const SERVICE_TIME: Duration = Duration::from_millis(300);
 
 /// A request of the class `once` with its own transaction id.
@@ -44,8 +44,11 @@
 }
 
 /// Writes the requests on one connection and returns the status of each response, `None` for a missing one.
-fn statuses(gateway: &Gateway, requests: &[String], writing: Writing) -> Vec<Option<u16>> {
-    let mut client = gateway.connect();
+fn statuses(
+    mut client: BufReader<TcpStream>,
+    requests: &[String],
+    writing: Writing,
+) -> Vec<Option<u16>> {
     write(&mut client, requests, writing);
     requests
         .iter()
@@ -53,10 +56,10 @@
         .collect()
 }
 
-/// A configuration with an endpoint that takes [`SERVICE_TIME`] for each request, and quotas that are never used up.
-fn config_with_slow_endpoint() -> serde_json::Value {
-    let endpoint = start_server(|_| {
-        sleep(SERVICE_TIME);
+/// A configuration with an endpoint that takes `service_time` for each request, and quotas that are never used up.
+fn config_with_slow_endpoint(service_time: Duration) -> serde_json::Value {
+    let endpoint = start_server(move |_| {
+        sleep(service_time);
         Reply::Send(response(200, "", "done"))
     });
     let mut config = config_with_silent_discovery(&[endpoint]);
@@ -70,7 +73,7 @@
 /// never be answered. The request must be rejected, and those behind it must be served.
 #[test]
 fn requests_behind_an_expired_one_are_served() {
-    let gateway = Gateway::new(&config_with_slow_endpoint());
+    let gateway = Gateway::new(&config_with_slow_endpoint(SERVICE_TIME));
     for body_bytes in BODY_LENGTHS {
         for writing in [Writing::AtOnce, Writing::InPieces] {
             let requests: Vec<_> = (0..4)
@@ -81,7 +84,7 @@
                 })
                 .collect();
             assert_eq!(
-                statuses(&gateway, &requests, writing),
+                statuses(gateway.connect(), &requests, writing),
                 [Some(200), Some(429), Some(200), Some(200)],
                 "bodies of {body_bytes} bytes, {writing:?}"
             );
@@ -93,7 +96,7 @@
 /// instead of reading the body of the refused request, the others would never be answered. They must be served.
 #[test]
 fn requests_behind_an_invalid_one_are_served() {
-    let gateway = Gateway::new(&config_with_slow_endpoint());
+    let gateway = Gateway::new(&config_with_slow_endpoint(SERVICE_TIME));
     for body_bytes in BODY_LENGTHS {
         let valid = request(1, body_bytes);
         let health_check = format!(
@@ -120,7 +123,7 @@
                     request(4, body_bytes),
                 ];
                 assert_eq!(
-                    statuses(&gateway, &requests, writing),
+                    statuses(gateway.connect(), &requests, writing),
                     [Some(status), Some(200), Some(200)],
                     "{name}, bodies of {body_bytes} bytes, {writing:?}"
                 );
@@ -128,3 +131,35 @@
         }
     }
 }
+
+/// A client sends more than a megabyte of requests at once, or many clients together send several. If the gateway
+/// discarded what it does not buffer, the requests in it would never be answered. Each must get its response, at the
+/// lowest memory limit that the operators name.
+#[test]
+fn megabytes_of_pipelined_requests_are_answered() {
+    const MEMORY_LIMIT_MB: u32 = 32;
+    let mut config = config_with_slow_endpoint(Duration::from_millis(50));
+    config["limits"]["memory_mb"] = MEMORY_LIMIT_MB.into();
+    let gateway = Gateway::new(&config);
+    for (clients, requests, body_bytes) in [(1, 24, 60_000), (60, 8, 15_000), (100, 12, 6_000)] {
+        let unanswered: usize = std::thread::scope(|scope| {
+            let clients: Vec<_> = (0..clients)
+                .map(|client| {
+                    let connection = gateway.connect();
+                    scope.spawn(move || {
+                        let texts: Vec<_> = (0..requests)
+                            .map(|number| request(client * requests + number, body_bytes))
+                            .collect();
+                        let statuses = statuses(connection, &texts, Writing::AtOnce);
+                        statuses.iter().filter(|status| status.is_none()).count()
+                    })
+                })
+                .collect();
+            clients.into_iter().map(|c| c.join().unwrap()).sum()
+        });
+        assert_eq!(
+            unanswered, 0,
+            "requests without a response, {clients} clients with {requests} requests of {body_bytes} bytes"
+        );
+    }
+}
