--- a/src/bin/quota-gateway/server/client_stream.rs
+++ b/src/bin/quota-gateway/server/client_stream.rs
@@ -38,8 +38,10 @@
 const MAX_UNREAD_BYTES: usize = 32 * 1024;
 /// Maximum number of discarded bytes of one client, which bounds the work.
 const MAX_DISCARDED_BYTES: u64 = 64 << 20;
-/// Maximum size of one read, by hyper or into the read-ahead buffer. After longer reads, hyper would double its buffer.
-pub const MAX_READ_BYTES: usize = 2048;
+/// Maximum size of one read by hyper, which doubles its buffer after reads that fill it.
+const MAX_READ_BYTES: usize = 2048;
+/// Maximum size of one read into the read-ahead buffer.
+pub const READ_AHEAD_BYTES: usize = 4096;
 /// Size of one read of bytes that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -66,7 +68,7 @@
 impl StreamState {
     /// Reads and buffers pipelined bytes, or detects the end of the stream.
     fn poll_read_ahead(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let mut storage = [0; MAX_READ_BYTES];
+        let mut storage = [0; READ_AHEAD_BYTES];
         let mut buffer = ReadBuf::new(&mut storage);
         let result = ready!(Pin::new(&mut self.socket).poll_read(cx, &mut buffer));
         let bytes = buffer.filled();
--- a/src/bin/quota-gateway/server/read_ahead.rs
+++ b/src/bin/quota-gateway/server/read_ahead.rs
@@ -2,7 +2,7 @@
 //! connection, and one budget for all of them.
 
 use super::client_memory::{ClientMemory, Reservation};
-use super::client_stream::MAX_READ_BYTES;
+use super::client_stream::READ_AHEAD_BYTES;
 use bytes::BytesMut;
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -52,7 +52,7 @@
 
     /// True if more bytes may be buffered. Once there is no room, no more bytes are read ahead; they stay in the sockets.
     pub fn has_room(&self) -> bool {
-        self.used() < self.memory.max_read_ahead() && self.memory.has_room(MAX_READ_BYTES)
+        self.used() < self.memory.max_read_ahead() && self.memory.has_room(READ_AHEAD_BYTES)
     }
 }
 
