--- a/tests/gateway/stand_ins/config.rs
+++ b/tests/gateway/stand_ins/config.rs
@@ -53,6 +53,14 @@
     )
 }
 
+/// The same configuration with a quota that is never used up.
+pub fn with_ample_quota(mut config: serde_json::Value) -> serde_json::Value {
+    let plan = &mut config["settings"]["tiers-of-service"][0];
+    plan["refill"] = 1000.0.into();
+    plan["store-size"] = 1000.0.into();
+    config
+}
+
 /// An invalid entry of an endpoint list. Tests add it to a list whose application they wait for: see
 /// [`Gateway::wait_until_list_is_applied`](super::Gateway::wait_until_list_is_applied).
 pub fn invalid_entry() -> serde_json::Value {
--- a/tests/gateway/stand_ins/requests.rs
+++ b/tests/gateway/stand_ins/requests.rs
@@ -1,4 +1,8 @@
-//! Client requests.
+//! Client requests, and the statuses of their responses.
+
+use super::read_message;
+use std::io::BufReader;
+use std::net::TcpStream;
 
 /// A request of the class `look`, which is read-only. The transaction id is the customer number.
 pub fn get_request(customer: u64, units: u32, remaining_ms: u32) -> String {
@@ -18,5 +22,22 @@
     )
 }
 
+/// A POST request of the class `once` with a body of this length. The transaction id is the number.
+pub fn numbered_post_request(number: usize, body_bytes: usize) -> String {
+    let transaction_id = format!("X-Txn: {number:016x}");
+    post_request("once", "", &"b".repeat(body_bytes))
+        .replace("X-Txn: 9b1f03aa5c7e2d41", &transaction_id)
+}
+
+/// Reads the status of the next response; `None` if the connection ends before a complete response.
+pub fn read_status(client: &mut BufReader<TcpStream>) -> Option<u16> {
+    read_message(client).map(|response| response.status())
+}
+
+/// Reads the status of the next response to each client.
+pub fn read_statuses(clients: &mut [BufReader<TcpStream>]) -> Vec<Option<u16>> {
+    clients.iter_mut().map(read_status).collect()
+}
+
 /// A complete header line with a valid idempotency key.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
