--- a/src/policy/candidate.rs
+++ b/src/policy/candidate.rs
@@ -1,16 +1,16 @@
 //! The order of candidates: the comparison of the endpoints that may be sent an attempt.
 
-use crate::api::{EndpointId, Idempotency, KeyScope, Millis};
+use crate::api::{Endpoint, Idempotency, KeyScope, Millis};
 use crate::state::Location;
 
 /// An endpoint that may be sent an attempt.
 #[derive(Clone, Copy)]
-pub(crate) struct Candidate {
+pub(crate) struct Candidate<'e> {
     pub(crate) preference: Preference,
     /// Expected latency plus the price of a handshake if one is needed, in ms.
     pub(crate) cost_ms: Millis,
-    pub(crate) endpoint: EndpointId,
-    pub(crate) location: Location,
+    /// The endpoint's entry in the endpoint list.
+    pub(crate) endpoint: &'e Endpoint,
 }
 
 /// Preference for an endpoint, regardless of its cost. The variants are in order of preference.
@@ -22,13 +22,13 @@
     LastResort,
 }
 
-impl Candidate {
+impl Candidate<'_> {
     pub(crate) fn is_preferred(&self) -> bool {
         self.preference == Preference::Preferred
     }
 
     /// Compares candidates by preference first, then by cost.
-    pub(crate) fn is_better_than(&self, other: Candidate) -> bool {
+    pub(crate) fn is_better_than(&self, other: Candidate<'_>) -> bool {
         (self.preference, self.cost_ms) < (other.preference, other.cost_ms)
     }
 }
@@ -68,11 +68,11 @@
         }
     }
 
-    pub(crate) fn contains(&self, location: Location) -> bool {
+    pub(crate) fn contains(&self, endpoint: &Endpoint) -> bool {
         match *self {
             DeduplicationScope::All => true,
-            DeduplicationScope::Zone { zone } => location.zone == zone,
-            DeduplicationScope::Cell(cell) => location == cell,
+            DeduplicationScope::Zone { zone } => endpoint.zone == zone,
+            DeduplicationScope::Cell(cell) => Location::of(endpoint) == cell,
         }
     }
 }
--- a/src/policy/candidate/tests.rs
+++ b/src/policy/candidate/tests.rs
@@ -1,11 +1,22 @@
 use super::*;
+use crate::api::EndpointState;
 
-fn candidate(preference: Preference, cost_ms: f64) -> Candidate {
+const ENDPOINT: Endpoint = Endpoint {
+    id: 1,
+    hash_key: 1,
+    zone: 0,
+    kind: 0,
+    cell: 0,
+    state: EndpointState::Ready,
+    weight: 1.0,
+    started_at: 0.0,
+};
+
+fn candidate(preference: Preference, cost_ms: f64) -> Candidate<'static> {
     Candidate {
         preference,
         cost_ms,
-        endpoint: 1,
-        location: location(0, 0),
+        endpoint: &ENDPOINT,
     }
 }
 
@@ -26,8 +37,12 @@
     }
 }
 
-fn location(zone: u32, cell: u32) -> Location {
-    Location { zone, cell }
+fn endpoint(zone: u32, cell: u32) -> Endpoint {
+    Endpoint {
+        zone,
+        cell,
+        ..ENDPOINT
+    }
 }
 
 #[test]
@@ -37,14 +52,14 @@
             scope,
             window_ms: 1000.0,
         };
-        DeduplicationScope::new(keyed, Some(location(1, 10)))
+        DeduplicationScope::new(keyed, Some(Location { zone: 1, cell: 10 }))
     };
-    assert!(scope(KeyScope::All).contains(location(2, 20)));
-    assert!(scope(KeyScope::Zone).contains(location(1, 20)));
-    assert!(!scope(KeyScope::Zone).contains(location(2, 10)));
-    assert!(scope(KeyScope::Cell).contains(location(1, 10)));
-    assert!(!scope(KeyScope::Cell).contains(location(1, 20)));
-    assert!(!scope(KeyScope::Cell).contains(location(2, 10)));
+    assert!(scope(KeyScope::All).contains(&endpoint(2, 20)));
+    assert!(scope(KeyScope::Zone).contains(&endpoint(1, 20)));
+    assert!(!scope(KeyScope::Zone).contains(&endpoint(2, 10)));
+    assert!(scope(KeyScope::Cell).contains(&endpoint(1, 10)));
+    assert!(!scope(KeyScope::Cell).contains(&endpoint(1, 20)));
+    assert!(!scope(KeyScope::Cell).contains(&endpoint(2, 10)));
 }
 
 #[test]
@@ -53,5 +68,5 @@
         scope: KeyScope::Cell,
         window_ms: 1000.0,
     };
-    assert!(DeduplicationScope::new(keyed, None).contains(location(2, 20)));
+    assert!(DeduplicationScope::new(keyed, None).contains(&endpoint(2, 20)));
 }
--- a/src/policy/endpoint_comparison.rs
+++ b/src/policy/endpoint_comparison.rs
@@ -3,7 +3,7 @@
 use crate::api::Millis;
 use crate::policy::candidate::{Candidate, DeduplicationScope, Preference};
 use crate::policy::ejection::in_panic_mode;
-use crate::state::{Context, Location, OpenRequest, TrackedEndpoint};
+use crate::state::{Context, OpenRequest, TrackedEndpoint};
 use fastrand::Rng;
 
 /// Largest random part of a cost, in baseline latencies. Without it, gateways that have equally little
@@ -46,12 +46,12 @@
         &self,
         endpoints: impl Iterator<Item = &'e TrackedEndpoint> + Clone,
         rng: &mut Rng,
-    ) -> Option<Candidate> {
+    ) -> Option<Candidate<'e>> {
         let ignore_ejections = in_panic_mode(endpoints.clone());
         let mut best: Option<Candidate> = None;
         for endpoint in endpoints.filter(|endpoint| endpoint.is_ready()) {
             let is_warming = endpoint.warm_up.capacity_share(self.now).is_some();
-            let is_in_scope = self.scope.contains(Location::of(&endpoint.entry));
+            let is_in_scope = self.scope.contains(&endpoint.entry);
             if !is_in_scope || is_warming && !endpoint.warm_up.has_token() {
                 continue;
             }
@@ -76,12 +76,12 @@
             + self.baseline_ms * COST_JITTER * rng.f64()
     }
 
-    fn candidate(
+    fn candidate<'e>(
         &self,
-        endpoint: &TrackedEndpoint,
+        endpoint: &'e TrackedEndpoint,
         latency_ms: Millis,
         ignore_ejections: bool,
-    ) -> Candidate {
+    ) -> Candidate<'e> {
         let handshake_ms = if endpoint.has_free_connection(self.now) {
             0.0
         } else {
@@ -90,8 +90,7 @@
         Candidate {
             preference: self.preference(endpoint, ignore_ejections),
             cost_ms: latency_ms + handshake_ms,
-            endpoint: endpoint.entry.id,
-            location: Location::of(&endpoint.entry),
+            endpoint: &endpoint.entry,
         }
     }
 
--- a/src/policy/forwarding.rs
+++ b/src/policy/forwarding.rs
@@ -2,14 +2,13 @@
 
 use crate::api::{Action, AttemptEnd, Millis, Outcome, Request, Settings};
 use crate::policy::attempt_timeout::{attempt_timeout, TimeoutInputs};
-use crate::policy::candidate::Candidate;
 use crate::policy::final_response::EndReason;
 use crate::policy::load_balancer::LoadBalancer;
 use crate::policy::load_estimate::LoadEstimate;
 use crate::policy::overload::{self, FleetInputs};
 use crate::policy::retry::{self, AttemptDecision, AttemptInputs};
 use crate::policy::retry::{RetryBudget, RetryInputs};
-use crate::state::{Attempt, Context, Customers, OpenRequest};
+use crate::state::{Attempt, Context, Customers, Destination, OpenRequest};
 
 /// Forwards requests to the fleet: holds the endpoints, the load by this gateway's attempts, and the budget
 /// for retries.
@@ -65,13 +64,13 @@
         // The endpoint is chosen before the decision. The choice draws random numbers also for an attempt
         // that is then denied, and a request without an endpoint ends with `NoEndpoint` even if its attempt
         // would be denied.
-        let candidate = self.load_balancer.choose(cx, open_request);
-        let candidate = candidate.ok_or(EndReason::NoEndpoint)?;
+        let destination = self.load_balancer.choose(cx, open_request);
+        let destination = destination.ok_or(EndReason::NoEndpoint)?;
         match retry::decide_attempt(&attempt_inputs(cx, customers, open_request)) {
             AttemptDecision::Denied(denial) => Err(EndReason::AttemptDenied(denial)),
             AttemptDecision::Allowed { start_timeout_ms } => {
                 customers.attempt_started(&open_request.request, open_request.attempts.is_empty());
-                self.start_attempt(cx, open_request, candidate, start_timeout_ms);
+                self.start_attempt(cx, open_request, destination, start_timeout_ms);
                 Ok(())
             }
         }
@@ -81,27 +80,27 @@
         &mut self,
         cx: &mut Context,
         open_request: &mut OpenRequest,
-        candidate: Candidate,
+        destination: Destination,
         start_timeout_ms: Millis,
     ) {
         let is_first = open_request.attempts.is_empty();
         let endpoint_in_flight =
             self.load_balancer
-                .attempt_started(cx.now, candidate.endpoint, is_first);
+                .attempt_started(cx.now, destination.endpoint, is_first);
         self.load.attempt_started(cx.now);
         if is_first {
             self.retry_budget.deposit();
         }
         open_request.attempts.push(Attempt {
-            endpoint: candidate.endpoint,
-            location: candidate.location,
+            endpoint: destination.endpoint,
+            location: destination.location,
             started_at: cx.now,
             endpoint_in_flight,
             in_flight: true,
         });
         cx.actions.push(Action::SendAttempt {
             id: open_request.request.id,
-            endpoint: candidate.endpoint,
+            endpoint: destination.endpoint,
             timeout_ms: attempt_timeout(&timeout_inputs(cx, open_request)),
             start_timeout_ms,
         });
--- a/src/policy/load_balancer.rs
+++ b/src/policy/load_balancer.rs
@@ -11,7 +11,7 @@
 use crate::primitives::mean::{EventRate, RunningMean};
 use crate::primitives::ring::RingArc;
 use crate::state::{
-    Context, EndpointTable, OpenRequest, SubsetLoad, TrackedEndpoint, WarmingMembers,
+    Context, Destination, EndpointTable, OpenRequest, SubsetLoad, TrackedEndpoint, WarmingMembers,
 };
 use fastrand::Rng;
 
@@ -120,12 +120,13 @@
         &mut self,
         cx: &mut Context,
         open_request: &OpenRequest,
-    ) -> Option<Candidate> {
+    ) -> Option<Destination> {
         let mut rng = cx.rng.fork();
         self.refill_warming_members(cx);
         let comparison = self.comparison_for(cx, open_request);
         self.preferred_member(cx, &comparison, &mut rng)
             .or_else(|| comparison.best(self.endpoints.all(), &mut rng))
+            .map(|candidate| Destination::of(candidate.endpoint))
     }
 
     /// Returns the best candidate of a sample of the subset if it is preferred, or else the best candidate of
@@ -135,7 +136,7 @@
         cx: &Context,
         comparison: &EndpointComparison,
         rng: &mut Rng,
-    ) -> Option<Candidate> {
+    ) -> Option<Candidate<'_>> {
         if !subset::uses_subsetting(&self.subset) {
             return None;
         }
--- a/src/state/location.rs
+++ b/src/state/location.rs
@@ -1,6 +1,6 @@
 //! The place of an endpoint in the fleet.
 
-use crate::api::Endpoint;
+use crate::api::{Endpoint, EndpointId};
 
 /// The zone of an endpoint, and its cell within the zone. They determine which endpoints share idempotency keys.
 ///
@@ -21,3 +21,20 @@
         }
     }
 }
+
+/// The endpoint to which an attempt is sent.
+#[derive(Clone, Copy)]
+pub(crate) struct Destination {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) location: Location,
+}
+
+impl Destination {
+    /// The destination of an attempt to the endpoint with this entry in the endpoint list.
+    pub(crate) fn of(entry: &Endpoint) -> Self {
+        Destination {
+            endpoint: entry.id,
+            location: Location::of(entry),
+        }
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -28,7 +28,7 @@
 pub(crate) use ejection::Ejection;
 pub(crate) use endpoint::{EndpointHealth, TrackedEndpoint};
 pub(crate) use endpoint_table::EndpointTable;
-pub(crate) use location::Location;
+pub(crate) use location::{Destination, Location};
 pub(crate) use request::{Attempt, InvalidRequest, OpenRequest, OpenRequests};
 pub(crate) use shared_quota::SharedQuota;
 pub(crate) use subset_load::SubsetLoad;
