--- a/src/policy/endpoint_comparison.rs
+++ b/src/policy/endpoint_comparison.rs
@@ -24,7 +24,8 @@
 }
 
 impl<'a> EndpointComparison<'a> {
-    /// Creates the comparison for the request's next attempt. `baseline_ms` is the latency of the request's class at an idle endpoint.
+    /// Creates the comparison for the request's next attempt. `baseline_ms` is the latency of the request's
+    /// class at an idle endpoint.
     pub(super) fn new(cx: &Context, open_request: &'a OpenRequest, baseline_ms: Millis) -> Self {
         let class = cx.class(&open_request.request);
         let first_possible_execution = open_request
