--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -17,6 +17,7 @@
 mod proxy;
 mod record;
 mod site;
+mod stopped_clients;
 
 use record::Record;
 use std::path::PathBuf;
@@ -53,6 +54,7 @@
         "late-answer" => late_answer::run(&run, &record),
         "pipeline" => pipeline::run(&run, &record),
         "memory" => memory::run(&run, &record),
+        "stopped-clients" => stopped_clients::run(&run, &record),
         _ => Err(std::io::Error::other("unknown case")),
     };
     let outcome = result.unwrap_or_else(|error| {
