--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -10,16 +10,17 @@
 
 mod client;
 mod http;
-mod late_answer;
 mod memory;
 mod pipeline;
 mod platform;
 mod proxy;
 mod record;
 mod site;
+mod spoilt_answers;
 mod stopped_clients;
 
 use record::Record;
+use spoilt_answers::Fault;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -51,7 +52,8 @@
     };
     let record = Arc::new(Record::new());
     let result = match case.as_str() {
-        "late-answer" => late_answer::run(&run, &record),
+        "late-answer" => spoilt_answers::run(&run, Fault::LateSecondCopy, &record),
+        "short-length" => spoilt_answers::run(&run, Fault::ShortLength, &record),
         "pipeline" => pipeline::run(&run, &record),
         "memory" => memory::run(&run, &record),
         "stopped-clients" => stopped_clients::run(&run, &record),
--- a/review/stand-ins-2/late_answer.rs
+++ b/review/stand-ins-2/spoilt_answers.rs
@@ -1,4 +1,5 @@
-//! Case: a quote server's second answer comes some milliseconds late.
+//! Two cases of spoilt answers under ordinary traffic: a quote server's second answer comes some milliseconds late, or the
+//! length of an answer does not fit.
 
 use crate::client::{body_class, safe_class};
 use crate::http::{ok, MessageReader};
@@ -23,18 +24,32 @@
 const WORK: Duration = Duration::from_millis(60);
 /// Time from an answer to its second copy.
 const LATE: Duration = Duration::from_millis(12);
-/// One answer in this many has a second copy.
-const SECOND_COPY_EVERY: u64 = 10;
+/// One answer in this many is spoilt.
+const SPOILT_EVERY: u64 = 10;
+/// Bytes of the body that a length leaves out if it does not fit.
+const LEFT_OUT: usize = 15;
+/// The true units of each request.
+const UNITS: &str = "X-Units-Charged: 1\r\n";
 const CLIENTS: u64 = 20;
 /// Mean time from an answer to the client's next request: with the work, about 140 requests a second.
 const PAUSE_MS: u64 = 75;
 const LENGTH: Duration = Duration::from_secs(25);
 
+/// What is wrong with a spoilt answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It is good, but a second copy of it follows.
+    LateSecondCopy,
+    /// Its `Content-Length` is shorter than its body.
+    ShortLength,
+}
+
 /// What the quote servers did.
 struct Servers {
-    trouble: bool,
+    /// `None` if no answer is spoilt.
+    fault: Option<Fault>,
     answers: AtomicU64,
-    second_copies: AtomicU64,
+    spoilt: AtomicU64,
     /// The answers that were made for each request, one for each run.
     made: Mutex<HashMap<u64, Vec<Vec<u8>>>>,
 }
@@ -47,22 +62,38 @@
             let id = u64::from_str_radix(request.header("x-txn").unwrap_or(""), 16).unwrap_or(0);
             record.add(format!("run {id:016x} at server {number}"));
             thread::sleep(WORK);
-            let answer = format!("quote for {id:016x} by server {number}").into_bytes();
+            let body = format!("quote for {id:016x} by server {number}: 1234.56 PLN a month");
             let mut made = self.made.lock().expect("no thread panics with the lock");
-            made.entry(id).or_default().push(answer.clone());
+            made.entry(id).or_default().push(body.clone().into_bytes());
             drop(made);
-            let answer = ok("X-Units-Charged: 1\r\n", &answer);
-            writer.write_all(&answer)?;
             let count = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
-            if self.trouble && count % SECOND_COPY_EVERY == 0 {
-                thread::sleep(LATE);
-                // Only when nothing else is waiting on the connection.
-                if !requests.has_rest() && nothing_waits(stream)? {
+            let fault = self.fault.filter(|_| count % SPOILT_EVERY == 0);
+            let answer = ok(UNITS, body.as_bytes());
+            match fault {
+                None => writer.write_all(&answer)?,
+                Some(Fault::LateSecondCopy) => {
                     writer.write_all(&answer)?;
-                    self.second_copies.fetch_add(1, Ordering::Relaxed);
+                    thread::sleep(LATE);
+                    // Only when nothing else is waiting on the connection.
+                    if !requests.has_rest() && nothing_waits(stream)? {
+                        writer.write_all(&answer)?;
+                        self.spoilt.fetch_add(1, Ordering::Relaxed);
+                        record.add(format!(
+                            "second copy of the answer to {id:016x} by server {number}"
+                        ));
+                    }
+                }
+                Some(Fault::ShortLength) => {
+                    let (begin, rest) = body.split_at(body.len() - LEFT_OUT);
+                    let short = ok(UNITS, begin.as_bytes());
+                    writer.write_all(&[&short, rest.as_bytes()].concat())?;
+                    self.spoilt.fetch_add(1, Ordering::Relaxed);
                     record.add(format!(
-                        "second copy of the answer to {id:016x} by server {number}"
+                        "the length of the answer to {id:016x} by server {number} does not fit"
                     ));
+                    // The connection stays open and is of no further use.
+                    while requests.next()?.is_some() {}
+                    return Ok(());
                 }
             }
         }
@@ -86,7 +117,7 @@
 struct Seen {
     sent: u64,
     served: u64,
-    foreign: u64,
+    wrong: u64,
 }
 
 struct Client {
@@ -132,11 +163,11 @@
     }
 }
 
-pub fn run(run: &Run, record: &Arc<Record>) -> io::Result<Outcome> {
+pub fn run(run: &Run, fault: Fault, record: &Arc<Record>) -> io::Result<Outcome> {
     let servers = Arc::new(Servers {
-        trouble: run.trouble,
+        fault: run.trouble.then_some(fault),
         answers: AtomicU64::new(0),
-        second_copies: AtomicU64::new(0),
+        spoilt: AtomicU64::new(0),
         made: Mutex::default(),
     });
     let mut entries = Vec::new();
@@ -180,23 +211,23 @@
             .map_err(|_| io::Error::other("a client failed"))?;
         seen.sent += one.sent;
         seen.served += one.served;
-        seen.foreign += one.foreign;
+        seen.wrong += one.wrong;
     }
     if !gateway.is_running() {
         record.say("the gateway has ended by itself".to_owned());
         return Ok(Outcome::Broken);
     }
     record.say(format!(
-        "sent {}, served {}, second copies {}, served with the answer to another request {}",
+        "sent {}, served {}, spoilt answers {}, served with anything but the own answer {}",
         seen.sent,
         seen.served,
-        servers.second_copies.load(Ordering::Relaxed),
-        seen.foreign
+        servers.spoilt.load(Ordering::Relaxed),
+        seen.wrong
     ));
     if seen.served < seen.sent / 2 {
         return Ok(Outcome::NotRun);
     }
-    Ok(if seen.foreign > 0 {
+    Ok(if seen.wrong > 0 {
         Outcome::Broken
     } else {
         Outcome::Held
@@ -228,9 +259,9 @@
                 let is_own = made.get(&id).is_some_and(|made| made.contains(&body));
                 drop(made);
                 let text = String::from_utf8_lossy(&body).into_owned();
-                let mark = if is_own { "" } else { " FOREIGN" };
+                let mark = if is_own { "" } else { " WRONG" };
                 record.add(format!("answered {id:016x} 200 {text:?}{mark}"));
-                seen.foreign += u64::from(!is_own);
+                seen.wrong += u64::from(!is_own);
             }
             Ok((status, _)) => record.add(format!("answered {id:016x} {status}")),
             Err(error) => record.add(format!("no answer to {id:016x}: {error}")),
