--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/stand-ins-2"
 mkdir -p bin
-"${RUSTC:-rustc}" --edition 2021 -O -D warnings -o bin/play main.rs
+"${RUSTC:-rustc}" --edition 2021 -O -o bin/play main.rs
