--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -19,6 +19,7 @@
 mod lifecycle;
 mod logging;
 mod metrics;
+mod poll_once;
 mod rate_limited_warning;
 mod reload;
 mod retry;
--- a/src/bin/quota-gateway/server/body.rs
+++ b/src/bin/quota-gateway/server/body.rs
@@ -13,14 +13,12 @@
 use super::request::{ClassRoute, RequestError};
 use crate::http::{BodyBuffer, MAX_BODY_BYTES};
 use crate::lifecycle::{Lifecycle, Phase};
+use crate::poll_once::poll_once;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::Method;
-use std::future::{poll_fn, Future};
-use std::pin::pin;
 use std::sync::Arc;
-use std::task::Poll;
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
@@ -197,13 +195,3 @@
         Some(Err(_)) => Err(RequestError::IncompleteBody),
     }
 }
-
-/// Polls a future once. Returns `None` if it is pending.
-async fn poll_once<F: Future>(future: F) -> Option<F::Output> {
-    let mut future = pin!(future);
-    poll_fn(|cx| match future.as_mut().poll(cx) {
-        Poll::Ready(output) => Poll::Ready(Some(output)),
-        Poll::Pending => Poll::Ready(None),
-    })
-    .await
-}
--- a/src/bin/quota-gateway/server/body/tests.rs
+++ b/src/bin/quota-gateway/server/body/tests.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::Context;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// A read buffer from which a piece was cut.
