Http: bytes behind an announced length that begin no response contradict it

Cause: Reader::read_response ended a body where its announced length ended, and ConnectionPool::attempt only concluded from the bytes behind it that the connection must not be used again. The rule that was never stated: the end of a body is certain only if nothing contradicts it.

Change: the reader asks the socket once for what follows the announced length. Nothing, or another response (a second copy), confirms it; anything else contradicts it. ResponseBody is a type from which only a body whose end is certain can be taken out: an attempt with status 200 and a contradicted length ends as ConnectionReset, a total of the counter or a list of discovery likewise is not used.

--- a/src/bin/quota-gateway/counter/connection.rs
+++ b/src/bin/quota-gateway/counter/connection.rs
@@ -20,10 +20,10 @@
 use super::codec;
 use super::pending::PendingRequests;
 use super::report::CallReporter;
-use crate::http::{Head, Reader};
+use crate::http::{Reader, Response, ResponseBody};
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::socket::Socket;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BytesMut};
 use quota_gateway::Outcome;
 use std::io;
 use std::net::SocketAddr;
@@ -157,9 +157,14 @@
         }
     }
 
-    fn on_response(&mut self, response: io::Result<(Head, Bytes)>) -> ControlFlow<()> {
+    fn on_response(&mut self, response: io::Result<Response>) -> ControlFlow<()> {
         self.last_response_at = Instant::now();
-        let Ok((head, body)) = response else {
+        // A total whose length is contradicted may be truncated, and would be the total of nobody.
+        let Ok(Response {
+            head,
+            body: ResponseBody::Complete(body),
+        }) = response
+        else {
             return ControlFlow::Break(());
         };
         if self.pending.is_empty() {
--- a/src/bin/quota-gateway/discovery/call.rs
+++ b/src/bin/quota-gateway/discovery/call.rs
@@ -12,7 +12,7 @@
 use super::list::{EndpointList, MAX_LIST_BYTES};
 use super::policy::CallTimeouts;
 use super::updates::ListUpdates;
-use crate::http::{Head, Reader};
+use crate::http::{Head, Reader, Response, ResponseBody};
 use crate::socket::Socket;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -66,10 +66,13 @@
         timeouts: CallTimeouts,
     ) -> Result<EndpointList, DiscoveryError> {
         self.write_request(reader, "/registry/instances").await?;
-        let (head, body) =
+        let Response { head, body } =
             timeout(timeouts.response, reader.read_response(MAX_LIST_BYTES)).await??;
         check_status(&head)?;
-        Ok(serde_json::from_slice(&body)?)
+        match body {
+            ResponseBody::Complete(body) => Ok(serde_json::from_slice(&body)?),
+            ResponseBody::LengthContradicted => Err(DiscoveryError::LengthContradicted),
+        }
     }
 
     async fn write_request(
--- a/src/bin/quota-gateway/discovery/error.rs
+++ b/src/bin/quota-gateway/discovery/error.rs
@@ -28,6 +28,8 @@
     InvalidList(#[from] serde_json::Error),
     #[error("endpoint list is longer than {MAX_LIST_BYTES} bytes")]
     ListTooLong,
+    #[error("endpoint list is followed by bytes beyond its announced length")]
+    LengthContradicted,
     #[error("watch event is older than the current endpoint list")]
     StaleUpdate,
 }
@@ -40,6 +42,7 @@
             DiscoveryError::NotAnObject
             | DiscoveryError::InvalidList(_)
             | DiscoveryError::ListTooLong
+            | DiscoveryError::LengthContradicted
             | DiscoveryError::StaleUpdate => true,
             DiscoveryError::TimedOut(_)
             | DiscoveryError::Status(_)
--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -7,12 +7,12 @@
 use super::registered_request::{AttemptTimes, EndpointResponse, StartedAttempt};
 use super::registry::RequestRegistry;
 use super::rule_checks::{RuleChecker, WrittenAttempt};
+use crate::http::{Response, ResponseBody};
 use crate::lifecycle::Lifecycle;
 use crate::metrics::{AttemptRefusal, Metrics};
 use crate::socket::{PeekResult, WeakSocket};
 use crate::upstream::{
-    AttemptResult, CompleteResponse, ConnectionPool, EncodedRequest, OutgoingRequest, Preparation,
-    Target,
+    AttemptResult, ConnectionPool, EncodedRequest, OutgoingRequest, Preparation, Target,
 };
 use quota_gateway::{EndpointId, Outcome, RequestId};
 use std::cell::{Cell, RefCell};
@@ -241,7 +241,13 @@
 /// Returns what the client gets of a successful attempt's response; `None` for other outcomes.
 fn success_response(result: AttemptResult) -> Option<EndpointResponse> {
     match (result.outcome, result.response) {
-        (Outcome::Success, Some(CompleteResponse { head, body })) => Some(EndpointResponse {
+        (
+            Outcome::Success,
+            Some(Response {
+                head,
+                body: ResponseBody::Complete(body),
+            }),
+        ) => Some(EndpointResponse {
             units: head.units,
             content_type: head.content_type,
             body,
--- a/src/bin/quota-gateway/http/mod.rs
+++ b/src/bin/quota-gateway/http/mod.rs
@@ -5,21 +5,26 @@
 //! - `body`: decodes bodies that are framed by length, by chunks or by the end of the connection
 //! - `body_buffer`: collects bodies from the pieces in which they arrive, those of requests as well
 //! - `reader`: reads responses from a connection
+//! - `response`: a response that was read to its end
+//! - `following_bytes`: classifies the bytes that follow a response
 //! - `header_names`: the names of the protocol's request headers
 //! - `error`: the errors of a malformed response
 
 mod body;
 mod body_buffer;
 mod error;
+mod following_bytes;
 mod head;
 pub mod header_names;
 mod reader;
+mod response;
 #[cfg(test)]
 mod tests;
 
 pub use body_buffer::BodyBuffer;
 pub use head::Head;
 pub use reader::Reader;
+pub use response::{Response, ResponseBody};
 
 /// Maximum size of a request or response body in the protocol.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
--- a/src/bin/quota-gateway/http/reader.rs
+++ b/src/bin/quota-gateway/http/reader.rs
@@ -3,7 +3,10 @@
 use super::body::{BodyDecoder, Decoded};
 use super::body_buffer::BodyBuffer;
 use super::error::MalformedResponse;
+use super::following_bytes::FollowingBytes;
 use super::head::{parse_head, Head, MAX_HEAD_BYTES};
+use super::response::{Response, ResponseBody};
+use crate::poll_once::poll_once;
 use bytes::{Buf, Bytes, BytesMut};
 use std::io::{self, ErrorKind};
 use tokio::io::{AsyncRead, AsyncReadExt};
@@ -104,7 +107,11 @@
 
     /// Reads a complete response with a body of at most `max_body` bytes. Between two responses the reader keeps no
     /// buffers, so that an idle connection takes no memory for the longest response that it has carried.
-    pub async fn read_response(&mut self, max_body: usize) -> io::Result<(Head, Bytes)> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks before the end of the response, or if the response is malformed or too long.
+    pub async fn read_response(&mut self, max_body: usize) -> io::Result<Response> {
         if self.partial.is_none() {
             let head = self.read_head().await?;
             let body = BodyBuffer::new(max_body, self.body.announced_bytes());
@@ -124,11 +131,33 @@
                 .push(&chunk)
                 .map_err(|_| MalformedResponse::BodyTooLong)?;
         }
+        let is_length_contradicted = self.body.ends_by_length() && self.has_further_body().await;
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new();
         }
-        let partial = self.partial.take().ok_or(MalformedResponse::MissingHead)?;
-        Ok((partial.head, partial.body.into_bytes()))
+        let PartialResponse { head, body } =
+            self.partial.take().ok_or(MalformedResponse::MissingHead)?;
+        let body = if is_length_contradicted {
+            ResponseBody::LengthContradicted
+        } else {
+            ResponseBody::Complete(body.into_bytes())
+        };
+        Ok(Response { head, body })
+    }
+
+    /// True if the bytes after the announced length, as far as they have arrived, may belong to the body.
+    async fn has_further_body(&mut self) -> bool {
+        // The announced length may end where a read ended, with more bytes in the socket. An error or the end of the
+        // stream means that nothing follows.
+        let _ = poll_once(self.fill()).await;
+        loop {
+            match FollowingBytes::classify(&self.buffer) {
+                FollowingBytes::Nothing | FollowingBytes::Response => return false,
+                FollowingBytes::Other => return true,
+                FollowingBytes::PartOfResponse if self.fill().await.is_err() => return true,
+                FollowingBytes::PartOfResponse => {}
+            }
+        }
     }
 
     async fn fill(&mut self) -> io::Result<()> {
--- a/src/bin/quota-gateway/http/reader/tests.rs
+++ b/src/bin/quota-gateway/http/reader/tests.rs
@@ -17,7 +17,10 @@
         ),
     ] {
         let mut reader = Reader::new(response.as_bytes());
-        let (_, body) = reader.read_response(MAX_BODY_BYTES).await.unwrap();
+        let response = reader.read_response(MAX_BODY_BYTES).await.unwrap();
+        let ResponseBody::Complete(body) = response.body else {
+            panic!("the body is complete");
+        };
         assert!(!body.is_empty() && reader.partial.is_none());
         assert_eq!(reader.buffer.capacity(), 0);
     }
@@ -30,7 +33,7 @@
     let responses = responses.replacen("\r\n\r\n", "\r\n\r\na", 1) + "b";
     let mut reader = Reader::new(responses.as_bytes());
     for expected in ["a", "b"] {
-        let (_, body) = reader.read_response(1).await.unwrap();
-        assert_eq!(body, expected);
+        let response = reader.read_response(1).await.unwrap();
+        assert_eq!(response.body, ResponseBody::Complete(expected.into()));
     }
 }
--- a/src/bin/quota-gateway/http/tests.rs
+++ b/src/bin/quota-gateway/http/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of valid and malformed responses.
 
 use super::head::MAX_HEAD_BYTES;
-use super::{Head, Reader, MAX_BODY_BYTES};
+use super::{Head, Reader, Response, ResponseBody, MAX_BODY_BYTES};
 use bytes::Bytes;
 use std::io;
 use std::pin::Pin;
@@ -11,10 +11,19 @@
 fn read(text: &str) -> io::Result<(Head, Bytes, bool)> {
     let runtime = tokio::runtime::Builder::new_current_thread().build()?;
     let mut reader = Reader::new(text.as_bytes());
-    let (head, body) = runtime.block_on(reader.read_response(MAX_BODY_BYTES))?;
+    let response = runtime.block_on(reader.read_response(MAX_BODY_BYTES))?;
+    let (head, body) = complete(response);
     Ok((head, body, reader.has_unread_bytes()))
 }
 
+/// The parts of a response with a complete body.
+fn complete(response: Response) -> (Head, Bytes) {
+    match response.body {
+        ResponseBody::Complete(body) => (response.head, body),
+        ResponseBody::LengthContradicted => panic!("the length of the body is contradicted"),
+    }
+}
+
 #[test]
 fn complete_responses_are_read_and_determine_connection_reuse() {
     for (text, keep, more) in [
@@ -140,7 +149,8 @@
         "HTTP/1.1 500 Error\r\n\r\nfine",
     ] {
         let mut reader = Reader::new(ByteByByte(text.as_bytes()));
-        let (head, body) = runtime.block_on(reader.read_response(MAX_BODY_BYTES)).unwrap();
+        let response = runtime.block_on(reader.read_response(MAX_BODY_BYTES)).unwrap();
+        let (head, body) = complete(response);
         let (whole_head, whole_body, _) = read(text).unwrap();
         assert_eq!(
             (head.status, head.keep_alive, &body),
@@ -149,3 +159,45 @@
         assert_eq!(&body[..], b"fine", "{text}");
     }
 }
+
+/// Reads a response with status 200 whose body is `fine`, if its announced length is right, and `following` after it.
+fn read_body_before(following: &str) -> ResponseBody {
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine{following}");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .unwrap();
+    let mut reader = Reader::new(text.as_bytes());
+    runtime
+        .block_on(reader.read_response(MAX_BODY_BYTES))
+        .unwrap()
+        .body
+}
+
+/// Guards against a body that is passed on cut off, because its announced length is too short: bytes that follow the
+/// length and begin no other response may belong to the body.
+#[test]
+fn bytes_that_begin_no_response_contradict_the_length_before_them() {
+    for following in ["r", " and more", "\r\n", "HTTP", "HTTP/2 200 OK\r\n\r\n"] {
+        let body = read_body_before(following);
+        assert_eq!(body, ResponseBody::LengthContradicted, "{following:?}");
+    }
+    for following in ["", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"] {
+        let body = read_body_before(following);
+        assert_eq!(body, ResponseBody::Complete("fine".into()), "{following:?}");
+    }
+}
+
+/// Guards against a too short length that goes unnoticed because the announced bytes and those after them are read
+/// separately.
+#[test]
+fn a_contradicted_length_is_noticed_however_the_bytes_are_read() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .unwrap();
+    let text = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nfine";
+    let mut reader = Reader::new(ByteByByte(text.as_bytes()));
+    let response = runtime
+        .block_on(reader.read_response(MAX_BODY_BYTES))
+        .unwrap();
+    assert_eq!(response.body, ResponseBody::LengthContradicted);
+}
--- a/src/bin/quota-gateway/upstream/attempt.rs
+++ b/src/bin/quota-gateway/upstream/attempt.rs
@@ -4,23 +4,16 @@
 use super::connection::{Connection, WriteResult};
 use super::pool::{ConnectError, ConnectionPool};
 use super::request::{OutgoingRequest, Target};
-use crate::http::{Head, MAX_BODY_BYTES};
-use bytes::Bytes;
+use crate::http::{Head, Response, ResponseBody, MAX_BODY_BYTES};
 use quota_gateway::Outcome;
 use tokio::time::{timeout_at, Instant};
 
-/// A complete response of an endpoint, whatever its status.
-pub struct CompleteResponse {
-    pub head: Head,
-    pub body: Bytes,
-}
-
 /// The result of an attempt.
 pub struct AttemptResult {
     /// Outcome in the decision library's terms.
     pub outcome: Outcome,
-    /// The endpoint's response; `None` if no complete response arrived.
-    pub response: Option<CompleteResponse>,
+    /// The endpoint's response; `None` if no response was read to its end.
+    pub response: Option<Response>,
 }
 
 impl AttemptResult {
@@ -49,7 +42,7 @@
             Err(outcome) => return AttemptResult::without_response(outcome),
         };
         request.on_written();
-        let (head, body) =
+        let response =
             match timeout_at(deadline, connection.reader.read_response(MAX_BODY_BYTES)).await {
                 Ok(Ok(response)) => response,
                 // The connection broke, or the response is malformed or too long.
@@ -57,12 +50,12 @@
                 Err(_) => return AttemptResult::without_response(Outcome::Timeout),
             };
         // Unread bytes after the response would be taken for the response to the next request.
-        if head.keep_alive && !connection.reader.has_unread_bytes() {
+        if response.head.keep_alive && !connection.reader.has_unread_bytes() {
             self.put_back(target, connection);
         }
         AttemptResult {
-            outcome: outcome_of(&head),
-            response: Some(CompleteResponse { head, body }),
+            outcome: outcome_of(&response),
+            response: Some(response),
         }
     }
 
@@ -109,11 +102,19 @@
     }
 }
 
-fn outcome_of(head: &Head) -> Outcome {
-    match head.status {
-        200 => Outcome::Success,
-        // Only 503 or 504 together with `X-Turned-Away: 1` proves that the request was never executed.
-        503 | 504 if head.rejected => Outcome::Rejected,
+fn outcome_of(response: &Response) -> Outcome {
+    match response {
+        Response { head, .. } if is_rejection(head) => Outcome::Rejected,
+        Response { head, body } if head.status == 200 => match body {
+            ResponseBody::Complete(_) => Outcome::Success,
+            // The request was executed, and its response is of no use.
+            ResponseBody::LengthContradicted => Outcome::ConnectionReset,
+        },
         _ => Outcome::ErrorResponse,
     }
 }
+
+/// True if the head proves that the request was never executed: only 503 or 504 together with `X-Turned-Away: 1` does.
+fn is_rejection(head: &Head) -> bool {
+    matches!(head.status, 503 | 504) && head.rejected
+}
--- a/src/bin/quota-gateway/upstream/mod.rs
+++ b/src/bin/quota-gateway/upstream/mod.rs
@@ -10,6 +10,6 @@
 mod pool;
 mod request;
 
-pub use attempt::{AttemptResult, CompleteResponse};
+pub use attempt::AttemptResult;
 pub use pool::ConnectionPool;
 pub use request::{EncodedRequest, OutgoingRequest, Preparation, Target};
--- a/tests/gateway/attempts.rs
+++ b/tests/gateway/attempts.rs
@@ -187,6 +187,31 @@
     }
 }
 
+/// A faulty endpoint announces a length that is shorter than its body. The client would get a body that ends in the
+/// middle as a whole one. The response must count as spoilt: it has run, and the client gets no part of it.
+#[test]
+fn a_body_that_is_longer_than_its_length_is_not_served_cut_off() {
+    let body = "1234.56 PLN a month";
+    let spoilt = response(200, "", body).replace(
+        &format!("Content-Length: {}", body.len()),
+        &format!("Content-Length: {}", body.len() - 15),
+    );
+    let count = Arc::new(Mutex::new(0));
+    let seen = count.clone();
+    let faulty = start_server(move |_| {
+        *seen.lock().unwrap() += 1;
+        Reply::Send(spoilt.clone())
+    });
+    let gateway = Gateway::new(&config_with_silent_discovery(&[faulty, faulty]));
+    let response = gateway.exchange(&post_request("once", "", "x"));
+    assert_eq!(response.status(), 502);
+    assert_eq!(
+        *count.lock().unwrap(),
+        1,
+        "the request has run, and was sent again"
+    );
+}
+
 /// An endpoint moves to another address while an attempt is in flight at the old address. The connection of that
 /// attempt becomes idle afterwards, when the old address may belong to another endpoint. The attempt must complete, and
 /// all later attempts must go to the new address.
