Http: a line after the last chunk that is no header field is an error

A chunk whose size is wrongly 0 ended the body, and what was left of it was discarded line by line as trailers, whatever it held: the client got a body that ends in the middle as a whole 200.

Change: BodyDecoder::read_trailer accepts only header fields; anything else is MalformedResponse::InvalidTrailer.

Evidence: two cases of http::tests::malformed_responses_are_errors_and_take_bounded_memory; the test failed with the check taken out. Cost: answers without trailers take the same way as before.

--- a/src/bin/quota-gateway/http/body.rs
+++ b/src/bin/quota-gateway/http/body.rs
@@ -126,6 +126,8 @@
     }
 
     /// Discards one line after the last chunk; an empty line ends the body. Returns false while the line is incomplete.
+    /// A line that is no header field is an error, because the size of the last chunk may be wrong and the line may
+    /// belong to the body.
     fn read_trailer(&mut self, buffer: &mut BytesMut) -> Result<bool, MalformedResponse> {
         let Some(end) = buffer
             .windows(LINE_END.len())
@@ -136,10 +138,19 @@
             }
             return Ok(false);
         };
-        buffer.advance(end + LINE_END.len());
         if end == 0 {
             *self = BodyDecoder::Complete;
+        } else if !is_header_field(&buffer[..end]) {
+            return Err(MalformedResponse::InvalidTrailer);
         }
+        buffer.advance(end + LINE_END.len());
         Ok(true)
     }
 }
+
+/// True if a line without its end is a header field.
+fn is_header_field(line: &[u8]) -> bool {
+    let section = [line, LINE_END, LINE_END].concat();
+    let mut fields = [httparse::EMPTY_HEADER];
+    httparse::parse_headers(&section, &mut fields).is_ok()
+}
--- a/src/bin/quota-gateway/http/error.rs
+++ b/src/bin/quota-gateway/http/error.rs
@@ -32,6 +32,8 @@
     MissingChunkEnd,
     #[error("trailer line is longer than {MAX_LINE_BYTES} bytes")]
     TrailerTooLong,
+    #[error("line after the last chunk is not a header field")]
+    InvalidTrailer,
     #[error("response body is too long")]
     BodyTooLong,
 }
--- a/src/bin/quota-gateway/http/tests.rs
+++ b/src/bin/quota-gateway/http/tests.rs
@@ -60,6 +60,8 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfine\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfine\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nfine",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nfine\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nfi\r\n0\r\nne: x\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nfine",
         "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine",
         "noise\r\n\r\n",
