--- a/src/bin/quota-gateway/counter/connection.rs
+++ b/src/bin/quota-gateway/counter/connection.rs
@@ -21,6 +21,7 @@
 use super::pending::PendingRequests;
 use super::report::CallReporter;
 use crate::http::{Reader, Response, ResponseBody};
+use crate::memory::{MemoryBudget, Priority};
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::socket::Socket;
 use bytes::{Buf, BytesMut};
@@ -47,6 +48,8 @@
     pub call_timeout: Duration,
     /// Reports the result of each call.
     pub reporter: CallReporter,
+    /// Counts the bodies of responses.
+    pub memory: Rc<MemoryBudget>,
     /// The warning about an invalid response.
     pub invalid_response_warning: RateLimitedWarning,
 }
@@ -73,7 +76,7 @@
     /// Wraps a socket that has just been connected to `addr`.
     pub fn new(socket: Socket, addr: SocketAddr, context: Rc<CounterContext>) -> Self {
         CounterConnection {
-            reader: Reader::new(socket.clone()),
+            reader: Reader::new(socket.clone(), context.memory.clone(), Priority::Essential),
             writer: socket,
             addr,
             context,
@@ -170,7 +173,7 @@
         if self.pending.is_empty() {
             return ControlFlow::Break(());
         }
-        let response = codec::decode(head.status, &body);
+        let response = codec::decode(head.status, &body.to_vec());
         let is_invalid = response.outcome == Outcome::ErrorResponse;
         if is_invalid {
             self.context.invalid_response_warning.warn(
--- a/src/bin/quota-gateway/discovery/call.rs
+++ b/src/bin/quota-gateway/discovery/call.rs
@@ -13,6 +13,7 @@
 use super::policy::CallTimeouts;
 use super::updates::ListUpdates;
 use crate::http::{Head, Reader, Response, ResponseBody};
+use crate::memory::{MemoryBudget, Priority};
 use crate::socket::Socket;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -42,9 +43,10 @@
         self,
         timeouts: CallTimeouts,
         updates: Rc<ListUpdates>,
+        memory: Rc<MemoryBudget>,
     ) -> Result<Reader<Socket>, DiscoveryError> {
         let socket = timeout(timeouts.connect, Socket::connect(self.addr)).await??;
-        let mut reader = Reader::new(socket);
+        let mut reader = Reader::new(socket, memory, Priority::Essential);
         let mut version = self.version;
         if self.fetch_complete_list {
             let list = self.fetch_list(&mut reader, timeouts).await?;
@@ -70,7 +72,7 @@
             timeout(timeouts.response, reader.read_response(MAX_LIST_BYTES)).await??;
         check_status(&head)?;
         match body {
-            ResponseBody::Complete(body) => Ok(serde_json::from_slice(&body)?),
+            ResponseBody::Complete(body) => Ok(serde_json::from_slice(&body.to_vec())?),
             ResponseBody::LengthContradicted => Err(DiscoveryError::LengthContradicted),
         }
     }
@@ -81,7 +83,7 @@
         target: &str,
     ) -> Result<(), DiscoveryError> {
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr);
-        reader.io.write_all(request.as_bytes()).await?;
+        reader.io_mut().write_all(request.as_bytes()).await?;
         Ok(())
     }
 }
--- a/src/bin/quota-gateway/discovery/mod.rs
+++ b/src/bin/quota-gateway/discovery/mod.rs
@@ -26,6 +26,7 @@
 pub use handler::EndpointListHandler;
 pub use policy::{WatchPolicy, PROPAGATION_LIMIT};
 
+use crate::memory::MemoryBudget;
 use crate::rate_limited_warning::RateLimitedWarning;
 use call::WatchRequest;
 use open::open_watch;
@@ -40,16 +41,18 @@
 const NO_WATCH: &str = "no discovery watch is open, the last endpoint list stays in use";
 
 /// Keeps a watch open for as long as the program runs. While discovery cannot be reached, the last list stays in use. A
-/// change of the address takes effect at once.
+/// change of the address takes effect at once. Lists that arrive count in `memory`.
 pub async fn run(
     mut addr: Receiver<SocketAddr>,
     version: u64,
     policy: WatchPolicy,
+    memory: Rc<MemoryBudget>,
     handler: Rc<dyn EndpointListHandler>,
 ) {
     let mut client = DiscoveryClient {
         policy,
         updates: Rc::new(ListUpdates::new(version, handler)),
+        memory,
         warning: RateLimitedWarning::default(),
     };
     // The first call is made at once, because the protocol's propagation limit applies from the start of the process.
@@ -65,6 +68,7 @@
 struct DiscoveryClient {
     policy: WatchPolicy,
     updates: Rc<ListUpdates>,
+    memory: Rc<MemoryBudget>,
     warning: RateLimitedWarning,
 }
 
@@ -76,7 +80,7 @@
             version: self.updates.version(),
             fetch_complete_list: self.updates.is_incomplete(),
         };
-        let call = |timeouts| request.send(timeouts, self.updates.clone());
+        let call = |timeouts| request.send(timeouts, self.updates.clone(), self.memory.clone());
         let on_failure = |error| self.warning.warn(NO_WATCH, error);
         let watch = open_watch(&mut self.policy, call, on_failure).await;
         let opened_at = Instant::now();
--- a/src/bin/quota-gateway/driver/endpoints/tests.rs
+++ b/src/bin/quota-gateway/driver/endpoints/tests.rs
@@ -2,6 +2,7 @@
 
 use super::{Endpoints, TopologyNames, REMOVED_ID_RETENTION};
 use crate::discovery::list::{EndpointEntries, EndpointEntry, EndpointList, EntryState};
+use crate::memory::MemoryBudget;
 use crate::upstream::ConnectionPool;
 use quota_gateway::{Endpoint, EndpointState};
 use std::net::SocketAddr;
@@ -51,7 +52,7 @@
         };
         Fleet {
             endpoints: Endpoints::new(topology),
-            pool: ConnectionPool::new(8, 250.0, 30_000.0),
+            pool: ConnectionPool::new(8, 250.0, 30_000.0, MemoryBudget::new(usize::MAX)),
         }
     }
 
--- a/src/bin/quota-gateway/driver/messages.rs
+++ b/src/bin/quota-gateway/driver/messages.rs
@@ -1,10 +1,12 @@
 //! The messages between the server and the driver: requests, and the final responses to them.
 
 use crate::http::header_names::REMAINING_MS;
+use crate::memory::StoredBody;
 use crate::upstream::EncodedRequest;
 use bytes::Bytes;
 use quota_gateway::RequestId;
 use std::io::Write;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -39,7 +41,7 @@
 pub struct ForwardedRequest {
     /// The request line and all other headers, without the empty line that ends the head.
     pub head: Vec<u8>,
-    pub body: Bytes,
+    pub body: Rc<StoredBody>,
     /// True if the request must not be executed twice and endpoints do not deduplicate retries.
     pub at_most_once: bool,
 }
@@ -73,7 +75,7 @@
     /// An endpoint served the request.
     Success {
         content_type: Option<Bytes>,
-        body: Bytes,
+        body: StoredBody,
     },
     /// The request was rejected and the client may safely retry: it was never executed, or a second execution does no
     /// harm.
--- a/src/bin/quota-gateway/driver/registered_request.rs
+++ b/src/bin/quota-gateway/driver/registered_request.rs
@@ -1,6 +1,7 @@
 //! One request in the registry: its client, its attempts, and whether it may have been executed.
 
 use super::messages::{FinalResponse, ForwardedRequest};
+use crate::memory::StoredBody;
 use crate::socket::WeakSocket;
 use bytes::Bytes;
 use quota_gateway::Outcome;
@@ -70,7 +71,7 @@
     pub units: Option<f64>,
     /// Value of the `Content-Type` header; `None` if the response has none.
     pub content_type: Option<Bytes>,
-    pub body: Bytes,
+    pub body: StoredBody,
 }
 
 /// The effect of an attempt's end on its request.
--- a/src/bin/quota-gateway/driver/registry/tests.rs
+++ b/src/bin/quota-gateway/driver/registry/tests.rs
@@ -3,10 +3,11 @@
 use super::{EndpointResponse, NewRequest, RequestRegistry, StartedAttempt};
 use crate::driver::enforcement::AttemptLimits;
 use crate::driver::messages::{FinalResponse, ForwardedRequest};
+use crate::memory::StoredBody;
 use crate::socket::WeakSocket;
-use bytes::Bytes;
 use quota_gateway::{Outcome, RequestId};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -33,7 +34,7 @@
     let (response_sender, response) = oneshot::channel();
     let forwarded = ForwardedRequest {
         head: Vec::new(),
-        body: Bytes::new(),
+        body: Rc::default(),
         at_most_once: true,
     };
     let deadline = Instant::now() + TIMEOUT;
@@ -57,7 +58,7 @@
     EndpointResponse {
         units: Some(units),
         content_type: None,
-        body: Bytes::from_static(body.as_bytes()),
+        body: StoredBody::from(body),
     }
 }
 
@@ -116,7 +117,7 @@
         "the second response does not answer the request"
     );
     assert!(
-        matches!(response.try_recv(), Ok(FinalResponse::Success { body, .. }) if body == "first")
+        matches!(response.try_recv(), Ok(FinalResponse::Success { body, .. }) if body.to_vec() == b"first")
     );
     assert!(registry.record(id).is_none());
 }
--- a/src/bin/quota-gateway/http/body.rs
+++ b/src/bin/quota-gateway/http/body.rs
@@ -42,6 +42,11 @@
         matches!(self, BodyDecoder::UntilClose)
     }
 
+    /// True once a body has ended because its announced length was read.
+    pub fn ends_by_length(&self) -> bool {
+        matches!(self, BodyDecoder::Length(0))
+    }
+
     /// The length of the body that is left, if the peer has announced it.
     pub fn announced_bytes(&self) -> Option<usize> {
         match self {
--- a/src/bin/quota-gateway/http/error.rs
+++ b/src/bin/quota-gateway/http/error.rs
@@ -34,6 +34,8 @@
     TrailerTooLong,
     #[error("line after the last chunk is not a header field")]
     InvalidTrailer,
+    #[error("response body was given up: the memory for the bytes of peers is used up")]
+    BodyGivenUp,
     #[error("response body is too long")]
     BodyTooLong,
 }
--- a/src/bin/quota-gateway/http/mod.rs
+++ b/src/bin/quota-gateway/http/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! - `head`: parses the status line and the headers with httparse
 //! - `body`: decodes bodies that are framed by length, by chunks or by the end of the connection
-//! - `body_buffer`: collects bodies from the pieces in which they arrive, those of requests as well
+//! - `input`: decodes the bytes of a connection into heads and pieces of bodies
 //! - `reader`: reads responses from a connection
 //! - `response`: a response that was read to its end
 //! - `following_bytes`: classifies the bytes that follow a response
@@ -11,17 +11,16 @@
 //! - `error`: the errors of a malformed response
 
 mod body;
-mod body_buffer;
 mod error;
 mod following_bytes;
 mod head;
 pub mod header_names;
+mod input;
 mod reader;
 mod response;
 #[cfg(test)]
 mod tests;
 
-pub use body_buffer::BodyBuffer;
 pub use head::Head;
 pub use reader::Reader;
 pub use response::{Response, ResponseBody};
--- a/src/bin/quota-gateway/http/tests.rs
+++ b/src/bin/quota-gateway/http/tests.rs
@@ -2,15 +2,21 @@
 
 use super::head::MAX_HEAD_BYTES;
 use super::{Head, Reader, Response, ResponseBody, MAX_BODY_BYTES};
+use crate::memory::{MemoryBudget, Priority};
 use bytes::Bytes;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, ReadBuf};
 
+/// A reader with ample memory.
+fn reader<R: AsyncRead + Unpin>(io: R) -> Reader<R> {
+    Reader::new(io, MemoryBudget::new(usize::MAX), Priority::Replaceable)
+}
+
 fn read(text: &str) -> io::Result<(Head, Bytes, bool)> {
     let runtime = tokio::runtime::Builder::new_current_thread().build()?;
-    let mut reader = Reader::new(text.as_bytes());
+    let mut reader = reader(text.as_bytes());
     let response = runtime.block_on(reader.read_response(MAX_BODY_BYTES))?;
     let (head, body) = complete(response);
     Ok((head, body, reader.has_unread_bytes()))
@@ -19,11 +25,19 @@
 /// The parts of a response with a complete body.
 fn complete(response: Response) -> (Head, Bytes) {
     match response.body {
-        ResponseBody::Complete(body) => (response.head, body),
+        ResponseBody::Complete(body) => (response.head, body.to_vec().into()),
         ResponseBody::LengthContradicted => panic!("the length of the body is contradicted"),
     }
 }
 
+/// The text of a body; `None` if its length is contradicted.
+fn text_of(body: ResponseBody) -> Option<String> {
+    match body {
+        ResponseBody::Complete(body) => Some(String::from_utf8(body.to_vec()).unwrap()),
+        ResponseBody::LengthContradicted => None,
+    }
+}
+
 #[test]
 fn complete_responses_are_read_and_determine_connection_reuse() {
     for (text, keep, more) in [
@@ -113,7 +127,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .build()
         .unwrap();
-    let mut reader = Reader::new(ResetAfter(b"HTTP/1.1 200 OK\r\n\r\nfine"));
+    let mut reader = reader(ResetAfter(b"HTTP/1.1 200 OK\r\n\r\nfine"));
     let result = runtime.block_on(reader.read_response(MAX_BODY_BYTES));
     assert_eq!(
         result.err().map(|error| error.kind()),
@@ -150,7 +164,7 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nf\r\n3;x=y\r\nine\r\n0\r\nX: y\r\n\r\n",
         "HTTP/1.1 500 Error\r\n\r\nfine",
     ] {
-        let mut reader = Reader::new(ByteByByte(text.as_bytes()));
+        let mut reader = reader(ByteByByte(text.as_bytes()));
         let response = runtime.block_on(reader.read_response(MAX_BODY_BYTES)).unwrap();
         let (head, body) = complete(response);
         let (whole_head, whole_body, _) = read(text).unwrap();
@@ -168,7 +182,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .build()
         .unwrap();
-    let mut reader = Reader::new(text.as_bytes());
+    let mut reader = reader(text.as_bytes());
     runtime
         .block_on(reader.read_response(MAX_BODY_BYTES))
         .unwrap()
@@ -181,11 +195,11 @@
 fn bytes_that_begin_no_response_contradict_the_length_before_them() {
     for following in ["r", " and more", "\r\n", "HTTP", "HTTP/2 200 OK\r\n\r\n"] {
         let body = read_body_before(following);
-        assert_eq!(body, ResponseBody::LengthContradicted, "{following:?}");
+        assert_eq!(text_of(body), None, "{following:?}");
     }
     for following in ["", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"] {
         let body = read_body_before(following);
-        assert_eq!(body, ResponseBody::Complete("fine".into()), "{following:?}");
+        assert_eq!(text_of(body).as_deref(), Some("fine"), "{following:?}");
     }
 }
 
@@ -197,9 +211,9 @@
         .build()
         .unwrap();
     let text = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nfine";
-    let mut reader = Reader::new(ByteByByte(text.as_bytes()));
+    let mut reader = reader(ByteByByte(text.as_bytes()));
     let response = runtime
         .block_on(reader.read_response(MAX_BODY_BYTES))
         .unwrap();
-    assert_eq!(response.body, ResponseBody::LengthContradicted);
+    assert_eq!(text_of(response.body), None);
 }
--- a/src/bin/quota-gateway/main.rs
+++ b/src/bin/quota-gateway/main.rs
@@ -18,6 +18,7 @@
 mod http;
 mod lifecycle;
 mod logging;
+mod memory;
 mod metrics;
 mod poll_once;
 mod rate_limited_warning;
--- /dev/null
+++ b/src/bin/quota-gateway/memory/arrivals/tests.rs
@@ -0,0 +1,97 @@
+use super::*;
+use crate::memory::Reservation;
+use tokio::time::{advance, timeout};
+
+/// Memory limit at which 1 MiB is left for the bytes of peers.
+const LOWEST_LIMIT: usize = 0;
+const LENGTH: usize = 400 * 1024;
+
+/// A body that is arriving, and the memory that it holds.
+struct Body {
+    arrival: Arrival,
+    memory: Reservation,
+}
+
+impl Body {
+    fn begin(budget: &Rc<MemoryBudget>, priority: Priority) -> Self {
+        Body {
+            arrival: Arrival::begin(budget, priority, None),
+            memory: budget.reserve(),
+        }
+    }
+
+    /// Receives a piece of this length.
+    async fn receive(&mut self, bytes: usize) -> Result<(), GivenUp> {
+        self.arrival.on_piece();
+        let memory = &mut self.memory;
+        let allocated = self
+            .arrival
+            .allocate(|| memory.try_grow(bytes).then_some(()));
+        allocated.await?;
+        self.arrival.set_bytes(self.memory.bytes());
+        Ok(())
+    }
+}
+
+/// A peer that goes on sending must get the room of one that has stopped, and not the other way round.
+#[tokio::test(start_paused = true)]
+async fn the_body_without_progress_for_longest_is_given_up() {
+    let budget = MemoryBudget::new(LOWEST_LIMIT);
+    let mut stalled = Body::begin(&budget, Priority::Replaceable);
+    let mut slow = Body::begin(&budget, Priority::Replaceable);
+    assert_eq!(stalled.receive(LENGTH).await, Ok(()));
+    assert_eq!(slow.receive(LENGTH).await, Ok(()));
+    advance(Duration::from_millis(500)).await;
+    assert_eq!(slow.receive(1).await, Ok(()));
+
+    let mut new = Body::begin(&budget, Priority::Replaceable);
+    let end_stalled = async move {
+        stalled.arrival.given_up().await;
+        drop(stalled);
+    };
+    let (reserved, ()) = tokio::join!(new.receive(LENGTH), end_stalled);
+    assert_eq!(reserved, Ok(()));
+    let wait = timeout(Duration::from_secs(1), slow.arrival.given_up()).await;
+    assert!(wait.is_err(), "a body with progress was given up");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_body_is_given_up_itself_if_no_other_is_arriving() {
+    let budget = MemoryBudget::new(LOWEST_LIMIT);
+    let mut body = Body::begin(&budget, Priority::Replaceable);
+    assert_eq!(body.receive(2 << 20).await, Err(GivenUp));
+}
+
+/// Guards against refusing a request within the limits: bodies that arrive at the same time must wait for each other's
+/// room, and none of them must be given up while its peer goes on sending.
+#[tokio::test(start_paused = true)]
+async fn a_body_waits_for_the_room_of_others_that_go_on_arriving() {
+    let budget = MemoryBudget::new(LOWEST_LIMIT);
+    let mut first = Body::begin(&budget, Priority::Replaceable);
+    assert_eq!(first.receive(2 * LENGTH).await, Ok(()));
+    let mut second = Body::begin(&budget, Priority::Replaceable);
+    let complete_first = async move {
+        for _ in 0..10 {
+            tokio::time::sleep(MIN_STALL / 2).await;
+            assert_eq!(first.receive(1).await, Ok(()));
+        }
+        drop(first);
+    };
+    let start = Instant::now();
+    let (reserved, ()) = tokio::join!(second.receive(LENGTH), complete_first);
+    assert_eq!(reserved, Ok(()));
+    assert_eq!(start.elapsed(), 5 * MIN_STALL);
+}
+
+/// Guards against giving up what the process depends on, such as an endpoint list.
+#[tokio::test(start_paused = true)]
+async fn an_essential_body_is_not_given_up() {
+    let budget = MemoryBudget::new(LOWEST_LIMIT);
+    let mut list = Body::begin(&budget, Priority::Essential);
+    assert_eq!(list.receive(2 * LENGTH).await, Ok(()));
+    let mut body = Body::begin(&budget, Priority::Replaceable);
+    let wait = timeout(Duration::from_secs(5), body.receive(LENGTH)).await;
+    assert!(wait.is_err(), "there is no room");
+    drop(list);
+    assert_eq!(body.receive(LENGTH).await, Ok(()));
+}
--- a/src/bin/quota-gateway/server/accept.rs
+++ b/src/bin/quota-gateway/server/accept.rs
@@ -172,7 +172,7 @@
                 .clients
                 .borrow_mut()
                 .insert(sequence_number, client.clone());
-            let memory = server.client_memory.add_connection();
+            let memory = server.memory.add_connection();
             server.serve_until_evicted(socket, &client).await;
             drop(memory);
             server.clients.borrow_mut().remove(&sequence_number);
--- a/src/bin/quota-gateway/server/body.rs
+++ b/src/bin/quota-gateway/server/body.rs
@@ -8,19 +8,18 @@
 //!   arrived is read first; only then has the time limit been exceeded.
 //! - The body of a request that is refused by its head is read and discarded, so that the next request is found.
 
-use super::arriving_bodies::{ArrivingBodies, ArrivingBody};
-use super::client_memory::{ClientMemory, Reservation};
 use super::request::{ClassRoute, RequestError};
-use crate::http::{BodyBuffer, MAX_BODY_BYTES};
+use crate::http::MAX_BODY_BYTES;
 use crate::lifecycle::{Lifecycle, Phase};
+use crate::memory::{ArrivingBody, BodyError, MemoryBudget, Priority, StoredBody};
 use crate::poll_once::poll_once;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::Method;
-use std::sync::Arc;
+use std::rc::Rc;
 use tokio::task::yield_now;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 #[cfg(test)]
 mod tests;
@@ -36,23 +35,11 @@
 /// A body that was read, unless the shutdown came first.
 pub enum ReceivedBody {
     /// The complete body.
-    Complete(Bytes),
+    Complete(StoredBody),
     /// The shutdown refuses requests, and the body is incomplete.
     Refused,
 }
 
-/// A complete body, counted in the memory of clients until it is dropped.
-struct CountedBody {
-    bytes: Bytes,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for CountedBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 /// The next part of a body.
 enum Piece {
     Data(Bytes),
@@ -89,51 +76,40 @@
         Ok(())
     }
 
-    /// Reads the complete body. Its bytes count in `memory` until the last reference to them is dropped.
+    /// Reads the complete body, whose memory counts in `budget`.
     ///
     /// # Errors
     ///
-    /// The body is too long, broke off, did not arrive in time, or was given up in favor of `others`.
-    pub async fn read(
-        &mut self,
-        others: &ArrivingBodies,
-        memory: &Arc<ClientMemory>,
-    ) -> Result<ReceivedBody, RequestError> {
+    /// The body is too long, broke off, did not arrive in time, or was given up in favor of others.
+    pub async fn read(&mut self, budget: &Rc<MemoryBudget>) -> Result<ReceivedBody, RequestError> {
         if self.body.is_end_stream() {
-            return Ok(ReceivedBody::Complete(Bytes::new()));
+            return Ok(ReceivedBody::Complete(StoredBody::default()));
         }
-        let arriving = others.add();
-        let mut reservation = memory.reserve();
         let announced = self.body.size_hint().exact();
         let announced = announced.and_then(|length| usize::try_from(length).ok());
-        let mut buffer = BodyBuffer::new(MAX_BODY_BYTES, announced);
+        let mut arriving =
+            ArrivingBody::new(budget, Priority::Replaceable, MAX_BODY_BYTES, announced);
         loop {
-            match self.next_piece_unless_given_up(&arriving).await? {
-                Piece::Data(piece) => {
-                    arriving
-                        .reserve(&mut reservation, piece.len())
-                        .await
-                        .map_err(|_| RequestError::BodyGivenUp)?;
-                    buffer
-                        .push(&piece)
-                        .map_err(|_| RequestError::BodyTooLarge)?;
-                }
-                Piece::End => {
-                    let counted = CountedBody {
-                        bytes: buffer.into_bytes(),
-                        _reservation: reservation,
-                    };
-                    return Ok(ReceivedBody::Complete(Bytes::from_owner(counted)));
+            match self.next_piece_with_room(&mut arriving).await? {
+                Piece::Data(mut piece) => {
+                    let kept = timeout_at(self.deadline, arriving.push(&mut piece)).await;
+                    kept.map_err(|_| RequestError::BodyGivenUp)??;
                 }
+                Piece::End => return Ok(ReceivedBody::Complete(arriving.finish())),
                 Piece::Refused => return Ok(ReceivedBody::Refused),
             }
         }
     }
 
-    async fn next_piece_unless_given_up(
+    /// Waits for room, and then for the next piece of the body.
+    async fn next_piece_with_room(
         &mut self,
-        arriving: &ArrivingBody<'_>,
+        arriving: &mut ArrivingBody,
     ) -> Result<Piece, RequestError> {
+        let room = timeout_at(self.deadline, arriving.make_room()).await;
+        if !matches!(room, Ok(Ok(()))) {
+            return Err(RequestError::BodyGivenUp);
+        }
         tokio::select! {
             biased;
             () = arriving.given_up() => Err(RequestError::BodyGivenUp),
@@ -184,6 +160,15 @@
     }
 }
 
+impl From<BodyError> for RequestError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLong { .. } => RequestError::BodyTooLarge,
+            BodyError::GivenUp => RequestError::BodyGivenUp,
+        }
+    }
+}
+
 /// Reads the next piece of a body. Trailers count as its end.
 async fn read_piece<B>(body: &mut B) -> Result<Piece, RequestError>
 where
--- a/src/bin/quota-gateway/server/body/tests.rs
+++ b/src/bin/quota-gateway/server/body/tests.rs
@@ -66,7 +66,7 @@
     let deadline = Instant::now() + Duration::from_secs(1);
     let mut received = RequestBody::new(body, deadline, &lifecycle);
     let received = read(&mut received).await;
-    assert!(matches!(received, Ok(ReceivedBody::Complete(bytes)) if bytes.len() == 1000));
+    assert!(matches!(received, Ok(ReceivedBody::Complete(body)) if body.len() == 1000));
     assert_eq!(
         max_allocated.get(),
         0,
@@ -79,8 +79,7 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let memory = ClientMemory::new(usize::MAX);
-    body.read(&ArrivingBodies::default(), &memory).await
+    body.read(&MemoryBudget::new(usize::MAX)).await
 }
 
 /// A body that has arrived up to a point, as hyper passes it on: one piece for each poll of the connection's task.
@@ -135,7 +134,7 @@
     let passed = Instant::now();
     let mut body = RequestBody::new(ArrivedBody::new(5, true), passed, &lifecycle);
     let received = read(&mut body).await;
-    assert!(matches!(received, Ok(ReceivedBody::Complete(bytes)) if bytes == "xxxxx"));
+    assert!(matches!(received, Ok(ReceivedBody::Complete(body)) if body.to_vec() == b"xxxxx"));
     let mut body = RequestBody::new(ArrivedBody::new(5, true), passed, &lifecycle);
     assert!(body.discard().await);
 }
@@ -163,7 +162,7 @@
     let deadline = Instant::now() + Duration::from_secs(2);
     let mut body = RequestBody::new(ArrivedBody::new(5, true), deadline, &lifecycle);
     let received = read(&mut body).await;
-    assert!(matches!(received, Ok(ReceivedBody::Complete(bytes)) if bytes == "xxxxx"));
+    assert!(matches!(received, Ok(ReceivedBody::Complete(body)) if body.to_vec() == b"xxxxx"));
     let mut body = RequestBody::new(ArrivedBody::new(5, false), deadline, &lifecycle);
     assert!(matches!(read(&mut body).await, Ok(ReceivedBody::Refused)));
     assert!(Instant::now() < deadline);
--- a/src/bin/quota-gateway/server/client_stream.rs
+++ b/src/bin/quota-gateway/server/client_stream.rs
@@ -16,6 +16,7 @@
 
 use super::client::Client;
 use super::read_ahead::{ReadAheadBudget, ReadAheadBuffer};
+use crate::memory::Reservation;
 use crate::socket::{PeekResult, Socket};
 use std::cell::RefCell;
 use std::future::Future;
@@ -40,6 +41,8 @@
 const MAX_DISCARDED_BYTES: u64 = 64 << 20;
 /// Maximum size of one read by hyper, which doubles its buffer after reads that fill it.
 const MAX_READ_BYTES: usize = 2048;
+/// Initial capacity of hyper's buffer for a connection, which is set aside for each connection.
+const HYPER_BUFFER_BYTES: usize = 8 * 1024;
 /// Maximum size of one read into the read-ahead buffer.
 pub const READ_AHEAD_BYTES: usize = 4096;
 /// Size of one read of bytes that are discarded.
@@ -57,6 +60,8 @@
     /// Bytes that were read while a request was being served and that hyper has not read yet.
     read_ahead: ReadAheadBuffer,
     budget: ReadAheadBudget,
+    /// Counts the part of hyper's buffer that exceeds its initial capacity.
+    hyper_buffer: Reservation,
     disconnect_poll_timer: Pin<Box<Sleep>>,
     /// Number of bytes after `read_ahead` that were discarded. If there are any, hyper reads the end of the stream in
     /// their place.
@@ -121,11 +126,21 @@
         Poll::Ready(())
     }
 
+    /// Counts hyper's buffer, which grows while a head is incomplete and is kept until the connection ends. hyper offers
+    /// the unused part of its buffer to a read, at least half of it once it has grown. `available` is its length.
+    fn count_hyper_buffer(&mut self, available: usize) {
+        let capacity = available.next_power_of_two();
+        let grown = capacity.saturating_sub(HYPER_BUFFER_BYTES);
+        if grown > self.hyper_buffer.bytes() {
+            self.hyper_buffer.set(grown);
+        }
+    }
+
     /// Moves buffered bytes that arrived together into `buf`.
     fn take_read_ahead(&mut self, buf: &mut ReadBuf<'_>) {
-        if let Some(arrival) = self.read_ahead.take(buf.remaining()) {
-            buf.put_slice(&arrival.bytes);
-            self.client.on_bytes_read(&arrival.bytes, arrival.at);
+        if let Some(taken) = self.read_ahead.take(buf.remaining()) {
+            buf.put_slice(&taken.bytes);
+            self.client.on_bytes_read(&taken.bytes, taken.arrived_at);
             self.client.set_pipelined_bytes(self.read_ahead.len());
         }
     }
@@ -138,6 +153,7 @@
             socket,
             client,
             read_ahead: ReadAheadBuffer::new(budget.clone()),
+            hyper_buffer: budget.reserve(),
             budget,
             disconnect_poll_timer: Box::pin(sleep(DISCONNECT_POLL_INTERVAL)),
             discarded: 0,
@@ -181,6 +197,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let state = &mut *self.state.borrow_mut();
+        state.count_hyper_buffer(buf.remaining());
         if !state.read_ahead.is_empty() {
             state.take_read_ahead(buf);
             return Poll::Ready(Ok(()));
--- a/src/bin/quota-gateway/server/client_stream/tests.rs
+++ b/src/bin/quota-gateway/server/client_stream/tests.rs
@@ -1,8 +1,8 @@
 //! Tests that a client's disconnect is detected after bytes that are not read.
 
 use super::{ClientStream, ReadAheadBudget, DISCONNECT_POLL_INTERVAL};
+use crate::memory::MemoryBudget;
 use crate::server::client::Client;
-use crate::server::client_memory::ClientMemory;
 use crate::socket::Socket;
 use std::future::poll_fn;
 use std::io::Write;
@@ -22,7 +22,7 @@
     let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let (stream, _) = listener.accept().unwrap();
     stream.set_nonblocking(true).unwrap();
-    let memory = ClientMemory::new(MEMORY_LIMIT);
+    let memory = MemoryBudget::new(MEMORY_LIMIT);
     let budget = ReadAheadBudget::new(&memory);
     budget.add(memory.max_read_ahead());
     assert_eq!(budget.used(), MAX_READ_AHEAD);
--- a/src/bin/quota-gateway/server/forward.rs
+++ b/src/bin/quota-gateway/server/forward.rs
@@ -3,10 +3,11 @@
 use super::request::ClassRoute;
 use crate::driver::ForwardedRequest;
 use crate::http::header_names;
-use bytes::Bytes;
+use crate::memory::StoredBody;
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{HeaderMap, Method, Uri};
 use std::io::Write;
+use std::rc::Rc;
 
 /// Initial capacity of the buffer for a head.
 const HEAD_BYTES: usize = 256;
@@ -39,13 +40,13 @@
     }
     ForwardedRequest {
         head,
-        body: Bytes::new(),
+        body: Rc::default(),
         at_most_once: class.at_most_once,
     }
 }
 
 /// Adds the complete body and its length.
-pub fn add_body(class: &ClassRoute, forwarded: &mut ForwardedRequest, body: Bytes) {
+pub fn add_body(class: &ClassRoute, forwarded: &mut ForwardedRequest, body: StoredBody) {
     if class.method == Method::POST || !body.is_empty() {
         push_header(
             &mut forwarded.head,
@@ -53,7 +54,7 @@
             body.len().to_string().as_bytes(),
         );
     }
-    forwarded.body = body;
+    forwarded.body = Rc::new(body);
 }
 
 fn push_header(head: &mut Vec<u8>, name: &str, value: &[u8]) {
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -87,7 +87,7 @@
         in_progress.claim_transaction_id(incoming.transaction_id)?;
         let mut forwarded = forwarded_head(class, &head.uri, &head.headers);
         drop(head);
-        let received = body.read(&self.arriving_bodies, &self.client_memory);
+        let received = body.read(&self.memory);
         let ReceivedBody::Complete(body) = received.await? else {
             return Ok(refuse_incomplete(&incoming, in_progress));
         };
--- a/src/bin/quota-gateway/server/mod.rs
+++ b/src/bin/quota-gateway/server/mod.rs
@@ -8,19 +8,16 @@
 //! - `read_ahead`: buffers pipelined bytes
 //! - `handler`: handles one request, from its complete head to its response
 //! - `body`: checks and reads bodies
-//! - `arriving_bodies`: the bodies that are arriving, and the one that is given up if there are too many
-//! - `client_memory`: limits the memory for bytes that clients have sent
 //! - `in_progress`: the state of a request until its response is made
 //! - `health`: the health checks and the metrics of the gateway itself
 //! - `request`: parses the head of a request
 //! - `forward`: builds the request that is forwarded to endpoints
 //! - `response`: builds the responses to clients
+//! - `response_body`: the body of a response, which is counted until it is written
 
 mod accept;
-mod arriving_bodies;
 mod body;
 mod client;
-mod client_memory;
 mod client_stream;
 mod connection;
 mod forward;
@@ -30,6 +27,7 @@
 mod read_ahead;
 mod request;
 mod response;
+mod response_body;
 mod slots;
 
 pub use accept::Acceptor;
@@ -37,9 +35,8 @@
 
 use crate::driver::Driver;
 use crate::lifecycle::Lifecycle;
-use arriving_bodies::ArrivingBodies;
+use crate::memory::MemoryBudget;
 use client::Client;
-use client_memory::ClientMemory;
 use quota_gateway::Settings;
 use read_ahead::ReadAheadBudget;
 use request::RequestParser;
@@ -60,15 +57,14 @@
     slots: Arc<Semaphore>,
     /// The open connections, by their sequence number in the order of accepting.
     clients: RefCell<HashMap<u64, Rc<Client>>>,
-    client_memory: Arc<ClientMemory>,
-    arriving_bodies: ArrivingBodies,
+    memory: Rc<MemoryBudget>,
     read_ahead: ReadAheadBudget,
     /// Transaction ids of requests that have no response yet.
     open_transactions: RefCell<HashSet<u64>>,
 }
 
 impl Server {
-    /// Creates a server with one slot for each permit of `slots`, in a process that may use `memory_limit` bytes.
+    /// Creates a server with one slot for each permit of `slots`. What clients send counts in `memory`.
     /// `classes` and `plans` are the names of the classes and plans of `settings`, in the same order.
     pub fn new(
         driver: Rc<Driver>,
@@ -77,9 +73,8 @@
         classes: Vec<String>,
         plans: Vec<String>,
         slots: Arc<Semaphore>,
-        memory_limit: usize,
+        memory: Rc<MemoryBudget>,
     ) -> Rc<Self> {
-        let client_memory = ClientMemory::new(memory_limit);
         Rc::new(Server {
             driver,
             lifecycle,
@@ -87,9 +82,8 @@
             no_slot_response: response::no_slot(&settings.limits),
             slots,
             clients: RefCell::default(),
-            read_ahead: ReadAheadBudget::new(&client_memory),
-            client_memory,
-            arriving_bodies: ArrivingBodies::default(),
+            read_ahead: ReadAheadBudget::new(&memory),
+            memory,
             open_transactions: RefCell::default(),
         })
     }
--- a/src/bin/quota-gateway/server/read_ahead.rs
+++ b/src/bin/quota-gateway/server/read_ahead.rs
@@ -1,13 +1,12 @@
 //! Buffers for pipelined bytes, which clients send before the response to their current request: one buffer for each
 //! connection, and one budget for all of them.
 
-use super::client_memory::{ClientMemory, Reservation};
 use super::client_stream::READ_AHEAD_BYTES;
-use bytes::BytesMut;
+use crate::memory::{MemoryBudget, Reservation};
+use bytes::Bytes;
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -15,8 +14,8 @@
 /// `client_stream`). The limit is far above the largest request, so that only a client that pipelines many requests loses
 /// any.
 const CLIENT_SHARE_DIVISOR: usize = 4;
-/// Memory that an arrival takes in addition to its bytes.
-const ARRIVAL_BYTES: usize = 128;
+/// Memory that a segment takes in addition to its bytes.
+const SEGMENT_BYTES: usize = 128;
 /// Time after the first read within which further bytes count as having arrived together with the first.
 const ARRIVAL_RESOLUTION: Duration = Duration::from_millis(5);
 
@@ -24,18 +23,23 @@
 #[derive(Clone)]
 pub struct ReadAheadBudget {
     used: Rc<Cell<usize>>,
-    memory: Arc<ClientMemory>,
+    memory: Rc<MemoryBudget>,
 }
 
 impl ReadAheadBudget {
     /// Creates the count of empty buffers.
-    pub fn new(memory: &Arc<ClientMemory>) -> Self {
+    pub fn new(memory: &Rc<MemoryBudget>) -> Self {
         ReadAheadBudget {
             used: Rc::default(),
             memory: memory.clone(),
         }
     }
 
+    /// Creates an empty reservation in the memory of all peers.
+    pub fn reserve(&self) -> Reservation {
+        self.memory.reserve()
+    }
+
     /// Memory of all buffers, in bytes.
     pub fn used(&self) -> usize {
         self.used.get()
@@ -56,18 +60,27 @@
     }
 }
 
-/// Bytes that count as having arrived together.
-pub struct Arrival {
-    /// Time at which the first of the bytes was read.
-    pub at: Instant,
-    /// The bytes that were read from that time on.
-    pub bytes: BytesMut,
+/// The bytes of one read.
+struct Segment {
+    /// Time at which the bytes count as having arrived.
+    arrived_at: Instant,
+    /// The bytes that were not taken yet. They keep those that were taken allocated.
+    bytes: Bytes,
+    /// Memory that is counted for the segment.
+    allocated: usize,
+}
+
+/// Bytes that were taken out of a buffer.
+pub struct TakenBytes {
+    /// Time at which the bytes count as having arrived.
+    pub arrived_at: Instant,
+    pub bytes: Bytes,
 }
 
 /// The pipelined bytes of one client, in order and with their arrival times.
 pub struct ReadAheadBuffer {
-    arrivals: VecDeque<Arrival>,
-    /// Number of bytes in all arrivals.
+    segments: VecDeque<Segment>,
+    /// Number of bytes in all segments.
     len: usize,
     budget: ReadAheadBudget,
     reservation: Reservation,
@@ -77,9 +90,9 @@
     /// Creates an empty buffer whose bytes count towards the budget.
     pub fn new(budget: ReadAheadBudget) -> Self {
         ReadAheadBuffer {
-            arrivals: VecDeque::new(),
+            segments: VecDeque::new(),
             len: 0,
-            reservation: budget.memory.reserve(),
+            reservation: budget.reserve(),
             budget,
         }
     }
@@ -91,7 +104,7 @@
 
     /// True if no bytes are buffered.
     pub fn is_empty(&self) -> bool {
-        self.arrivals.is_empty()
+        self.segments.is_empty()
     }
 
     /// True if the client has reached its limit, so that no more of its bytes are buffered.
@@ -102,18 +115,16 @@
     /// Appends bytes that have just been read.
     pub fn push(&mut self, bytes: &[u8]) {
         let now = Instant::now();
-        match self.arrivals.back_mut() {
-            Some(last) if now - last.at < ARRIVAL_RESOLUTION => last.bytes.extend_from_slice(bytes),
-            _ => {
-                self.arrivals.push_back(Arrival {
-                    at: now,
-                    bytes: BytesMut::from(bytes),
-                });
-                self.count(ARRIVAL_BYTES);
-            }
-        }
+        let last_arrival = self.segments.back().map(|segment| segment.arrived_at);
+        let arrived_at = last_arrival.filter(|at| now - *at < ARRIVAL_RESOLUTION);
+        let allocated = bytes.len() + SEGMENT_BYTES;
+        self.segments.push_back(Segment {
+            arrived_at: arrived_at.unwrap_or(now),
+            bytes: Bytes::copy_from_slice(bytes),
+            allocated,
+        });
         self.len += bytes.len();
-        self.count(bytes.len());
+        self.count(allocated);
     }
 
     fn count(&mut self, bytes: usize) {
@@ -126,28 +137,27 @@
         self.reservation.shrink(bytes);
     }
 
-    /// Takes up to `max_bytes` from the oldest arrival; `None` if the buffer is empty.
-    pub fn take(&mut self, max_bytes: usize) -> Option<Arrival> {
-        let first = self.arrivals.front_mut()?;
+    /// Takes up to `max_bytes` from the oldest segment; `None` if the buffer is empty. The memory of a segment is released
+    /// once all its bytes are taken.
+    pub fn take(&mut self, max_bytes: usize) -> Option<TakenBytes> {
+        let first = self.segments.front_mut()?;
         let count = first.bytes.len().min(max_bytes);
-        let taken = Arrival {
-            at: first.at,
+        let taken = TakenBytes {
+            arrived_at: first.arrived_at,
             bytes: first.bytes.split_to(count),
         };
-        let mut released = count;
         if first.bytes.is_empty() {
-            self.arrivals.pop_front();
-            released += ARRIVAL_BYTES;
+            let released = first.allocated;
+            self.segments.pop_front();
+            self.release(released);
         }
         self.len -= count;
-        self.release(released);
         Some(taken)
     }
 }
 
 impl Drop for ReadAheadBuffer {
     fn drop(&mut self) {
-        self.budget
-            .release(self.len + self.arrivals.len() * ARRIVAL_BYTES);
+        self.budget.release(self.reservation.bytes());
     }
 }
--- a/src/bin/quota-gateway/server/response.rs
+++ b/src/bin/quota-gateway/server/response.rs
@@ -1,9 +1,10 @@
 //! Builds the responses to clients.
 
 use super::request::RequestError;
+use super::response_body::ResponseBody;
 use crate::driver::FinalResponse;
+use crate::memory::StoredBody;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::StatusCode;
 use quota_gateway::Limits;
@@ -13,11 +14,11 @@
 const NO_SLOT_RETRY_AFTER_MS: f64 = 1000.0;
 
 /// A response whose body is complete in memory.
-pub type Response = hyper::Response<Full<Bytes>>;
+pub type Response = hyper::Response<ResponseBody>;
 
 /// Builds a response with a text body, which may be empty.
 pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response {
-    let mut response = Response::new(Full::new(text.into()));
+    let mut response = Response::new(ResponseBody::from_text(text.into()));
     *response.status_mut() = status;
     response
 }
@@ -53,8 +54,8 @@
     }
 }
 
-fn success(content_type: Option<Bytes>, body: Bytes) -> Response {
-    let mut response = Response::new(Full::new(body));
+fn success(content_type: Option<Bytes>, body: StoredBody) -> Response {
+    let mut response = Response::new(ResponseBody::from_stored(body));
     let content_type = content_type.and_then(|value| HeaderValue::from_maybe_shared(value).ok());
     if let Some(content_type) = content_type {
         response.headers_mut().insert(CONTENT_TYPE, content_type);
--- a/src/bin/quota-gateway/startup.rs
+++ b/src/bin/quota-gateway/startup.rs
@@ -8,6 +8,7 @@
 use crate::error::StartupError;
 use crate::gossip::{self, GossipSocket};
 use crate::lifecycle::{longest_deadline, Lifecycle};
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::reload::ReloadableAddresses;
 use crate::retry::retry;
@@ -44,9 +45,11 @@
 /// Opens the sockets of the gateway and starts all its tasks on the current `LocalSet`.
 pub async fn start(config: Config) -> Result<RunningGateway, StartupError> {
     let listener = listen(config.listen).await?;
+    let budget = DescriptorBudget::new(config.max_descriptors);
+    let memory = MemoryBudget::of_process(config.memory_limit);
+    let pool = create_pool(&config, &budget, &memory);
     let max_gossip_per_second = config.gossip.max_messages_per_second;
     let gossip_socket = bind_gossip(config.gossip, &config.settings).await?;
-    let budget = DescriptorBudget::new(config.max_descriptors);
     let client_slots = ClientSlots::new(budget.clients);
     let mut settings = config.settings;
     // This limit depends on the machine, so the settings in the configuration leave it unset.
@@ -57,11 +60,7 @@
     let addresses = ReloadableAddresses::new(config.discovery, counter_addr, metrics.clone());
     let (counter_client, counter_queues) = CounterClient::new();
     let transports = Transports {
-        pool: ConnectionPool::new(
-            budget.endpoints,
-            config.connect_timeout_ms,
-            config.idle_timeout_ms,
-        ),
+        pool,
         counter: counter_addr.map(|_| counter_client),
         gossip: gossip_socket.clone(),
     };
@@ -78,11 +77,12 @@
         metrics.clone(),
     );
 
-    spawn_counter(&addresses, &settings, counter_queues, &driver);
+    spawn_counter(&addresses, &settings, counter_queues, &memory, &driver);
     let watch_policy = WatchPolicy::new(&settings, config.seed);
-    spawn_discovery(&addresses, config.known_endpoints, watch_policy, &driver);
+    let known = config.known_endpoints;
+    spawn_discovery(&addresses, known, watch_policy, &memory, &driver);
     spawn_gossip(gossip_socket, max_gossip_per_second, &driver);
-    spawn_sweeper(driver.clone());
+    spawn_sweeper(driver.clone(), memory.clone());
 
     let server = Server::new(
         driver.clone(),
@@ -91,7 +91,7 @@
         config.class_names,
         config.plan_names,
         client_slots.semaphore(),
-        config.memory_limit,
+        memory,
     );
     let acceptor = accept_clients(listener, &server)?;
     Ok(RunningGateway {
@@ -107,11 +107,26 @@
     })
 }
 
+/// Creates the pool of connections to endpoints.
+fn create_pool(
+    config: &Config,
+    budget: &DescriptorBudget,
+    memory: &Rc<MemoryBudget>,
+) -> ConnectionPool {
+    ConnectionPool::new(
+        budget.endpoints,
+        config.connect_timeout_ms,
+        config.idle_timeout_ms,
+        memory.clone(),
+    )
+}
+
 /// Starts the tasks that call the counter, if the gateway uses one.
 fn spawn_counter(
     addresses: &ReloadableAddresses,
     settings: &Settings,
     queues: CounterQueues,
+    memory: &Rc<MemoryBudget>,
     driver: &Rc<Driver>,
 ) {
     if let (Some(addr), Some(counter)) = (&addresses.counter, settings.counter) {
@@ -119,6 +134,7 @@
             queues,
             &addr.subscribe(),
             counter.timeout_ms,
+            memory.clone(),
             driver.clone(),
         );
     }
@@ -202,6 +218,7 @@
     addresses: &ReloadableAddresses,
     known_endpoints: Option<EndpointList>,
     policy: WatchPolicy,
+    memory: &Rc<MemoryBudget>,
     driver: &Rc<Driver>,
 ) {
     let version = known_endpoints.as_ref().map_or(0, |list| list.version);
@@ -209,15 +226,22 @@
         driver.clone().endpoint_list_changed(list);
     }
     let addr = addresses.discovery.subscribe();
-    tokio::task::spawn_local(discovery::run(addr, version, policy, driver.clone()));
+    tokio::task::spawn_local(discovery::run(
+        addr,
+        version,
+        policy,
+        memory.clone(),
+        driver.clone(),
+    ));
 }
 
-/// Starts the task that calls `Driver::sweep` at intervals.
-fn spawn_sweeper(driver: Rc<Driver>) {
+/// Starts the task that frees at intervals what is no longer needed.
+fn spawn_sweeper(driver: Rc<Driver>, memory: Rc<MemoryBudget>) {
     tokio::task::spawn_local(async move {
         loop {
             sleep(SWEEP_INTERVAL).await;
             driver.sweep();
+            memory.release_idle();
         }
     });
 }
--- a/src/bin/quota-gateway/upstream/connection.rs
+++ b/src/bin/quota-gateway/upstream/connection.rs
@@ -2,6 +2,7 @@
 
 use super::request::{EncodedRequest, OutgoingRequest};
 use crate::http::Reader;
+use crate::memory::{MemoryBudget, Priority};
 use crate::socket::{PeekResult, Socket};
 use quota_gateway::Outcome;
 use std::cell::Cell;
@@ -60,10 +61,10 @@
 }
 
 impl Connection {
-    /// Creates a connection from a socket that has just been connected.
-    pub fn new(socket: Socket, permit: ConnectionPermit) -> Self {
+    /// Creates a connection from a socket that has just been connected. The bodies of responses count in `memory`.
+    pub fn new(socket: Socket, permit: ConnectionPermit, memory: Rc<MemoryBudget>) -> Self {
         Connection {
-            reader: Reader::new(socket),
+            reader: Reader::new(socket, memory, Priority::Replaceable),
             idle_since: Instant::now(),
             _permit: permit,
         }
@@ -76,7 +77,7 @@
     /// response, such as a second copy: they would be read as the response to the next request, from another client.
     /// The check peeks into the system's buffer, because the runtime may not yet have been notified of data in it.
     pub fn is_usable(&self) -> bool {
-        !self.reader.has_unread_bytes() && self.reader.io.peek() == PeekResult::Empty
+        !self.reader.has_unread_bytes() && self.reader.io().peek() == PeekResult::Empty
     }
 
     /// Writes a complete request, unless it is refused.
@@ -85,7 +86,7 @@
     /// and the client may disconnect or the endpoint drain during the wait. A check precedes each try to write the
     /// first byte, and nothing else runs between the two. After the first byte the request is written to its end.
     pub async fn write(&self, request: &dyn OutgoingRequest) -> io::Result<WriteResult> {
-        let socket = &self.reader.io;
+        let socket = self.reader.io();
         let mut message = EncodedRequest::default();
         let mut written = 0;
         while written == 0 || written < message.len() {
--- a/src/bin/quota-gateway/upstream/connection/tests.rs
+++ b/src/bin/quota-gateway/upstream/connection/tests.rs
@@ -1,12 +1,14 @@
 //! Tests an endpoint that closes its connection between the choice of the connection and the first byte of the request.
 
-use super::{Connection, EncodedRequest, OpenConnections, OutgoingRequest, WriteResult};
+use super::{
+    Connection, EncodedRequest, MemoryBudget, OpenConnections, OutgoingRequest, WriteResult,
+};
 use crate::socket::{PeekResult, Socket};
 use crate::upstream::Preparation;
-use bytes::Bytes;
 use quota_gateway::Outcome;
 use std::cell::RefCell;
 use std::net::TcpListener;
+use std::rc::Rc;
 use tokio::net::TcpStream;
 
 /// A request whose endpoint closes the connection while the request is being prepared.
@@ -32,7 +34,7 @@
     fn encode(&self) -> EncodedRequest {
         EncodedRequest {
             head: b"POST / HTTP/1.1\r\n\r\n".to_vec(),
-            body: Bytes::new(),
+            body: Rc::default(),
         }
     }
 }
@@ -48,7 +50,8 @@
         .unwrap();
     let (endpoint, _) = listener.accept().unwrap();
     let socket = Socket::new(stream);
-    let connection = Connection::new(socket.clone(), OpenConnections::default().acquire());
+    let permit = OpenConnections::default().acquire();
+    let connection = Connection::new(socket.clone(), permit, MemoryBudget::new(usize::MAX));
     let request = ClosedWhilePreparing {
         endpoint: RefCell::new(Some(endpoint)),
         connection: socket,
--- a/src/bin/quota-gateway/upstream/pool.rs
+++ b/src/bin/quota-gateway/upstream/pool.rs
@@ -2,12 +2,14 @@
 
 use super::connection::{Connection, OpenConnections};
 use super::request::Target;
+use crate::memory::MemoryBudget;
 use crate::socket::Socket;
 use quota_gateway::EndpointId;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::time::{timeout_at, Instant};
@@ -58,19 +60,27 @@
     connect_timeout: Duration,
     /// Idle time after which a connection is no longer reused.
     usable_idle_time: Duration,
+    /// Counts the bodies of responses.
+    memory: Rc<MemoryBudget>,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool with at most `max_open` connections, each established within `connect_timeout_ms`.
     /// `idle_timeout_ms` is the idle time after which endpoints close a connection; a connection that was idle for
-    /// `USABLE_IDLE_SHARE` of it is not reused.
-    pub fn new(max_open: usize, connect_timeout_ms: f64, idle_timeout_ms: f64) -> Self {
+    /// `USABLE_IDLE_SHARE` of it is not reused. The bodies of responses count in `memory`.
+    pub fn new(
+        max_open: usize,
+        connect_timeout_ms: f64,
+        idle_timeout_ms: f64,
+        memory: Rc<MemoryBudget>,
+    ) -> Self {
         ConnectionPool {
             endpoints: RefCell::default(),
             open: OpenConnections::default(),
             max_open,
             connect_timeout: Duration::from_secs_f64(connect_timeout_ms / 1000.0),
             usable_idle_time: Duration::from_secs_f64(idle_timeout_ms * USABLE_IDLE_SHARE / 1000.0),
+            memory,
         }
     }
 
@@ -157,7 +167,7 @@
             Err(_) if connect_deadline <= deadline => return Err(ConnectError::Endpoint),
             Err(_) => return Err(ConnectError::Local),
         };
-        Ok(Connection::new(socket, permit))
+        Ok(Connection::new(socket, permit, self.memory.clone()))
     }
 
     fn is_reusable(&self, connection: &Connection) -> bool {
--- a/src/bin/quota-gateway/upstream/pool/tests.rs
+++ b/src/bin/quota-gateway/upstream/pool/tests.rs
@@ -1,6 +1,6 @@
 //! Tests when a connection is reused.
 
-use super::{Connection, ConnectionPool, Socket, Target};
+use super::{Connection, ConnectionPool, MemoryBudget, Socket, Target};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -11,13 +11,15 @@
 async fn a_connection_is_not_reused_until_a_late_second_response_would_have_arrived() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
-    let pool = ConnectionPool::new(8, 250.0, 30_000.0);
+    let memory = MemoryBudget::new(usize::MAX);
+    let pool = ConnectionPool::new(8, 250.0, 30_000.0, memory.clone());
     pool.set_address(1, addr);
     let stream = std::net::TcpStream::connect(addr).unwrap();
     stream.set_nonblocking(true).unwrap();
     let connection = Connection::new(
         Socket::new(TcpStream::from_std(stream).unwrap()),
         pool.open.acquire(),
+        memory,
     );
     pool.put_back(Target { endpoint: 1, addr }, connection);
     tokio::time::advance(Duration::from_millis(8)).await;
--- a/src/bin/quota-gateway/upstream/request.rs
+++ b/src/bin/quota-gateway/upstream/request.rs
@@ -1,11 +1,12 @@
 //! The request that an attempt sends, and its target.
 
-use bytes::Bytes;
+use crate::memory::StoredBody;
 use quota_gateway::{EndpointId, Outcome};
 use std::future::Future;
 use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 
 /// The endpoint of an attempt.
 #[derive(Clone, Copy)]
@@ -20,7 +21,7 @@
 pub struct EncodedRequest {
     /// The head, up to and including the empty line that ends it.
     pub head: Vec<u8>,
-    pub body: Bytes,
+    pub body: Rc<StoredBody>,
 }
 
 impl EncodedRequest {
@@ -29,11 +30,18 @@
         self.head.len() + self.body.len()
     }
 
-    /// The bytes that are left after the first `written` ones.
-    pub fn remaining(&self, written: usize) -> [IoSlice<'_>; 2] {
-        let head = &self.head[written.min(self.head.len())..];
-        let body = &self.body[written.saturating_sub(self.head.len())..];
-        [IoSlice::new(head), IoSlice::new(body)]
+    /// The bytes that are left after the first `written` ones, in non-empty slices.
+    pub fn remaining(&self, written: usize) -> Vec<IoSlice<'_>> {
+        let mut skipped = written;
+        let mut slices = Vec::new();
+        for slice in std::iter::once(self.head.as_slice()).chain(self.body.slices()) {
+            let rest = &slice[skipped.min(slice.len())..];
+            skipped = skipped.saturating_sub(slice.len());
+            if !rest.is_empty() {
+                slices.push(IoSlice::new(rest));
+            }
+        }
+        slices
     }
 }
 
--- a/tests/gateway/memory.rs
+++ b/tests/gateway/memory.rs
@@ -187,3 +187,53 @@
     sleep(Duration::from_millis(100));
     assert_within_memory_limit(&gateway);
 }
+
+/// Clients that connect at once, in each wave.
+const WAVE_CLIENTS: usize = 580;
+/// Waves, each of which comes once the one before has gone: memory that was freed is used again.
+const WAVES: usize = 4;
+
+/// Lets waves of clients send the beginnings of requests and leave, and checks the memory and that a whole request is
+/// served after each wave. `request` returns what the client with this number sends.
+fn send_in_waves(request: impl Fn(usize) -> Vec<u8>) {
+    let gateway = Gateway::new(&config_with_memory_limit());
+    for wave in 0..WAVES {
+        let first = wave * (WAVE_CLIENTS + 1);
+        let clients: Vec<_> = (first..first + WAVE_CLIENTS)
+            .map(|number| {
+                let mut client = gateway.connect();
+                // An error means that this client was given up.
+                let _ = client.get_mut().write_all(&request(number));
+                client
+            })
+            .collect();
+        let whole = numbered_post_request(first + WAVE_CLIENTS, 200);
+        assert_eq!(gateway.exchange(&whole).status(), 200);
+        drop(clients);
+    }
+    assert_within_memory_limit(&gateway);
+}
+
+/// Clients stop anywhere in the longest bodies and come back. If the announced length were allocated but only the bytes
+/// that have arrived were counted, memory that earlier bodies have written to would take the process over its limit.
+#[test]
+fn clients_that_stop_in_their_bodies_and_come_back_stay_within_the_memory_limit() {
+    send_in_waves(|number| {
+        let mut request = longest_request(number).into_bytes();
+        // A multiplicative hash of the number spreads the clients over the length of the body.
+        let sent_share = (number.wrapping_mul(0x9E37_79B9) >> 8) % MAX_BODY_BYTES;
+        request.truncate(request.len() - sent_share);
+        request
+    });
+}
+
+/// Clients send heads as long as they may be, and stop in the bodies behind them. The buffers for such heads are kept
+/// with the connection, and must count like the bodies.
+#[test]
+fn clients_with_long_heads_that_stop_in_their_bodies_stay_within_the_memory_limit() {
+    let long_field = format!("\r\nX-Long: {}\r\n\r\n", "v".repeat(14_000));
+    send_in_waves(|number| {
+        let request = longest_request(number).replace("\r\n\r\n", &long_field);
+        request.as_bytes()[..request.len() - 1].to_vec()
+    });
+}
