Server: an id that may have been executed is not forwarded again

What callers saw: a request that must not be executed twice ran a second time when its id came again after its client had left, or after its response.

Cause: an id was held until its request ended, and a request ends when its client leaves. The rule that was never stated: an id that may have been executed is not free again.

Refused and read-only requests may come again as before.

Evidence: races::a_request_whose_client_has_left_is_not_executed_again_under_its_id failed on (502, executed again) and passes. Tests that sent several requests under one id give each its own now, as the protocol asks for; no assertion is changed.

--- a/src/bin/quota-gateway/driver/events.rs
+++ b/src/bin/quota-gateway/driver/events.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// True unless it is certain that no endpoint has executed the request.
+    pub fn may_have_executed(&self, id: RequestId) -> bool {
+        self.registry.borrow().may_have_executed(id)
+    }
+
     /// Ends a request whose client no longer waits for a response. Nothing more is sent for it. The registry records a
     /// final response that reaches no one, because the server no longer reads it.
     pub fn cancel_request(self: &Rc<Self>, id: RequestId) {
@@ -100,7 +105,7 @@
     /// Ends a request whose deadline has passed. Returns the response that the server has to send to the client,
     /// because the server no longer reads the receiver from `start_request`.
     pub fn expire_request(self: &Rc<Self>, id: RequestId) -> FinalResponse {
-        let may_have_executed = self.registry.borrow().may_have_executed(id);
+        let may_have_executed = self.may_have_executed(id);
         self.cancel_request(id);
         let rejected = FinalResponse::Rejected {
             retry_after_ms: 0.0,
@@ -112,7 +117,7 @@
     pub fn end_open_requests(self: &Rc<Self>) {
         let ids = self.registry.borrow().unanswered();
         for id in ids {
-            let may_have_executed = self.registry.borrow().may_have_executed(id);
+            let may_have_executed = self.may_have_executed(id);
             tracing::debug!(
                 request_id = id,
                 may_have_executed,
--- a/src/bin/quota-gateway/server/handler.rs
+++ b/src/bin/quota-gateway/server/handler.rs
@@ -86,7 +86,7 @@
             self.parser
                 .parse(&head.method, &head.uri, &head.headers, received_at)?;
         body.check(class)?;
-        in_progress.claim_transaction_id(incoming.transaction_id)?;
+        in_progress.claim_transaction_id(incoming.transaction_id, class)?;
         let mut forwarded = forwarded_head(class, &head.uri, &head.headers);
         drop(head);
         let received = body.read(&self.memory);
--- a/src/bin/quota-gateway/server/in_progress.rs
+++ b/src/bin/quota-gateway/server/in_progress.rs
@@ -1,7 +1,7 @@
 //! The state of one request from its complete head until its response is made.
 
 use super::client::Client;
-use super::request::RequestError;
+use super::request::{ClassRoute, RequestError};
 use super::Server;
 use crate::metrics::RequestEnd;
 use quota_gateway::RequestId;
@@ -12,13 +12,21 @@
     server: &'a Server,
     /// The client that sent the request.
     pub client: &'a Client,
-    transaction_id: Option<u64>,
+    transaction: Option<ClaimedTransaction>,
     /// Id of the request at the driver, while its final response is outstanding.
     pub driver_id: Option<RequestId>,
     /// The result for metrics; `None` until the response is made.
     pub end: Option<RequestEnd>,
 }
 
+/// The transaction id of a request.
+#[derive(Clone, Copy)]
+struct ClaimedTransaction {
+    id: u64,
+    /// True if the request may be sent again under this id, whatever has become of it.
+    may_repeat: bool,
+}
+
 impl<'a> RequestInProgress<'a> {
     /// Creates the state of a request whose head is complete, and records the head in the client's state.
     pub fn begin(server: &'a Server, client: &'a Client) -> Self {
@@ -26,32 +34,43 @@
         RequestInProgress {
             server,
             client,
-            transaction_id: None,
+            transaction: None,
             driver_id: None,
             end: None,
         }
     }
 
-    /// Registers the request's transaction id until the response is made.
-    ///
-    /// Guards against executing both copies of a request that a client sends again before it has a response. The second
-    /// copy is rejected, and the open one is not affected.
+    /// Claims the request's transaction id. An open request with the same id is not affected.
     ///
     /// # Errors
     ///
-    /// Fails with `DuplicateTransaction` if a request with this id is open.
-    pub fn claim_transaction_id(&mut self, transaction_id: u64) -> Result<(), RequestError> {
-        if !self
-            .server
-            .open_transactions
-            .borrow_mut()
-            .insert(transaction_id)
-        {
-            return Err(RequestError::DuplicateTransaction);
-        }
-        self.transaction_id = Some(transaction_id);
+    /// Fails with `DuplicateTransaction` if a request with this id is open or must not be sent again.
+    pub fn claim_transaction_id(
+        &mut self,
+        id: u64,
+        class: &ClassRoute,
+    ) -> Result<(), RequestError> {
+        self.server.transactions.borrow_mut().claim(id)?;
+        self.transaction = Some(ClaimedTransaction {
+            id,
+            may_repeat: class.may_repeat,
+        });
         Ok(())
     }
+
+    /// True unless it is certain that no endpoint has executed the request. `end` is the result of the request.
+    fn may_have_executed(&self, end: RequestEnd) -> bool {
+        match end {
+            RequestEnd::Success | RequestEnd::Failed => true,
+            RequestEnd::Disconnected => self
+                .driver_id
+                .is_some_and(|id| self.server.driver.may_have_executed(id)),
+            RequestEnd::Rejected
+            | RequestEnd::ShuttingDown
+            | RequestEnd::Invalid
+            | RequestEnd::HealthCheck => false,
+        }
+    }
 }
 
 impl Drop for RequestInProgress<'_> {
@@ -61,12 +80,13 @@
         // A request without a result was dropped because its connection ended.
         let end = self.end.unwrap_or(RequestEnd::Disconnected);
         self.server.driver.metrics().requests.increment(end);
-        // From now on, a retry with the same id is a new request.
-        if let Some(transaction_id) = self.transaction_id {
-            self.server
-                .open_transactions
-                .borrow_mut()
-                .remove(&transaction_id);
+        if let Some(transaction) = self.transaction {
+            let mut transactions = self.server.transactions.borrow_mut();
+            if !transaction.may_repeat && self.may_have_executed(end) {
+                transactions.remember(transaction.id);
+            } else {
+                transactions.release(transaction.id);
+            }
         }
         // The driver still has the request open, but its response is no longer needed.
         if let Some(id) = self.driver_id {
--- a/src/bin/quota-gateway/server/mod.rs
+++ b/src/bin/quota-gateway/server/mod.rs
@@ -9,6 +9,7 @@
 //! - `handler`: handles one request, from its complete head to its response
 //! - `body`: checks and reads bodies
 //! - `in_progress`: the state of a request until its response is made
+//! - `transactions`: the ids of requests that must not be forwarded again
 //! - `health`: the health checks and the metrics of the gateway itself
 //! - `request`: parses the head of a request
 //! - `forward`: builds the request that is forwarded to endpoints
@@ -29,6 +30,7 @@
 mod response;
 mod response_body;
 mod slots;
+mod transactions;
 
 pub use accept::Acceptor;
 pub use slots::ClientSlots;
@@ -41,10 +43,11 @@
 use read_ahead::ReadAheadBudget;
 use request::RequestParser;
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::Semaphore;
+use transactions::Transactions;
 
 /// The state that all client connections share.
 pub struct Server {
@@ -59,8 +62,7 @@
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     memory: Rc<MemoryBudget>,
     read_ahead: ReadAheadBudget,
-    /// Transaction ids of requests that have no response yet.
-    open_transactions: RefCell<HashSet<u64>>,
+    transactions: RefCell<Transactions>,
 }
 
 impl Server {
@@ -84,7 +86,7 @@
             clients: RefCell::default(),
             read_ahead: ReadAheadBudget::new(&memory),
             memory,
-            open_transactions: RefCell::default(),
+            transactions: RefCell::default(),
         })
     }
 
@@ -105,6 +107,6 @@
 
     /// The transaction ids of all requests without a response.
     pub fn unanswered_transactions(&self) -> Vec<u64> {
-        self.open_transactions.borrow().iter().copied().collect()
+        self.transactions.borrow().open()
     }
 }
--- a/src/bin/quota-gateway/server/request/error.rs
+++ b/src/bin/quota-gateway/server/request/error.rs
@@ -34,7 +34,7 @@
     BodyTooLarge,
     #[error("a GET request must not have a body")]
     UnexpectedBody,
-    #[error("X-Txn is already used by an open request")]
+    #[error("X-Txn is already used by another request")]
     DuplicateTransaction,
     #[error("request body is incomplete or malformed")]
     IncompleteBody,
--- a/tests/gateway/attempts.rs
+++ b/tests/gateway/attempts.rs
@@ -12,11 +12,9 @@
 fn forwards_a_request_and_its_response_unchanged() {
     let (endpoint, received) = healthy_endpoint();
     let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint]));
-    let response = gateway.exchange(&post_request(
-        "order",
-        IDEMPOTENCY_KEY_HEADER,
-        "two pallets",
-    ));
+    let id = 0x9b1f_03aa_5c7e_2d41;
+    let request = post_request_with_id(id, "order", IDEMPOTENCY_KEY_HEADER, "two pallets");
+    let response = gateway.exchange(&request);
     assert_eq!(
         (response.status(), response.body.as_slice()),
         (200, &b"stock: 12"[..])
--- a/tests/gateway/memory.rs
+++ b/tests/gateway/memory.rs
@@ -45,8 +45,8 @@
 }
 
 /// A request of the class `once` with the longest body.
-fn longest_request(number: usize) -> String {
-    numbered_post_request(number, MAX_BODY_BYTES)
+fn longest_request() -> String {
+    post_request_of_length(MAX_BODY_BYTES)
 }
 
 /// Clients write bodies slowly, in many short pieces. If each piece kept the read buffer in which it arrived, a body of 32
@@ -57,10 +57,10 @@
     const PIECES: usize = 512;
     const PIECE_BYTES: usize = 64;
     let gateway = Gateway::new(&config_with_memory_limit());
-    let requests: Vec<_> = (0..CLIENTS)
-        .map(|number| numbered_post_request(number, PIECES * PIECE_BYTES))
-        .collect();
     let statuses = within_request_time(|| {
+        let requests: Vec<_> = (0..CLIENTS)
+            .map(|_| post_request_of_length(PIECES * PIECE_BYTES))
+            .collect();
         let mut clients: Vec<_> = (0..CLIENTS).map(|_| gateway.connect()).collect();
         for client in &clients {
             client.get_ref().set_nodelay(true).unwrap();
@@ -110,8 +110,8 @@
 fn incomplete_bodies_of_all_permitted_clients_stay_within_the_memory_limit() {
     const CLIENTS: usize = 1024 / 3;
     let gateway = Gateway::new(&config_with_memory_limit());
-    let requests: Vec<_> = (0..CLIENTS).map(longest_request).collect();
     let statuses = within_request_time(|| {
+        let requests: Vec<_> = (0..CLIENTS).map(|_| longest_request()).collect();
         let mut clients: Vec<_> = requests
             .iter()
             .map(|request| {
@@ -138,8 +138,8 @@
     const LATER_CLIENTS: usize = 10;
     let gateway = Gateway::new(&config_with_memory_limit());
     let mut stalled: Vec<_> = (0..STALLED_CLIENTS)
-        .map(|number| {
-            let request = longest_request(number);
+        .map(|_| {
+            let request = longest_request();
             let mut client = gateway.connect();
             // An error means that this client was given up.
             let _ = client
@@ -148,8 +148,8 @@
             client
         })
         .collect();
-    for number in 0..LATER_CLIENTS {
-        let request = longest_request(STALLED_CLIENTS + number);
+    for _ in 0..LATER_CLIENTS {
+        let request = longest_request();
         assert_eq!(gateway.exchange(&request).status(), 200);
     }
     assert_within_memory_limit(&gateway);
@@ -169,7 +169,7 @@
     const CLIENTS: usize = 500;
     const ANNOUNCED_BYTES: usize = 1 << 20;
     let gateway = Gateway::new(&config_with_memory_limit());
-    let request = longest_request(1).replace(
+    let request = longest_request().replace(
         &format!("Content-Length: {MAX_BODY_BYTES}"),
         &format!("Content-Length: {ANNOUNCED_BYTES}"),
     );
@@ -207,7 +207,7 @@
                 client
             })
             .collect();
-        let whole = numbered_post_request(first + WAVE_CLIENTS, 200);
+        let whole = post_request_of_length(200);
         assert_eq!(gateway.exchange(&whole).status(), 200);
         drop(clients);
     }
@@ -219,7 +219,7 @@
 #[test]
 fn clients_that_stop_in_their_bodies_and_come_back_stay_within_the_memory_limit() {
     send_in_waves(|number| {
-        let mut request = longest_request(number).into_bytes();
+        let mut request = longest_request().into_bytes();
         // A multiplicative hash of the number spreads the clients over the length of the body.
         let sent_share = (number.wrapping_mul(0x9E37_79B9) >> 8) % MAX_BODY_BYTES;
         request.truncate(request.len() - sent_share);
@@ -232,8 +232,8 @@
 #[test]
 fn clients_with_long_heads_that_stop_in_their_bodies_stay_within_the_memory_limit() {
     let long_field = format!("\r\nX-Long: {}\r\n\r\n", "v".repeat(14_000));
-    send_in_waves(|number| {
-        let request = longest_request(number).replace("\r\n\r\n", &long_field);
+    send_in_waves(|_| {
+        let request = longest_request().replace("\r\n\r\n", &long_field);
         request.as_bytes()[..request.len() - 1].to_vec()
     });
 }
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -65,9 +65,9 @@
         for writing in [Writing::AtOnce, Writing::InPieces] {
             let requests: Vec<_> = (0..4)
                 .map(|number| match number {
-                    1 => numbered_post_request(1, body_bytes)
+                    1 => post_request_of_length(body_bytes)
                         .replace("X-Remaining-Ms: 3000", "X-Remaining-Ms: 100"),
-                    _ => numbered_post_request(number, body_bytes),
+                    _ => post_request_of_length(body_bytes),
                 })
                 .collect();
             assert_eq!(
@@ -85,7 +85,7 @@
 fn requests_behind_an_invalid_one_are_served() {
     let gateway = Gateway::new(&config_with_slow_endpoint(SERVICE_TIME));
     for body_bytes in BODY_LENGTHS {
-        let valid = numbered_post_request(1, body_bytes);
+        let valid = post_request_of_length(body_bytes);
         let health_check = format!(
             "GET /health/ready HTTP/1.1\r\nHost: x\r\nContent-Length: {body_bytes}\r\n\r\n{}",
             "b".repeat(body_bytes)
@@ -106,8 +106,8 @@
             for writing in [Writing::AtOnce, Writing::InPieces] {
                 let requests = [
                     refused.clone(),
-                    numbered_post_request(3, body_bytes),
-                    numbered_post_request(4, body_bytes),
+                    post_request_of_length(body_bytes),
+                    post_request_of_length(body_bytes),
                 ];
                 assert_eq!(
                     statuses(gateway.connect(), &requests, writing),
@@ -131,13 +131,11 @@
     for (clients, requests, body_bytes) in [(1, 24, 60_000), (60, 8, 15_000), (100, 12, 6_000)] {
         let unanswered: usize = std::thread::scope(|scope| {
             let clients: Vec<_> = (0..clients)
-                .map(|client| {
+                .map(|_| {
                     let connection = gateway.connect();
                     scope.spawn(move || {
                         let texts: Vec<_> = (0..requests)
-                            .map(|number| {
-                                numbered_post_request(client * requests + number, body_bytes)
-                            })
+                            .map(|_| post_request_of_length(body_bytes))
                             .collect();
                         let statuses = statuses(connection, &texts, Writing::AtOnce);
                         statuses.iter().filter(|status| status.is_none()).count()
--- a/tests/gateway/races.rs
+++ b/tests/gateway/races.rs
@@ -5,7 +5,7 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// A configuration in which establishing a connection may take long.
@@ -190,10 +190,7 @@
         .recv_timeout(TEST_TIMEOUT)
         .expect("the gateway calls the counter");
     drop(client);
-    // The first request may still be open. Each open request needs its own transaction id, instead of the fixed one of
-    // `post_request`.
-    let next_request =
-        post_request("once", "", "stays").replace("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42");
+    let next_request = post_request("once", "", "stays");
     assert_eq!(gateway.exchange(&next_request).status(), 200);
     let bodies: Vec<_> = received
         .lock()
@@ -224,3 +221,35 @@
         "the attempt states {remaining_ms} ms of 3000 after 800 ms, expected at most 2200"
     );
 }
+
+/// A client leaves while an endpoint works on its request, and the request comes again under the same id. The endpoint
+/// would execute it a second time. The second one must be refused, also after the endpoint has answered the first one.
+#[test]
+fn a_request_whose_client_has_left_is_not_executed_again_under_its_id() {
+    const ID: u64 = 77;
+    let (started_sender, started) = channel();
+    let (release, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let endpoint = start_server(move |_| {
+        started_sender.send(()).unwrap();
+        wait.lock().unwrap().recv().unwrap();
+        Reply::Send(response(200, "", "done"))
+    });
+    let gateway = Gateway::new(&config_with_silent_discovery(&[endpoint, endpoint]));
+    let request = post_request_with_id(ID, "once", "", "x");
+    let mut client = gateway.connect();
+    client.get_mut().write_all(request.as_bytes()).unwrap();
+    started.recv_timeout(TEST_TIMEOUT).unwrap();
+    drop(client);
+    assert_eq!(gateway.exchange(&request).status(), 409);
+    release.send(()).unwrap();
+    assert_eq!(gateway.exchange(&request).status(), 409);
+    release.send(()).unwrap();
+    let other = post_request_with_id(ID + 1, "once", "", "x");
+    assert_eq!(gateway.exchange(&other).status(), 200);
+    assert_eq!(
+        started.try_iter().count(),
+        1,
+        "the request was executed twice"
+    );
+}
