Upstream: a process is known by its address and its start

What callers saw: after an endpoint was started again at its address, requests on idle connections to its former process reached no one and failed; work for an endpoint that had gone and was still listed went to the one that had come up at its address, and counted as executed in the zone and cell of the old one.

Cause: the pool and the checks before a write knew a process by the endpoint's name and its address. The rule that was never stated: a process is known by its address and its start, and an address belongs to the process that started last.

Change: upstream::Instance takes the place of the address in the pool, in targets and in enforcement; of several endpoints at one address, Endpoints::remove_replaced keeps those with the latest start.

Evidence: attempts::a_connection_to_a_former_process_is_not_reused failed on (502) and passes; two tests of driver::endpoints and a case of driver::enforcement are new. Cost: one pass over the listed addresses for each list or change.

--- a/src/bin/quota-gateway/driver/actions.rs
+++ b/src/bin/quota-gateway/driver/actions.rs
@@ -91,11 +91,11 @@
         timeout: Duration,
         start_timeout: Duration,
     ) -> Option<Event> {
-        let addr = self.pool.address(endpoint);
-        let started = self
-            .registry
-            .borrow_mut()
-            .start_attempt(id, addr, timeout, start_timeout);
+        let instance = self.pool.instance(endpoint);
+        let started =
+            self.registry
+                .borrow_mut()
+                .start_attempt(id, instance, timeout, start_timeout);
         match started {
             Ok(attempt) => {
                 tracing::debug!(
--- a/src/bin/quota-gateway/driver/attempts.rs
+++ b/src/bin/quota-gateway/driver/attempts.rs
@@ -79,7 +79,7 @@
     ) -> AttemptReport {
         let target = Target {
             endpoint,
-            addr: attempt.addr,
+            instance: attempt.instance,
         };
         let outgoing = AttemptRequest {
             sender: self.clone(),
@@ -137,8 +137,8 @@
             start_deadline: self.times.start_deadline,
             now: Instant::now(),
             endpoint_is_ready: sender.endpoints.borrow().is_ready(self.target.endpoint),
-            endpoint_addr: sender.pool.address(self.target.endpoint),
-            connected_addr: self.target.addr,
+            instance: sender.pool.instance(self.target.endpoint),
+            connected_instance: self.target.instance,
         }
     }
 
--- a/src/bin/quota-gateway/driver/endpoints.rs
+++ b/src/bin/quota-gateway/driver/endpoints.rs
@@ -4,7 +4,7 @@
 use super::start_times::StartTimes;
 use super::topology::TopologyNames;
 use crate::discovery::list::{EndpointEntry, EndpointList, EntryState};
-use crate::upstream::ConnectionPool;
+use crate::upstream::{ConnectionPool, Instance};
 use quota_gateway::{Endpoint, EndpointId, EndpointState};
 use std::collections::{HashMap, HashSet};
 use tokio::time::Instant;
@@ -105,6 +105,7 @@
         for entry in list.endpoints.valid {
             endpoints.push(self.update_entry(entry, pool, now_ms));
         }
+        self.remove_replaced(&mut endpoints, pool);
         if list.complete {
             self.remove_unlisted(&endpoints, pool);
         }
@@ -133,7 +134,8 @@
         match entry.addr {
             Some(addr) if !is_removed => {
                 self.states.insert(id, state);
-                pool.set_address(id, addr);
+                let started_ms = entry.started_ms;
+                pool.set_instance(id, Instance { addr, started_ms });
             }
             _ => {
                 self.states.remove(&id);
@@ -152,6 +154,35 @@
         }
     }
 
+    /// Removes endpoints at whose address another one has started since. `updated` are the entries of the current list.
+    ///
+    /// Guards against a process that has gone and that discovery still lists: requests for it would reach the process
+    /// that has come up at its address, and count as executed at an endpoint that does not know them.
+    fn remove_replaced(&mut self, updated: &mut Vec<Endpoint>, pool: &ConnectionPool) {
+        let instances = updated
+            .iter()
+            .filter_map(|endpoint| pool.instance(endpoint.id));
+        let addresses = instances.map(|instance| instance.addr).collect();
+        let replaced = pool.replaced_at(&addresses);
+        updated.retain(|endpoint| !replaced.contains(&endpoint.id));
+        for id in replaced {
+            pool.remove(id);
+            self.states.remove(&id);
+            self.not_ready_since.entry(id).or_insert_with(Instant::now);
+            self.started_at.remove(&id);
+            updated.push(Endpoint {
+                id,
+                hash_key: 0,
+                zone: 0,
+                kind: 0,
+                cell: 0,
+                state: EndpointState::Removed,
+                weight: 0.0,
+                started_at: 0.0,
+            });
+        }
+    }
+
     /// Removes the endpoints that are missing from a complete list.
     fn remove_unlisted(&mut self, listed: &[Endpoint], pool: &ConnectionPool) {
         let listed: HashSet<_> = listed.iter().map(|endpoint| endpoint.id).collect();
--- a/src/bin/quota-gateway/driver/endpoints/tests.rs
+++ b/src/bin/quota-gateway/driver/endpoints/tests.rs
@@ -4,7 +4,7 @@
 use crate::discovery::list::{EndpointEntries, EndpointEntry, EndpointList, EntryState};
 use crate::memory::MemoryBudget;
 use crate::upstream::ConnectionPool;
-use quota_gateway::{Endpoint, EndpointState};
+use quota_gateway::{Endpoint, EndpointId, EndpointState};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -56,6 +56,10 @@
         }
     }
 
+    fn address(&self, id: EndpointId) -> Option<SocketAddr> {
+        self.pool.instance(id).map(|instance| instance.addr)
+    }
+
     fn update(&mut self, complete: bool, entries: Vec<EndpointEntry>) -> Vec<Endpoint> {
         self.endpoints
             .update(list(complete, entries), &self.pool, NOW_MS)
@@ -93,7 +97,7 @@
     assert!(!fleet.endpoints.is_ready(before[0].id));
     assert!(fleet.endpoints.is_ready(before[1].id));
     assert_eq!(
-        fleet.pool.address(before[0].id),
+        fleet.address(before[0].id),
         Some(address()),
         "a draining endpoint is still listed"
     );
@@ -113,7 +117,7 @@
     );
     fleet.update(true, vec![entry("s-2", EntryState::Ready)]);
     assert!(!fleet.endpoints.is_ready(before[0].id));
-    assert_eq!(fleet.pool.address(before[0].id), None);
+    assert_eq!(fleet.address(before[0].id), None);
     assert!(fleet.endpoints.is_ready(before[1].id));
 }
 
@@ -171,3 +175,41 @@
         0.0
     );
 }
+
+/// A process has gone, and discovery still lists it when another one has come up at its address. Requests for the one that
+/// has gone would reach the other, which may be cold and does not know what the one before has executed.
+#[test]
+fn an_endpoint_at_whose_address_another_has_started_is_removed() {
+    let started = |name, started_ms| EndpointEntry {
+        started_ms,
+        ..entry(name, EntryState::Ready)
+    };
+    for complete in [false, true] {
+        let mut fleet = Fleet::new();
+        let old = fleet.update(true, vec![started("s-1", NOW_MS - 2000.0)])[0].id;
+        let mut entries = vec![started("s-2", NOW_MS - 1000.0)];
+        if complete {
+            entries.push(started("s-1", NOW_MS - 2000.0));
+        }
+        let updated = fleet.update(complete, entries);
+        let state_of = |id| updated.iter().find(|e| e.id == id).map(|e| e.state);
+        assert_eq!(state_of(old), Some(EndpointState::Removed));
+        assert_eq!(state_of(old + 1), Some(EndpointState::Ready));
+        assert!(!fleet.endpoints.is_ready(old) && fleet.endpoints.is_ready(old + 1));
+        assert_eq!(fleet.address(old), None);
+    }
+}
+
+/// Endpoints that are all listed as started long ago may share an address: none is known to be the later one.
+#[test]
+fn endpoints_that_started_long_ago_may_share_an_address() {
+    let mut fleet = Fleet::new();
+    let names = ["s-1", "s-2"];
+    let listed = fleet.update(
+        true,
+        names.map(|name| entry(name, EntryState::Ready)).into(),
+    );
+    assert!(listed
+        .iter()
+        .all(|endpoint| fleet.endpoints.is_ready(endpoint.id)));
+}
--- a/src/bin/quota-gateway/driver/enforcement.rs
+++ b/src/bin/quota-gateway/driver/enforcement.rs
@@ -11,8 +11,8 @@
 
 use super::registered_request::RequestRecord;
 use crate::socket::PeekResult;
+use crate::upstream::Instance;
 use quota_gateway::Outcome;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -37,8 +37,8 @@
     pub attempt_in_flight: bool,
     /// Time until the deadline of the attempt.
     pub time_left: Duration,
-    /// Current address of the endpoint; `None` if it is no longer listed.
-    pub endpoint_addr: Option<SocketAddr>,
+    /// Current process of the endpoint; `None` if the endpoint is no longer listed.
+    pub instance: Option<Instance>,
 }
 
 /// The reason why an attempt is not started.
@@ -72,7 +72,7 @@
     RetryWindowOver,
     /// The endpoint is draining or was removed.
     EndpointNotReady,
-    /// The endpoint has another address.
+    /// The endpoint has another address, or was started again.
     EndpointMoved,
 }
 
@@ -90,13 +90,13 @@
     pub now: Instant,
     /// True if the endpoint accepts new requests.
     pub endpoint_is_ready: bool,
-    /// Current address of the endpoint; `None` if it is no longer listed.
-    pub endpoint_addr: Option<SocketAddr>,
-    /// The address to which the connection was established.
-    pub connected_addr: SocketAddr,
+    /// Current process of the endpoint; `None` if the endpoint is no longer listed.
+    pub instance: Option<Instance>,
+    /// The process to which the connection was established.
+    pub connected_instance: Instance,
 }
 
-/// Refuses to start an attempt that must not be sent; otherwise returns the address of its endpoint.
+/// Refuses to start an attempt that must not be sent; otherwise returns the process of its endpoint.
 ///
 /// Guards against a library whose view of the request differs from the registry's: an event that is still queued may
 /// have answered the request, the deadline may have passed since the library was given the time, and a fault of the
@@ -106,7 +106,7 @@
 pub fn enforce_before_start(
     limits: &AttemptLimits,
     attempt: &AttemptToStart,
-) -> Result<SocketAddr, StartRefusal> {
+) -> Result<Instance, StartRefusal> {
     if attempt.request_closed {
         return Err(StartRefusal::RequestClosed);
     }
@@ -119,14 +119,14 @@
     if attempt.attempt_in_flight && !limits.hedging {
         return Err(StartRefusal::AttemptInFlight);
     }
-    attempt.endpoint_addr.ok_or(StartRefusal::EndpointRemoved)
+    attempt.instance.ok_or(StartRefusal::EndpointRemoved)
 }
 
 /// Refuses to write an attempt that must not be sent.
 ///
 /// Guards against changes that occur while the pool finds a connection, which takes up to the connect timeout: the
 /// client disconnects, an earlier attempt turns out to have been executed, the process begins to shut down, the retry
-/// window of the idempotency key closes, or the endpoint drains, is removed or moves. The request would be executed
+/// window of the idempotency key closes, or the endpoint drains, is removed, moves or is started again. The request would be executed
 /// although no client waits for its response, executed twice, cut off when the process exits, or sent to an endpoint
 /// that must get no more requests. The check holds because it runs on the thread of all tasks, right before the first
 /// byte, and again whenever the write of that byte has to wait.
@@ -148,7 +148,7 @@
     if !attempt.endpoint_is_ready {
         return Err(WriteRefusal::EndpointNotReady);
     }
-    if attempt.endpoint_addr != Some(attempt.connected_addr) {
+    if attempt.instance != Some(attempt.connected_instance) {
         return Err(WriteRefusal::EndpointMoved);
     }
     Ok(())
--- a/src/bin/quota-gateway/driver/enforcement/tests.rs
+++ b/src/bin/quota-gateway/driver/enforcement/tests.rs
@@ -6,6 +6,7 @@
 };
 use crate::driver::registered_request::RequestRecord;
 use crate::socket::PeekResult;
+use crate::upstream::Instance;
 use quota_gateway::Outcome;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,8 +17,11 @@
     hedging: false,
 };
 
-fn addr(port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port))
+fn instance(port: u16) -> Instance {
+    Instance {
+        addr: SocketAddr::from(([127, 0, 0, 1], port)),
+        started_ms: 0.0,
+    }
 }
 
 fn attempt_to_start() -> AttemptToStart {
@@ -26,7 +30,7 @@
         earlier_attempts: 2,
         attempt_in_flight: false,
         time_left: Duration::from_nanos(1),
-        endpoint_addr: Some(addr(9)),
+        instance: Some(instance(9)),
     }
 }
 
@@ -36,8 +40,8 @@
 #[test]
 fn an_outdated_attempt_is_not_started() {
     let mut attempt = attempt_to_start();
-    assert_eq!(enforce_before_start(&LIMITS, &attempt), Ok(addr(9)));
-    attempt.endpoint_addr = None;
+    assert_eq!(enforce_before_start(&LIMITS, &attempt), Ok(instance(9)));
+    attempt.instance = None;
     let refusal = |attempt: &AttemptToStart| enforce_before_start(&LIMITS, attempt).unwrap_err();
     assert_eq!(refusal(&attempt), StartRefusal::EndpointRemoved);
     attempt.attempt_in_flight = true;
@@ -68,15 +72,21 @@
         start_deadline: now + Duration::from_nanos(1),
         now,
         endpoint_is_ready: true,
-        endpoint_addr: Some(addr(9)),
-        connected_addr: addr(9),
+        instance: Some(instance(9)),
+        connected_instance: instance(9),
     };
     assert_eq!(enforce_before_write(&attempt), Ok(()));
     let assert_refused = |attempt: &AttemptToWrite, refusal: WriteRefusal, outcome: Outcome| {
         assert_eq!(enforce_before_write(attempt), Err(refusal));
         assert_eq!(refusal_outcome(refusal), outcome, "{refusal:?}");
     };
-    attempt.endpoint_addr = Some(addr(10));
+    let restarted = Instance {
+        started_ms: 1.0,
+        ..instance(9)
+    };
+    attempt.instance = Some(restarted);
+    assert_refused(&attempt, WriteRefusal::EndpointMoved, Outcome::Rejected);
+    attempt.instance = Some(instance(10));
     assert_refused(&attempt, WriteRefusal::EndpointMoved, Outcome::Rejected);
     attempt.endpoint_is_ready = false;
     let not_ready = WriteRefusal::EndpointNotReady;
--- a/src/bin/quota-gateway/driver/registered_request.rs
+++ b/src/bin/quota-gateway/driver/registered_request.rs
@@ -3,10 +3,10 @@
 use super::messages::{FinalResponse, ForwardedRequest};
 use crate::memory::StoredBody;
 use crate::socket::WeakSocket;
+use crate::upstream::Instance;
 use bytes::Bytes;
 use quota_gateway::Outcome;
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -42,8 +42,8 @@
 pub struct StartedAttempt {
     /// Position of the attempt among the request's attempts, from 0.
     pub number: usize,
-    /// Address of the endpoint.
-    pub addr: SocketAddr,
+    /// The process of the endpoint.
+    pub instance: Instance,
     /// Start time and deadlines of the attempt.
     pub times: AttemptTimes,
     /// The request to send.
@@ -188,7 +188,7 @@
     }
 
     /// Adds an attempt. It counts as in flight from now on.
-    pub fn add_attempt(&mut self, addr: SocketAddr, times: AttemptTimes) -> StartedAttempt {
+    pub fn add_attempt(&mut self, instance: Instance, times: AttemptTimes) -> StartedAttempt {
         let (cancel, cancelled) = oneshot::channel();
         let written = Rc::new(Cell::new(false));
         let number = self.attempts.len();
@@ -198,7 +198,7 @@
         }));
         StartedAttempt {
             number,
-            addr,
+            instance,
             times,
             forwarded: self.forwarded.clone(),
             cancelled,
--- a/src/bin/quota-gateway/driver/registry.rs
+++ b/src/bin/quota-gateway/driver/registry.rs
@@ -7,9 +7,9 @@
     StartedAttempt,
 };
 use crate::socket::WeakSocket;
+use crate::upstream::Instance;
 use quota_gateway::{Outcome, RequestId};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -103,7 +103,7 @@
     pub fn start_attempt(
         &mut self,
         id: RequestId,
-        endpoint_addr: Option<SocketAddr>,
+        instance: Option<Instance>,
         timeout: Duration,
         start_timeout: Duration,
     ) -> Result<StartedAttempt, UnsentAttempt> {
@@ -121,16 +121,16 @@
             earlier_attempts: number,
             attempt_in_flight: request.has_attempt_in_flight(),
             time_left: deadline.saturating_duration_since(now),
-            endpoint_addr,
+            instance,
         };
         match enforce_before_start(&self.limits, &attempt) {
-            Ok(addr) => {
+            Ok(instance) => {
                 let times = AttemptTimes {
                     started_at: now,
                     deadline,
                     start_deadline: now + start_timeout,
                 };
-                Ok(request.add_attempt(addr, times))
+                Ok(request.add_attempt(instance, times))
             }
             Err(reason) => {
                 request.add_unsent_attempt();
--- a/src/bin/quota-gateway/driver/registry/tests.rs
+++ b/src/bin/quota-gateway/driver/registry/tests.rs
@@ -5,6 +5,7 @@
 use crate::driver::messages::{FinalResponse, ForwardedRequest};
 use crate::memory::StoredBody;
 use crate::socket::WeakSocket;
+use crate::upstream::Instance;
 use quota_gateway::{Outcome, RequestId};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,8 +16,11 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_UNITS: f64 = 4.0;
 
-fn address() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 9))
+fn instance() -> Instance {
+    Instance {
+        addr: SocketAddr::from(([127, 0, 0, 1], 9)),
+        started_ms: 0.0,
+    }
 }
 
 fn new_registry(hedging: bool) -> RequestRegistry {
@@ -50,7 +54,7 @@
 
 fn start(registry: &mut RequestRegistry, id: RequestId) -> Option<StartedAttempt> {
     registry
-        .start_attempt(id, Some(address()), TIMEOUT, TIMEOUT)
+        .start_attempt(id, Some(instance()), TIMEOUT, TIMEOUT)
         .ok()
 }
 
@@ -89,7 +93,7 @@
     );
     assert!(
         registry
-            .start_attempt(id, Some(address()), Duration::ZERO, TIMEOUT)
+            .start_attempt(id, Some(instance()), Duration::ZERO, TIMEOUT)
             .is_err(),
         "no time left"
     );
--- a/src/bin/quota-gateway/driver/rule_checks.rs
+++ b/src/bin/quota-gateway/driver/rule_checks.rs
@@ -68,7 +68,9 @@
         for rule in self.broken_rules(attempt, is_within_share) {
             let subject = format_args!(
                 "txn {:016x} to endpoint {} at {}",
-                attempt.record.transaction_id, attempt.target.endpoint, attempt.target.addr
+                attempt.record.transaction_id,
+                attempt.target.endpoint,
+                attempt.target.instance.addr
             );
             self.report(rule, subject);
         }
--- a/src/bin/quota-gateway/driver/rule_checks/tests.rs
+++ b/src/bin/quota-gateway/driver/rule_checks/tests.rs
@@ -3,7 +3,7 @@
 use super::{RuleChecker, WrittenAttempt};
 use crate::driver::registered_request::RequestRecord;
 use crate::metrics::{Metrics, Rule};
-use crate::upstream::Target;
+use crate::upstream::{Instance, Target};
 use quota_gateway::Rules;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -49,7 +49,10 @@
             record: &self.record,
             target: Target {
                 endpoint: 1,
-                addr: SocketAddr::from(([127, 0, 0, 1], 9)),
+                instance: Instance {
+                    addr: SocketAddr::from(([127, 0, 0, 1], 9)),
+                    started_ms: 0.0,
+                },
             },
             endpoint_age_ms: None,
             ready_endpoints: 1,
--- a/src/bin/quota-gateway/upstream/attempt.rs
+++ b/src/bin/quota-gateway/upstream/attempt.rs
@@ -73,7 +73,7 @@
             let connection = match reused {
                 Some(connection) => connection,
                 None => self
-                    .connect(target.addr, deadline)
+                    .connect(target.instance.addr, deadline)
                     .await
                     .map_err(connect_outcome)?,
             };
--- a/src/bin/quota-gateway/upstream/mod.rs
+++ b/src/bin/quota-gateway/upstream/mod.rs
@@ -12,4 +12,4 @@
 
 pub use attempt::AttemptResult;
 pub use pool::ConnectionPool;
-pub use request::{EncodedRequest, OutgoingRequest, Preparation, Target};
+pub use request::{EncodedRequest, Instance, OutgoingRequest, Preparation, Target};
--- a/src/bin/quota-gateway/upstream/pool.rs
+++ b/src/bin/quota-gateway/upstream/pool.rs
@@ -1,12 +1,12 @@
 //! The pool of connections to endpoints: keeps the idle connections of each endpoint and limits the open ones.
 
 use super::connection::{Connection, OpenConnections};
-use super::request::Target;
+use super::request::{Instance, Target};
 use crate::memory::MemoryBudget;
 use crate::socket::Socket;
 use quota_gateway::EndpointId;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,24 +36,24 @@
     Local,
 }
 
-/// The address of an endpoint, and its idle connections, longest idle first.
+/// The process of an endpoint, and the idle connections to it, longest idle first.
 struct EndpointConnections {
-    addr: SocketAddr,
+    instance: Instance,
     idle: Vec<Connection>,
 }
 
 impl EndpointConnections {
-    fn new(addr: SocketAddr) -> Self {
+    fn new(instance: Instance) -> Self {
         EndpointConnections {
-            addr,
+            instance,
             idle: Vec::new(),
         }
     }
 }
 
-/// The idle connections and the current addresses of all listed endpoints.
+/// The idle connections and the current processes of all listed endpoints.
 pub struct ConnectionPool {
-    /// The listed endpoints, each with its current address and idle connections.
+    /// The listed endpoints, each with its current process and idle connections.
     endpoints: RefCell<HashMap<EndpointId, EndpointConnections>>,
     open: OpenConnections,
     max_open: usize,
@@ -84,25 +84,45 @@
         }
     }
 
-    /// The address of an endpoint; `None` if the endpoint is not listed.
-    pub fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+    /// The process of an endpoint; `None` if the endpoint is not listed.
+    pub fn instance(&self, endpoint: EndpointId) -> Option<Instance> {
         self.endpoints
             .borrow()
             .get(&endpoint)
-            .map(|connections| connections.addr)
+            .map(|connections| connections.instance)
     }
 
-    /// Sets the address of an endpoint. Idle connections to a previous address are closed.
-    pub fn set_address(&self, endpoint: EndpointId, addr: SocketAddr) {
+    /// Sets the process of an endpoint. Idle connections to a previous one are closed.
+    pub fn set_instance(&self, endpoint: EndpointId, instance: Instance) {
         let mut endpoints = self.endpoints.borrow_mut();
         let connections = endpoints
             .entry(endpoint)
-            .or_insert_with(|| EndpointConnections::new(addr));
-        if connections.addr != addr {
-            *connections = EndpointConnections::new(addr);
+            .or_insert_with(|| EndpointConnections::new(instance));
+        if connections.instance.is_succeeded_by(&instance) {
+            *connections = EndpointConnections::new(instance);
         }
     }
 
+    /// The endpoints at these addresses where another endpoint has started since: their processes have gone.
+    pub fn replaced_at(&self, addresses: &HashSet<SocketAddr>) -> Vec<EndpointId> {
+        let endpoints = self.endpoints.borrow();
+        let at_addresses = || {
+            let instances = endpoints
+                .iter()
+                .map(|(id, connections)| (*id, connections.instance));
+            instances.filter(|(_, instance)| addresses.contains(&instance.addr))
+        };
+        let mut last_started_ms = HashMap::new();
+        for (_, instance) in at_addresses() {
+            let last = last_started_ms.entry(instance.addr).or_insert(0.0);
+            *last = instance.started_ms.max(*last);
+        }
+        at_addresses()
+            .filter(|(_, instance)| instance.started_ms < last_started_ms[&instance.addr])
+            .map(|(id, _)| id)
+            .collect()
+    }
+
     /// Removes an endpoint and closes its idle connections.
     pub fn remove(&self, endpoint: EndpointId) {
         self.endpoints.borrow_mut().remove(&endpoint);
@@ -133,13 +153,13 @@
         None
     }
 
-    /// Keeps a connection for another request. Closes it instead if its endpoint was removed or moved, because the
-    /// address may belong to another endpoint by now.
+    /// Keeps a connection for another request. Closes it instead if its endpoint was removed, moved or started again,
+    /// because it leads to another process then, or to none.
     pub(super) fn put_back(&self, target: Target, mut connection: Connection) {
         connection.idle_since = Instant::now();
         let mut endpoints = self.endpoints.borrow_mut();
         match endpoints.get_mut(&target.endpoint) {
-            Some(connections) if connections.addr == target.addr => {
+            Some(connections) if connections.instance == target.instance => {
                 connections.idle.push(connection);
             }
             _ => {}
--- a/src/bin/quota-gateway/upstream/pool/tests.rs
+++ b/src/bin/quota-gateway/upstream/pool/tests.rs
@@ -1,6 +1,6 @@
 //! Tests when a connection is reused.
 
-use super::{Connection, ConnectionPool, MemoryBudget, Socket, Target};
+use super::{Connection, ConnectionPool, Instance, MemoryBudget, Socket, Target};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -13,7 +13,11 @@
     let addr = listener.local_addr().unwrap();
     let memory = MemoryBudget::new(usize::MAX);
     let pool = ConnectionPool::new(8, 250.0, 30_000.0, memory.clone());
-    pool.set_address(1, addr);
+    let instance = Instance {
+        addr,
+        started_ms: 0.0,
+    };
+    pool.set_instance(1, instance);
     let stream = std::net::TcpStream::connect(addr).unwrap();
     stream.set_nonblocking(true).unwrap();
     let connection = Connection::new(
@@ -21,7 +25,13 @@
         pool.open.acquire(),
         memory,
     );
-    pool.put_back(Target { endpoint: 1, addr }, connection);
+    pool.put_back(
+        Target {
+            endpoint: 1,
+            instance,
+        },
+        connection,
+    );
     tokio::time::advance(Duration::from_millis(8)).await;
     assert!(
         pool.take_idle(1).is_none(),
--- a/src/bin/quota-gateway/upstream/request.rs
+++ b/src/bin/quota-gateway/upstream/request.rs
@@ -8,12 +8,29 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
+/// One process of an endpoint. Another process may come up later at its address, or under its name.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Instance {
+    /// Address at which the process listens.
+    pub addr: SocketAddr,
+    /// Start time of the process as listed, in Unix milliseconds; 0 if that is long past.
+    pub started_ms: f64,
+}
+
+impl Instance {
+    /// True if the other one is listed for the same endpoint and is another process. A start time that is earlier, or no
+    /// longer listed, does not mean that.
+    pub fn is_succeeded_by(&self, other: &Instance) -> bool {
+        self.addr != other.addr || other.started_ms > self.started_ms
+    }
+}
+
 /// The endpoint of an attempt.
 #[derive(Clone, Copy)]
 pub struct Target {
     pub endpoint: EndpointId,
-    /// Address of the endpoint when the attempt started.
-    pub addr: SocketAddr,
+    /// The process of the endpoint when the attempt started.
+    pub instance: Instance,
 }
 
 /// The bytes of a request. The body is shared with the request, not copied for each attempt.
--- a/tests/gateway/attempts.rs
+++ b/tests/gateway/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts on endpoints and their responses.
 
 use crate::stand_ins::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -247,3 +247,47 @@
         assert_eq!(gateway.get(customer, 1).body, b"stock: 12");
     }
 }
+
+/// An endpoint is started again at its address while a connection to its former process is idle. That process has gone
+/// without closing the connection, as when its machine fails. A request on the connection would reach no one. It must go
+/// to the new process.
+#[test]
+fn a_connection_to_a_former_process_is_not_reused() {
+    let connections = Arc::new(Mutex::new(0));
+    let count = connections.clone();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let endpoint = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = std::io::BufReader::new(stream.unwrap());
+            *count.lock().unwrap() += 1;
+            let number = *count.lock().unwrap();
+            std::thread::spawn(move || {
+                // A process answers one request and is then gone, with its connections left open.
+                read_message(&mut stream).unwrap();
+                let answer = response(200, "", &format!("process {number}"));
+                stream.get_mut().write_all(answer.as_bytes()).unwrap();
+                let _ = stream.get_mut().read(&mut [0; 4096]);
+                std::thread::sleep(TEST_TIMEOUT);
+            });
+        }
+    });
+    let discovery = Discovery::new();
+    let gateway = Gateway::new(&config(
+        &[endpoint],
+        start_counter(Arc::default()),
+        discovery.addr,
+    ));
+    let (_, mut watch) = discovery.next_call();
+    let exchange = || gateway.exchange(&post_request("once", "", "x")).body;
+    assert_eq!(exchange(), b"process 1");
+    let mut entry = list_entry(0, endpoint, "Ready");
+    entry["started_ms"] = 1_000.into();
+    let restarted =
+        serde_json::json!({"version": 8, "full": false, "servers": [invalid_entry(), entry]});
+    push_update(&mut watch, &restarted.to_string());
+    gateway.wait_until_list_is_applied();
+    // Lets the time pass for which a connection is not reused after a response.
+    std::thread::sleep(Duration::from_millis(20));
+    assert_eq!(exchange(), b"process 2");
+}
