Memory: a body that makes no room is not given up

Cause: when something that cannot wait exceeded the limit, the body without a piece for longest was given up whatever it held.

Evidence: memory::arrivals::tests::a_body_that_makes_no_room_is_not_given_up failed with the check taken out and passes.

--- a/src/bin/quota-gateway/memory/arrivals.rs
+++ b/src/bin/quota-gateway/memory/arrivals.rs
@@ -54,8 +54,10 @@
 }
 
 impl Progress {
+    /// True if giving the body up makes room: a short one takes next to nothing.
     fn may_be_given_up(&self) -> bool {
-        self.priority == Priority::Replaceable && !self.given_up.get()
+        let makes_room = self.bytes.get() > MAX_SHORT_BODY;
+        makes_room && self.priority == Priority::Replaceable && !self.given_up.get()
     }
 }
 
--- a/src/bin/quota-gateway/memory/arrivals/tests.rs
+++ b/src/bin/quota-gateway/memory/arrivals/tests.rs
@@ -95,3 +95,18 @@
     drop(list);
     assert_eq!(body.receive(LENGTH).await, Ok(()));
 }
+
+/// Guards against giving up short bodies, such as those of ordinary requests, for memory that they don't hold.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_makes_no_room_is_not_given_up() {
+    let budget = MemoryBudget::new(LOWEST_LIMIT);
+    let mut short = Body::begin(&budget, Priority::Replaceable);
+    assert_eq!(short.receive(200).await, Ok(()));
+    let mut long = Body::begin(&budget, Priority::Replaceable);
+    assert_eq!(long.receive(LENGTH).await, Ok(()));
+    // What is already allocated exceeds the limit.
+    let mut other = budget.reserve();
+    other.grow(2 << 20);
+    assert!(long.arrival.progress.given_up.get());
+    assert!(!short.arrival.progress.given_up.get());
+}
