Server: pipelined bytes are kept while there is memory for them

Cause: the read-ahead of all clients was limited to a quarter of the memory limit, and beyond that the bytes of every client with 32 KiB unread are discarded. The quarter stood in for a count of all that is held, which the limit has by now.

Change: three quarters, as long as a sixteenth of the limit is left to bodies, by the count and by the resident memory. One client may take a sixteenth, as before. The constant of client_stream's tests follows the new limit; what they assert stands.

Open: what exceeds the memory is still discarded (docs/incidents/2026-12-05-pipelined-requests-thrown-away.md).

--- a/src/bin/quota-gateway/memory/budget.rs
+++ b/src/bin/quota-gateway/memory/budget.rs
@@ -24,8 +24,10 @@
 const MIN_FREE_BYTES: usize = 512 * 1024;
 /// Memory that is left for the bytes of peers, however many connections are open and however low the limit is.
 const MIN_BYTES: usize = 1 << 20;
-/// Share of the memory limit that pipelined bytes may take.
-const READ_AHEAD_DIVISOR: usize = 4;
+/// Share of the memory limit that pipelined bytes may take, in quarters.
+const READ_AHEAD_QUARTERS: usize = 3;
+/// Share of the memory limit that pipelined bytes leave to bodies, as a divisor.
+const BODY_RESERVE_DIVISOR: usize = 16;
 
 /// Counts the memory of all peers.
 pub struct MemoryBudget {
@@ -71,7 +73,13 @@
 
     /// Maximum number of pipelined bytes of all clients.
     pub fn max_read_ahead(&self) -> usize {
-        (self.limit / READ_AHEAD_DIVISOR).max(MIN_BYTES)
+        (self.limit / 4 * READ_AHEAD_QUARTERS).max(MIN_BYTES)
+    }
+
+    /// True if this many more pipelined bytes may be kept, without taking the room of bodies.
+    pub fn has_room_for_read_ahead(&self, bytes: usize) -> bool {
+        let reserved = bytes + self.limit / BODY_RESERVE_DIVISOR;
+        self.has_room(reserved) && self.resident_excess(reserved) == 0
     }
 
     /// Counts an open connection of a client until the guard is dropped.
--- a/src/bin/quota-gateway/server/client_stream/tests.rs
+++ b/src/bin/quota-gateway/server/client_stream/tests.rs
@@ -14,7 +14,7 @@
 
 /// Memory limit of the process, and the part of it that pipelined bytes may take.
 const MEMORY_LIMIT: usize = 32 << 20;
-const MAX_READ_AHEAD: usize = 8 << 20;
+const MAX_READ_AHEAD: usize = 24 << 20;
 
 /// Returns a client and the server's stream of it, with the read-ahead budget used up.
 fn connect_without_budget() -> (std::net::TcpStream, ClientStream, ReadAheadBudget) {
--- a/src/bin/quota-gateway/server/read_ahead.rs
+++ b/src/bin/quota-gateway/server/read_ahead.rs
@@ -13,7 +13,7 @@
 /// One client may buffer this part of what all clients may: once it has, further bytes are discarded (see
 /// `client_stream`). The limit is far above the largest request, so that only a client that pipelines many requests loses
 /// any.
-const CLIENT_SHARE_DIVISOR: usize = 4;
+const CLIENT_SHARE_DIVISOR: usize = 12;
 /// Memory that a segment takes in addition to its bytes.
 const SEGMENT_BYTES: usize = 128;
 /// Time after the first read within which further bytes count as having arrived together with the first.
@@ -56,7 +56,8 @@
 
     /// True if more bytes may be buffered. Once there is no room, no more bytes are read ahead; they stay in the sockets.
     pub fn has_room(&self) -> bool {
-        self.used() < self.memory.max_read_ahead() && self.memory.has_room(READ_AHEAD_BYTES)
+        self.used() < self.memory.max_read_ahead()
+            && self.memory.has_room_for_read_ahead(READ_AHEAD_BYTES)
     }
 }
 
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -129,28 +129,54 @@
     config["limits"]["memory_mb"] = MEMORY_LIMIT_MB.into();
     let gateway = Gateway::new(&config);
     for (clients, requests, body_bytes) in [(1, 24, 60_000), (60, 8, 15_000), (100, 12, 6_000)] {
-        let unanswered: usize = std::thread::scope(|scope| {
-            let clients: Vec<_> = (0..clients)
-                .map(|_| {
-                    let connection = gateway.connect();
-                    scope.spawn(move || {
-                        let texts: Vec<_> = (0..requests)
-                            .map(|_| post_request_of_length(body_bytes))
-                            .collect();
-                        let statuses = statuses(connection, &texts, Writing::AtOnce);
-                        statuses.iter().filter(|status| status.is_none()).count()
-                    })
-                })
-                .collect();
-            clients.into_iter().map(|c| c.join().unwrap()).sum()
-        });
         assert_eq!(
-            unanswered, 0,
+            count_unanswered(&gateway, clients, requests, body_bytes),
+            0,
             "requests without a response, {clients} clients with {requests} requests of {body_bytes} bytes"
         );
     }
 }
 
+/// Many clients each send several requests at once, two thirds of the lowest memory limit that the operators name in all.
+/// If the gateway kept less of them than it has memory for, it would discard requests, which would never be answered.
+#[test]
+fn pipelined_requests_are_kept_while_there_is_memory_for_them() {
+    const MEMORY_LIMIT_MB: u32 = 32;
+    let mut config = config_with_slow_endpoint(SERVICE_TIME);
+    config["limits"]["memory_mb"] = MEMORY_LIMIT_MB.into();
+    config["limits"]["sockets"] = 1024.into();
+    let gateway = Gateway::new(&config);
+    assert_eq!(count_unanswered(&gateway, 150, 6, 24_000), 0);
+}
+
+/// Lets clients send requests at once on a connection each, and counts those that get no response.
+fn count_unanswered(
+    gateway: &Gateway,
+    clients: usize,
+    requests: usize,
+    body_bytes: usize,
+) -> usize {
+    let connections: Vec<_> = (0..clients).map(|_| gateway.connect()).collect();
+    std::thread::scope(|scope| {
+        let clients: Vec<_> = connections
+            .into_iter()
+            .map(|connection| {
+                scope.spawn(move || {
+                    let texts: Vec<_> = (0..requests)
+                        .map(|_| post_request_of_length(body_bytes))
+                        .collect();
+                    let statuses = statuses(connection, &texts, Writing::AtOnce);
+                    statuses.iter().filter(|status| status.is_none()).count()
+                })
+            })
+            .collect();
+        clients
+            .into_iter()
+            .map(|client| client.join().unwrap())
+            .sum()
+    })
+}
+
 /// Number of requests of the client that sends at full speed in one write.
 const FLOOD_REQUESTS: usize = 200;
 /// Exchanges of another client during the flood.
