Memory: test again that an announced length stays within the maximum

- an_announced_length_is_allocated_once_and_within_the_maximum was left out in part; it is back with all its assertions.

--- a/src/bin/quota-gateway/memory/body/tests.rs
+++ b/src/bin/quota-gateway/memory/body/tests.rs
@@ -122,3 +122,24 @@
     body.make_room().await.unwrap();
     assert_eq!(allocated(&body), BLOCK_BYTES + 10);
 }
+
+/// Guards against a long length that a peer announces and does not send, or exceeds, and against an allocation beyond the
+/// maximum length.
+#[tokio::test]
+async fn an_announced_length_is_allocated_once_and_within_the_maximum() {
+    const MAX_BYTES: usize = 1000;
+    let mut body = arriving(MAX_BYTES, Some(600));
+    assert_eq!(allocated(&body), 0);
+    for _ in 0..600 {
+        push(&mut body, b"x").await.unwrap();
+        assert_eq!(allocated(&body), 600);
+    }
+    let mut body = arriving(MAX_BYTES, Some(usize::MAX));
+    push(&mut body, b"x").await.unwrap();
+    assert_eq!(allocated(&body), MAX_BYTES);
+    let mut body = arriving(MAX_BYTES, None);
+    for _ in 0..MAX_BYTES {
+        push(&mut body, b"x").await.unwrap();
+        assert!(allocated(&body) <= MAX_BYTES);
+    }
+}
